--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+BUILD ?= build
+CHECK ?= build-check
+FUZZ ?= build-fuzz
+JOBS ?= 4
+
+.PHONY: packages build demo check lint format fuzz bench clean
+
+packages:
+	scripts/install-packages
+
+build:
+	cmake -S . -B $(BUILD) >/dev/null
+	cmake --build $(BUILD) -j $(JOBS)
+
+demo: packages build
+	scripts/demo $(BUILD)
+
+check: packages lint
+	cmake -S . -B $(CHECK) -DGUAVAFLOW_SANITIZE=ON >/dev/null
+	cmake --build $(CHECK) -j $(JOBS)
+	scripts/check $(CHECK)
+
+lint:
+	scripts/lint
+
+format:
+	git ls-files -co --exclude-standard '*.c' '*.h' | grep -v peer_xdr | xargs clang-format -i
+
+clean:
+	rm -rf $(BUILD) $(CHECK) $(FUZZ)
--- /dev/null
+++ b/include/guavaflow/fleet.h
@@ -0,0 +1,77 @@
+/* What this entry knows of all racks: who holds each, and the free room that
+ * its holder last stated. Hints for routing; the holder decides. */
+#ifndef GUAVAFLOW_FLEET_H
+#define GUAVAFLOW_FLEET_H
+
+#include "guavaflow/clock.h"
+#include "guavaflow/control.h"
+#include "guavaflow/task.h"
+
+#define GF_RACK_SERVICES 16
+
+typedef struct GfFleet GfFleet;
+
+typedef struct {
+    GfName service;
+    uint32_t free_slots;
+    uint32_t queued;
+} GfServiceRoom;
+
+typedef struct {
+    GfName rack;
+    GfName holder;
+    uint64_t term;
+    bool open;
+    uint32_t free_mcores;
+    GfRoom widest;
+    GfRoom largest;
+    GfServiceRoom services[GF_RACK_SERVICES];
+    size_t service_count;
+    struct timespec stated_at;
+} GfRackView;
+
+GfFleet *
+GfFleet_Create(uint32_t seed);
+void
+GfFleet_Destroy(GfFleet *fleet);
+void
+GfFleet_AddRack(GfFleet *fleet, const GfName *rack, const GfName *domain);
+void
+GfFleet_Update(GfFleet *fleet, const GfRackView *view);
+void
+GfFleet_DropHolder(GfFleet *fleet, const GfName *holder);
+void
+GfFleet_CloseOthers(GfFleet *fleet, const GfName *holder,
+                    struct timespec since);
+size_t
+GfFleet_Count(const GfFleet *fleet);
+const GfRackView *
+GfFleet_At(const GfFleet *fleet, size_t index);
+const GfRackView *
+GfFleet_Find(const GfFleet *fleet, const GfName *rack);
+const GfName *
+GfFleet_Domain(const GfFleet *fleet, const GfName *rack);
+const GfRackView *
+GfFleet_PickForTask(GfFleet *fleet, const GfControl *control,
+                    const GfRoom *need, uint32_t count);
+const GfRackView *
+GfFleet_PickForRequest(GfFleet *fleet, const GfControl *control,
+                       const GfName *service, const GfName *tried,
+                       size_t tries);
+void
+GfFleet_Reserve(GfFleet *fleet, const GfName *rack, const GfRoom *need);
+void
+GfFleet_ReserveSlot(GfFleet *fleet, const GfName *rack, const GfName *service);
+bool
+GfFleet_CanEverFit(const GfFleet *fleet, const GfRoom *need);
+size_t
+GfFleet_WithoutHolder(const GfFleet *fleet);
+void
+GfFleet_SetUse(GfFleet *fleet, const GfName *member, const GfName *team,
+               GfAmount use);
+void
+GfFleet_ClearUse(GfFleet *fleet, const GfName *member);
+GfAmount
+GfFleet_TeamUse(const GfFleet *fleet, const GfName *team);
+
+#endif
--- /dev/null
+++ b/include/guavaflow/http.h
@@ -0,0 +1,58 @@
+/* HTTP calls on the event loop. A connection carries one call at a time; one
+ * that timed out or failed is closed and never used again. */
+#ifndef GUAVAFLOW_HTTP_H
+#define GUAVAFLOW_HTTP_H
+
+#include <event2/event.h>
+#include <event2/http.h>
+#include <jansson.h>
+
+#include "guavaflow/error.h"
+#include "guavaflow/name.h"
+
+typedef struct GfHttp GfHttp;
+
+/* The outcome of a call. kind is GF_OK when a whole answer arrived, whatever
+ * its status. sent is false only if no byte of the call left this process. */
+typedef struct {
+    GfErrorKind kind;
+    bool sent;
+    int status;
+    const char *body;
+    size_t body_len;
+} GfHttpResult;
+
+typedef void (*GfHttpCallback)(void *arg, const GfHttpResult *result);
+
+typedef struct {
+    const char *name;
+    const char *value;
+} GfHttpHeader;
+
+typedef struct {
+    const char *address;
+    uint16_t port;
+    enum evhttp_cmd_type method;
+    const char *path;
+    const GfHttpHeader *headers;
+    size_t header_count;
+    const char *body;
+    size_t body_len;
+    int timeout_ms;
+} GfHttpCall;
+
+GfHttp *
+GfHttp_Create(struct event_base *base);
+void
+GfHttp_Destroy(GfHttp *http);
+void
+GfHttp_Start(GfHttp *http, const GfHttpCall *call, GfHttpCallback callback,
+             void *arg);
+void
+GfHttp_PostJson(GfHttp *http, const char *address, uint16_t port,
+                const char *path, json_t *body, int timeout_ms,
+                GfHttpCallback callback, void *arg);
+json_t *
+GfHttp_ParseJson(const GfHttpResult *result);
+
+#endif
--- /dev/null
+++ b/include/guavaflow/rpc.h
@@ -0,0 +1,68 @@
+/* ONC RPC over TCP on the event loop: record marking on bufferevents, XDR by
+ * libtirpc. A client keeps many calls in flight on one connection and matches
+ * answers by transaction id. */
+#ifndef GUAVAFLOW_RPC_H
+#define GUAVAFLOW_RPC_H
+
+#include <event2/event.h>
+#include <rpc/rpc.h>
+
+#include "guavaflow/clock.h"
+#include "guavaflow/error.h"
+
+#define GF_RPC_MAX_RECORD_BYTES (8 * 1024 * 1024)
+
+typedef struct GfRpcServer GfRpcServer;
+typedef struct GfRpcCall GfRpcCall;
+typedef struct GfRpcClient GfRpcClient;
+
+/* One procedure. args is decoded before handle is called and freed after it
+ * returns; the answer may be sent then or later. */
+typedef struct {
+    uint32_t number;
+    xdrproc_t xdr_args;
+    size_t args_bytes;
+    xdrproc_t xdr_result;
+    void (*handle)(void *ctx, GfRpcCall *call, void *args);
+} GfRpcProcedure;
+
+typedef struct {
+    uint32_t program;
+    uint32_t version;
+    const GfRpcProcedure *procedures;
+    size_t procedure_count;
+} GfRpcProgram;
+
+/* The outcome of a call. kind is GF_OK if the peer answered. sent is false
+ * only if no byte of the call can have reached the peer. */
+typedef struct {
+    GfErrorKind kind;
+    bool sent;
+    const void *result;
+} GfRpcOutcome;
+
+typedef void (*GfRpcCallback)(void *arg, const GfRpcOutcome *outcome);
+
+GfRpcServer *
+GfRpcServer_Create(struct event_base *base, const char *address, uint16_t port,
+                   const GfRpcProgram *program, void *ctx, GfError *error);
+void
+GfRpcServer_StopAccepting(GfRpcServer *server);
+void
+GfRpcServer_Destroy(GfRpcServer *server);
+void
+GfRpcCall_Reply(GfRpcCall *call, void *result);
+
+GfRpcClient *
+GfRpcClient_Create(struct event_base *base, const char *address, uint16_t port,
+                   const GfRpcProgram *program, const GfClock *clock);
+void
+GfRpcClient_Start(GfRpcClient *client, uint32_t procedure, void *args,
+                  size_t result_bytes, int timeout_ms, GfRpcCallback callback,
+                  void *arg);
+uint64_t
+GfRpcClient_Replacements(const GfRpcClient *client);
+void
+GfRpcClient_Destroy(GfRpcClient *client);
+
+#endif
--- /dev/null
+++ b/include/guavaflow/sign.h
@@ -0,0 +1,28 @@
+/* Sign-off of bundles by Ed25519 signatures of members, and the hash chain of
+ * audit records. */
+#ifndef GUAVAFLOW_SIGN_H
+#define GUAVAFLOW_SIGN_H
+
+#include <jansson.h>
+
+#include "guavaflow/bundle.h"
+
+#define GF_PUBLIC_KEY_HEX 64
+#define GF_SECRET_KEY_HEX 128
+#define GF_SIGNATURE_HEX 128
+
+void
+GfSign_NewKeys(char public_hex[GF_PUBLIC_KEY_HEX + 1],
+               char secret_hex[GF_SECRET_KEY_HEX + 1]);
+bool
+GfSign_Sign(const char *bundle, const char *secret_hex,
+            char signature[GF_SIGNATURE_HEX + 1], GfError *error);
+bool
+GfSign_Check(const GfBundle *in_force, const char *bundle,
+             const json_t *signatures, json_t *signers, GfError *error);
+void
+GfAudit_Chain(json_t *record, const char *previous_hash);
+bool
+GfAudit_Verify(const json_t *records, GfError *error);
+
+#endif
--- /dev/null
+++ b/include/guavaflow/wait_queue.h
@@ -0,0 +1,33 @@
+/* Tasks that wait for room: a queue for each class and team. The next task
+ * comes from the first class, in order, and there from the team that has
+ * least of its share. */
+#ifndef GUAVAFLOW_WAIT_QUEUE_H
+#define GUAVAFLOW_WAIT_QUEUE_H
+
+#include "guavaflow/job.h"
+
+typedef struct GfWaitQueue GfWaitQueue;
+
+/* Returns how much a team has of its share, in any unit that is the same for
+ * all teams. */
+typedef uint64_t (*GfShareFunction)(void *ctx, const GfName *team);
+
+GfWaitQueue *
+GfWaitQueue_Create(void);
+void
+GfWaitQueue_Destroy(GfWaitQueue *queue);
+void
+GfWaitQueue_Push(GfWaitQueue *queue, GfJobTask *task);
+void
+GfWaitQueue_Remove(GfWaitQueue *queue, GfJobTask *task);
+size_t
+GfWaitQueue_Count(const GfWaitQueue *queue);
+void
+GfWaitQueue_BeginRound(GfWaitQueue *queue);
+GfJobTask *
+GfWaitQueue_Next(GfWaitQueue *queue, struct timespec now,
+                 GfShareFunction share, void *ctx);
+void
+GfWaitQueue_Block(GfWaitQueue *queue, const GfJobTask *task);
+
+#endif
--- /dev/null
+++ b/src/cli/call.c
@@ -0,0 +1,139 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/event.h>
+
+#include "cli.h"
+#include "guavaflow/http.h"
+
+#define DEFAULT_ENTRY "127.0.0.1:8000"
+#define ADDRESS_BYTES 64
+#define MAX_HEADERS 8
+#define MAX_PORT 65535
+#define KEY_VARIABLE "GUAVAFLOW_KEY"
+
+typedef struct {
+    struct event_base *base;
+    CliReply *reply;
+    GfErrorKind kind;
+    bool sent;
+} Waiting;
+
+/* Takes the answer and ends the loop. */
+static void
+on_answer(void *arg, const GfHttpResult *result)
+{
+    Waiting *w = arg;
+    w->kind = result->kind;
+    w->sent = result->sent;
+    if (result->kind == GF_OK) {
+        w->reply->status = result->status;
+        w->reply->body = GfHttp_ParseJson(result);
+        if (w->reply->body == NULL) {
+            w->reply->body = json_stringn(result->body, result->body_len);
+        }
+    }
+    event_base_loopexit(w->base, NULL);
+}
+
+/* Splits ADDRESS:PORT. */
+static bool
+parse_entry(char address[ADDRESS_BYTES], uint16_t *port, GfError *error)
+{
+    const char *text =
+        cli_target.entry == NULL ? DEFAULT_ENTRY : cli_target.entry;
+    const char *colon = strrchr(text, ':');
+    long value = colon == NULL ? 0 : strtol(colon + 1, NULL, 10);
+    if (colon == NULL || (size_t)(colon - text) >= ADDRESS_BYTES ||
+        value < 1 || value > MAX_PORT) {
+        return GfError_Set(error, GF_BAD_REQUEST,
+                           "--entry is \"%s\"; allowed is ADDRESS:PORT", text);
+    }
+    memcpy(address, text, (size_t)(colon - text));
+    address[colon - text] = '\0';
+    *port = (uint16_t)value;
+    return true;
+}
+
+/* Calls an entry and waits for its answer. headers is a list of names and
+ * values that ends with NULL, or NULL. */
+bool
+Cli_Call(const char *method, const char *path, const char *body,
+         const char *const *headers, CliReply *reply, GfError *error)
+{
+    char address[ADDRESS_BYTES];
+    uint16_t port = 0;
+    memset(reply, 0, sizeof(*reply));
+    if (!parse_entry(address, &port, error)) {
+        return false;
+    }
+    GfHttpHeader list[MAX_HEADERS];
+    size_t count = 0;
+    const char *key =
+        cli_target.key == NULL ? getenv(KEY_VARIABLE) : cli_target.key;
+    GfStr bearer = GfStr_Format("Bearer %s", key == NULL ? "" : key);
+    if (key != NULL) {
+        list[count++] = (GfHttpHeader){"Authorization", bearer.data};
+    }
+    list[count++] = (GfHttpHeader){"Content-Type", "application/json"};
+    for (size_t i = 0;
+         headers != NULL && headers[i] != NULL && count < MAX_HEADERS;
+         i += 2) {
+        list[count++] = (GfHttpHeader){headers[i], headers[i + 1]};
+    }
+    struct event_base *base = event_base_new();
+    GfHttp *http = GfHttp_Create(base);
+    Waiting waiting = {.base = base, .reply = reply};
+    GfHttpCall call = {.address = address,
+                       .port = port,
+                       .method = strcmp(method, "POST") == 0 ? EVHTTP_REQ_POST
+                                                             : EVHTTP_REQ_GET,
+                       .path = path,
+                       .headers = list,
+                       .header_count = count,
+                       .body = body,
+                       .body_len = body == NULL ? 0 : strlen(body),
+                       .timeout_ms = cli_target.timeout_ms};
+    GfHttp_Start(http, &call, on_answer, &waiting);
+    event_base_dispatch(base);
+    GfHttp_Destroy(http);
+    event_base_free(base);
+    GfStr_Clear(&bearer);
+    if (waiting.kind != GF_OK) {
+        return GfError_Set(
+            error, waiting.kind, "%s:%u gave no answer (%s); ran: %s", address,
+            port, GfError_Name(waiting.kind), waiting.sent ? "unknown" : "no");
+    }
+    return true;
+}
+
+/* Prints an answer, for people or for programs, frees it, and returns the
+ * exit code of its kind. */
+int
+Cli_Show(const CliReply *reply)
+{
+    const char *kind = json_string_value(json_object_get(reply->body, "kind"));
+    const char *ran = json_string_value(json_object_get(reply->body, "ran"));
+    const char *reason =
+        json_string_value(json_object_get(reply->body, "reason"));
+    json_t *answer = json_object_get(reply->body, "answer");
+    if (Cli_WantsJson() || kind == NULL) {
+        char *text = json_dumps(reply->body, JSON_INDENT(2) | JSON_ENCODE_ANY);
+        printf("%s\n", text);
+        free(text);
+    }
+    else {
+        printf("%s, ran: %s", kind, ran == NULL ? "unknown" : ran);
+        printf("%s%s\n", reason == NULL ? "" : ": ",
+               reason == NULL ? "" : reason);
+        if (answer != NULL) {
+            char *text = json_dumps(answer, JSON_INDENT(2) | JSON_ENCODE_ANY);
+            printf("%s\n", text);
+            free(text);
+        }
+    }
+    int code = kind == NULL ? 0 : GfError_ExitCode(GfError_FromName(kind));
+    json_decref(reply->body);
+    return code;
+}
--- /dev/null
+++ b/src/cli/cmd_admin.c
@@ -0,0 +1,248 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cli.h"
+#include "guavaflow/bundle.h"
+#include "guavaflow/sign.h"
+
+static struct poptOption options[] = {
+    {NULL, 0, POPT_ARG_INCLUDE_TABLE, cli_target_options, 0, "Call:", NULL},
+    POPT_AUTOHELP POPT_TABLEEND};
+
+static struct poptOption no_options[] = {POPT_AUTOHELP POPT_TABLEEND};
+
+/* Reads a reply of the administration interface. Refusals are shown. */
+static bool
+get(const char *path, CliReply *reply, int *code)
+{
+    GfError error;
+    if (!Cli_Call("GET", path, NULL, NULL, reply, &error)) {
+        *code = Cli_Fail(&error);
+        return false;
+    }
+    if (json_object_get(reply->body, "kind") != NULL || Cli_WantsJson()) {
+        *code = Cli_Show(reply);
+        return false;
+    }
+    return true;
+}
+
+/* Returns a text member, or the empty text. */
+static const char *
+text_of(const json_t *body, const char *name)
+{
+    const char *text = json_string_value(json_object_get(body, name));
+    return text == NULL ? "" : text;
+}
+
+/* Posts a change and tells whether it is in force everywhere. */
+static int
+post_change(const char *path, json_t *body)
+{
+    CliReply reply;
+    GfError error;
+    char *text = json_dumps(body, JSON_COMPACT);
+    json_decref(body);
+    bool called = Cli_Call("POST", path, text, NULL, &reply, &error);
+    free(text);
+    if (!called) {
+        return Cli_Fail(&error);
+    }
+    json_t *in_force = json_object_get(reply.body, "in_force");
+    if (in_force == NULL || Cli_WantsJson()) {
+        return Cli_Show(&reply);
+    }
+    printf(
+        "version %lld is %s\n",
+        (long long)json_integer_value(json_object_get(reply.body, "version")),
+        json_is_true(in_force) ? "in force everywhere"
+                               : "committed, but not yet in force at:");
+    size_t i;
+    json_t *name;
+    json_array_foreach(json_object_get(reply.body, "missing"), i, name)
+    {
+        printf("  %s\n", json_string_value(name));
+    }
+    int code = json_is_true(in_force) ? 0 : GfError_ExitCode(GF_NOT_CONFIRMED);
+    json_decref(reply.body);
+    return code;
+}
+
+/* Lists the failure domains that are out. */
+static int
+list_domains(void)
+{
+    CliReply reply;
+    int code = 0;
+    if (!get("/v1/admin/control", &reply, &code)) {
+        return code;
+    }
+    json_t *out = json_object_get(reply.body, "domains_out");
+    size_t i;
+    json_t *name;
+    json_array_foreach(out, i, name)
+    {
+        printf("%s is out\n", json_string_value(name));
+    }
+    if (json_array_size(out) == 0) {
+        printf("no failure domain is out\n");
+    }
+    json_decref(reply.body);
+    return 0;
+}
+
+/* Takes failure domains out and in: guavaflow domain out|in NAME, or
+ * guavaflow domain list. */
+int
+CmdDomain_Run(int argc, const char **argv)
+{
+    int code = 0;
+    poptContext popt = Cli_Parse("domain", argc, argv, options,
+                                 "out NAME | in NAME | list", &code);
+    if (popt == NULL) {
+        return code;
+    }
+    const char *verb = poptGetArg(popt);
+    const char *name = poptGetArg(popt);
+    if (verb != NULL && strcmp(verb, "list") == 0 && name == NULL) {
+        code = list_domains();
+    }
+    else if (verb != NULL && name != NULL &&
+             (strcmp(verb, "out") == 0 || strcmp(verb, "in") == 0)) {
+        code = post_change("/v1/admin/domain",
+                           json_pack("{s:s,s:b}", "domain", name, "out",
+                                     strcmp(verb, "out") == 0));
+    }
+    else {
+        return Cli_Usage(popt, "out NAME, in NAME or list is required");
+    }
+    poptFreeContext(popt);
+    return code;
+}
+
+/* Lists entries and racks: guavaflow member list. */
+int
+CmdMember_Run(int argc, const char **argv)
+{
+    int code = 0;
+    CliReply reply;
+    poptContext popt = Cli_Parse("member", argc, argv, options, "list", &code);
+    if (popt == NULL) {
+        return code;
+    }
+    const char *verb = poptGetArg(popt);
+    if (verb == NULL || strcmp(verb, "list") != 0) {
+        return Cli_Usage(popt, "list is required");
+    }
+    if (get("/v1/admin/members", &reply, &code)) {
+        size_t i;
+        json_t *item;
+        json_array_foreach(json_object_get(reply.body, "members"), i, item)
+        {
+            printf("entry %-20s %-12s version %lld\n", text_of(item, "name"),
+                   json_is_true(json_object_get(item, "in_contact"))
+                       ? "in contact"
+                       : "silent",
+                   (long long)json_integer_value(
+                       json_object_get(item, "control_version")));
+        }
+        json_array_foreach(json_object_get(reply.body, "racks"), i, item)
+        {
+            const char *holder = text_of(item, "holder");
+            printf("rack  %-20s %s\n", text_of(item, "rack"),
+                   holder[0] == '\0' ? "WITHOUT HOLDER" : holder);
+        }
+        json_decref(reply.body);
+    }
+    poptFreeContext(popt);
+    return code;
+}
+
+/* Shows the audit trail and verifies its chain: guavaflow audit. */
+int
+CmdAudit_Run(int argc, const char **argv)
+{
+    int code = 0;
+    CliReply reply;
+    GfError error;
+    poptContext popt = Cli_Parse("audit", argc, argv, options, "", &code);
+    if (popt == NULL) {
+        return code;
+    }
+    poptFreeContext(popt);
+    if (!Cli_Call("GET", "/v1/admin/audit", NULL, NULL, &reply, &error)) {
+        return Cli_Fail(&error);
+    }
+    json_t *records = json_object_get(reply.body, "records");
+    if (records == NULL) {
+        return Cli_Show(&reply);
+    }
+    size_t i;
+    json_t *record;
+    json_array_foreach(records, i, record)
+    {
+        char *text = json_dumps(record, JSON_COMPACT);
+        printf("%s\n", text);
+        free(text);
+    }
+    bool good = GfAudit_Verify(records, &error);
+    json_decref(reply.body);
+    if (!good) {
+        return Cli_Fail(&error);
+    }
+    fprintf(stderr, "the chain of %zu records is whole\n", i);
+    return 0;
+}
+
+/* Prints a new key of a team and the hash that goes into the bundle. */
+static int
+new_team_key(const char *team)
+{
+    GfName name;
+    char hex[GF_KEY_HASH_HEX + 1];
+    if (!GfName_SetText(&name, team)) {
+        GfError error;
+        GfError_Set(&error, GF_BAD_REQUEST, "\"%s\" is no name", team);
+        return Cli_Fail(&error);
+    }
+    GfStr key = GfKey_New(&name);
+    GfKey_Hash(key.data, key.len, hex);
+    printf("key:  %s\nhash: %s\n", key.data, hex);
+    GfStr_Clear(&key);
+    return 0;
+}
+
+/* Makes keys: guavaflow key new NAME for a team or an operator, guavaflow
+ * key hash KEY, guavaflow key member for a member's signing keys. */
+int
+CmdKey_Run(int argc, const char **argv)
+{
+    int code = 0;
+    poptContext popt = Cli_Parse("key", argc, argv, no_options,
+                                 "new NAME | hash KEY | member", &code);
+    if (popt == NULL) {
+        return code;
+    }
+    const char *verb = poptGetArg(popt);
+    const char *name = poptGetArg(popt);
+    if (verb != NULL && strcmp(verb, "new") == 0 && name != NULL) {
+        code = new_team_key(name);
+    }
+    else if (verb != NULL && strcmp(verb, "hash") == 0 && name != NULL) {
+        char hex[GF_KEY_HASH_HEX + 1];
+        GfKey_Hash(name, strlen(name), hex);
+        printf("%s\n", hex);
+    }
+    else if (verb != NULL && strcmp(verb, "member") == 0 && name == NULL) {
+        char public_hex[GF_PUBLIC_KEY_HEX + 1];
+        char secret_hex[GF_SECRET_KEY_HEX + 1];
+        GfSign_NewKeys(public_hex, secret_hex);
+        printf("public: %s\nsecret: %s\n", public_hex, secret_hex);
+    }
+    else {
+        return Cli_Usage(popt, "new NAME, hash KEY or member is required");
+    }
+    poptFreeContext(popt);
+    return code;
+}
--- /dev/null
+++ b/src/cli/cmd_bundle.c
@@ -0,0 +1,299 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cli.h"
+#include "guavaflow/bundle.h"
+#include "guavaflow/sign.h"
+#include "guavaflow/yaml.h"
+
+static char *secret_path;
+static char **signatures;
+
+static struct poptOption options[] = {
+    {"secret", 's', POPT_ARG_STRING, &secret_path, 0,
+     "file with the member's secret key, for sign", "FILE"},
+    {"signature", 'S', POPT_ARG_ARGV, &signatures, 0,
+     "a member's signature, for propose; may be repeated", "MEMBER=HEX"},
+    {NULL, 0, POPT_ARG_INCLUDE_TABLE, cli_target_options, 0, "Call:", NULL},
+    POPT_AUTOHELP POPT_TABLEEND};
+
+/* Reads and checks a bundle from a file. */
+static GfBundle *
+load(const char *path, GfStr *text, GfError *error)
+{
+    if (!GfYaml_ReadFile(path, text, error)) {
+        return NULL;
+    }
+    GfBundle *bundle = GfBundle_Parse(text->data, text->len, path, error);
+    if (bundle == NULL) {
+        GfStr_Clear(text);
+    }
+    return bundle;
+}
+
+/* Checks a bundle: guavaflow bundle check FILE. */
+static int
+check(const char *path)
+{
+    GfStr text;
+    GfError error;
+    GfBundle *bundle = load(path, &text, &error);
+    if (bundle == NULL) {
+        return Cli_Fail(&error);
+    }
+    printf("%s: version %" PRIu64 " with %zu teams and %zu services is good\n",
+           path, GfBundle_Version(bundle), GfBundle_TeamCount(bundle),
+           GfBundle_ServiceCount(bundle));
+    GfBundle_Destroy(bundle);
+    GfStr_Clear(&text);
+    return 0;
+}
+
+/* Returns a team's index, or the number of teams. */
+static size_t
+index_of(const GfBundle *bundle, const GfName *team)
+{
+    size_t i = 0;
+    while (i < GfBundle_TeamCount(bundle) &&
+           !GfName_Equal(&GfBundle_TeamAt(bundle, i)->name, team)) {
+        i++;
+    }
+    return i;
+}
+
+/* Tells whether a team has a key hash. */
+static bool
+has_key(const GfBundle *bundle, size_t team, const char *key)
+{
+    for (size_t k = 0; k < GfBundle_KeyCount(bundle, team); k++) {
+        if (strcmp(GfBundle_KeyAt(bundle, team, k), key) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Counts the keys of a team that another bundle's team lacks. */
+static size_t
+count_missing(const GfBundle *from, size_t from_team, const GfBundle *in,
+              size_t in_team)
+{
+    size_t missing = 0;
+    for (size_t k = 0; k < GfBundle_KeyCount(from, from_team); k++) {
+        missing += !has_key(in, in_team, GfBundle_KeyAt(from, from_team, k));
+    }
+    return missing;
+}
+
+/* Prints what changes for a team that both bundles have. */
+static void
+diff_team(const GfBundle *a, size_t i, const GfBundle *b, size_t j)
+{
+    const GfTeam *old = GfBundle_TeamAt(a, i);
+    const GfTeam *new = GfBundle_TeamAt(b, j);
+    if (old->share != new->share) {
+        printf("team %s: share %u -> %u\n", old->name.data, old->share,
+               new->share);
+    }
+    if (old->limit_mcores != new->limit_mcores) {
+        printf("team %s: limit %" PRIu64 " -> %" PRIu64 " millicores%s\n",
+               old->name.data, old->limit_mcores, new->limit_mcores,
+               new->limit_mcores < old->limit_mcores
+                   ? "; work above it is stopped"
+                   : "");
+    }
+    if (old->limit_requests != new->limit_requests) {
+        printf("team %s: limit %u -> %u requests\n", old->name.data,
+               old->limit_requests, new->limit_requests);
+    }
+    size_t withdrawn = count_missing(a, i, b, j);
+    size_t granted = count_missing(b, j, a, i);
+    if (withdrawn + granted > 0) {
+        printf("team %s: %zu keys granted, %zu withdrawn\n", old->name.data,
+               granted, withdrawn);
+    }
+}
+
+/* Prints what changes for whom between two bundles. */
+static int
+diff(const char *old_path, const char *new_path)
+{
+    GfStr old_text = {0};
+    GfStr new_text = {0};
+    GfError error;
+    GfBundle *a = load(old_path, &old_text, &error);
+    GfBundle *b = a == NULL ? NULL : load(new_path, &new_text, &error);
+    int code = 0;
+    if (a == NULL || b == NULL) {
+        code = Cli_Fail(&error);
+    }
+    else {
+        printf("version %" PRIu64 " -> %" PRIu64 "\n", GfBundle_Version(a),
+               GfBundle_Version(b));
+        for (size_t i = 0; i < GfBundle_TeamCount(a); i++) {
+            const GfName *team = &GfBundle_TeamAt(a, i)->name;
+            size_t j = index_of(b, team);
+            if (j == GfBundle_TeamCount(b)) {
+                printf("team %s: removed; its work is stopped\n", team->data);
+            }
+            else {
+                diff_team(a, i, b, j);
+            }
+        }
+        for (size_t j = 0; j < GfBundle_TeamCount(b); j++) {
+            const GfName *team = &GfBundle_TeamAt(b, j)->name;
+            if (index_of(a, team) == GfBundle_TeamCount(a)) {
+                printf("team %s: added\n", team->data);
+            }
+        }
+        if (GfBundle_Quorum(a) != GfBundle_Quorum(b)) {
+            printf("quorum %u -> %u\n", GfBundle_Quorum(a),
+                   GfBundle_Quorum(b));
+        }
+    }
+    GfBundle_Destroy(a);
+    GfBundle_Destroy(b);
+    GfStr_Clear(&old_text);
+    GfStr_Clear(&new_text);
+    return code;
+}
+
+/* Prints a member's signature of a bundle. */
+static int
+sign(const char *path)
+{
+    GfStr text;
+    GfStr secret;
+    GfError error;
+    char signature[GF_SIGNATURE_HEX + 1];
+    GfBundle *bundle = load(path, &text, &error);
+    if (bundle == NULL) {
+        return Cli_Fail(&error);
+    }
+    GfBundle_Destroy(bundle);
+    bool good = GfYaml_ReadFile(secret_path, &secret, &error);
+    if (good) {
+        secret.data[strcspn(secret.data, " \r\n")] = '\0';
+        good = GfSign_Sign(text.data, secret.data, signature, &error);
+        GfStr_Clear(&secret);
+    }
+    GfStr_Clear(&text);
+    if (!good) {
+        return Cli_Fail(&error);
+    }
+    printf("%s\n", signature);
+    return 0;
+}
+
+/* Collects the signatures that the options give. */
+static bool
+collect(json_t *list, GfError *error)
+{
+    for (size_t i = 0; signatures != NULL && signatures[i] != NULL; i++) {
+        char *equals = strchr(signatures[i], '=');
+        if (equals == NULL) {
+            return GfError_Set(error, GF_BAD_REQUEST,
+                               "--signature \"%.60s\" is not MEMBER=HEX",
+                               signatures[i]);
+        }
+        *equals = '\0';
+        json_object_set_new(list, signatures[i], json_string(equals + 1));
+    }
+    return true;
+}
+
+/* Proposes a bundle with its signatures to an entry. */
+static int
+propose(const char *path)
+{
+    GfStr text;
+    GfError error;
+    CliReply reply;
+    GfBundle *bundle = load(path, &text, &error);
+    if (bundle == NULL) {
+        return Cli_Fail(&error);
+    }
+    GfBundle_Destroy(bundle);
+    json_t *list = json_object();
+    if (!collect(list, &error)) {
+        json_decref(list);
+        GfStr_Clear(&text);
+        return Cli_Fail(&error);
+    }
+    json_t *body =
+        json_pack("{s:s,s:o}", "bundle", text.data, "signatures", list);
+    char *json = json_dumps(body, JSON_COMPACT);
+    json_decref(body);
+    GfStr_Clear(&text);
+    bool called =
+        Cli_Call("POST", "/v1/admin/bundle", json, NULL, &reply, &error);
+    free(json);
+    return called ? Cli_Show(&reply) : Cli_Fail(&error);
+}
+
+/* Shows the control state in force. */
+static int
+status(void)
+{
+    CliReply reply;
+    GfError error;
+    if (!Cli_Call("GET", "/v1/admin/control", NULL, NULL, &reply, &error)) {
+        return Cli_Fail(&error);
+    }
+    const char *yaml =
+        json_string_value(json_object_get(reply.body, "bundle"));
+    if (Cli_WantsJson() || yaml == NULL) {
+        return Cli_Show(&reply);
+    }
+    size_t missing = json_array_size(json_object_get(reply.body, "missing"));
+    printf(
+        "# control version %lld, not yet in force at %zu entries\n%s",
+        (long long)json_integer_value(json_object_get(reply.body, "version")),
+        missing, yaml);
+    json_decref(reply.body);
+    return 0;
+}
+
+/* Works on bundles: check, diff, sign, propose, status. */
+int
+CmdBundle_Run(int argc, const char **argv)
+{
+    int code = 0;
+    poptContext popt =
+        Cli_Parse("bundle", argc, argv, options,
+                  "check FILE | diff OLD NEW | sign FILE | propose FILE | "
+                  "status",
+                  &code);
+    if (popt == NULL) {
+        return code;
+    }
+    const char *verb = poptGetArg(popt);
+    const char *first = poptGetArg(popt);
+    const char *second = poptGetArg(popt);
+    if (verb == NULL) {
+        return Cli_Usage(popt, "a verb is required");
+    }
+    if (strcmp(verb, "check") == 0 && first != NULL) {
+        code = check(first);
+    }
+    else if (strcmp(verb, "diff") == 0 && second != NULL) {
+        code = diff(first, second);
+    }
+    else if (strcmp(verb, "sign") == 0 && first != NULL &&
+             secret_path != NULL) {
+        code = sign(first);
+    }
+    else if (strcmp(verb, "propose") == 0 && first != NULL) {
+        code = propose(first);
+    }
+    else if (strcmp(verb, "status") == 0) {
+        code = status();
+    }
+    else {
+        return Cli_Usage(popt, "'%s' lacks an argument or is unknown", verb);
+    }
+    poptFreeContext(popt);
+    return code;
+}
--- /dev/null
+++ b/src/cli/options.c
@@ -0,0 +1,85 @@
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cli.h"
+
+#define DEFAULT_TIMEOUT_MS 10000
+#define NAME_BYTES 64
+
+CliTarget cli_target = {.timeout_ms = DEFAULT_TIMEOUT_MS};
+
+struct poptOption cli_target_options[] = {
+    {"entry", 'e', POPT_ARG_STRING, &cli_target.entry, 0,
+     "the entry to call (default 127.0.0.1:8000)", "ADDRESS:PORT"},
+    {"key", 'k', POPT_ARG_STRING, &cli_target.key, 0,
+     "the key to present (default: the variable GUAVAFLOW_KEY)", "KEY"},
+    {"output", 'o', POPT_ARG_STRING, &cli_target.output, 0,
+     "text or json (default text)", "FORM"},
+    {"timeout-ms", 't', POPT_ARG_INT, &cli_target.timeout_ms, 0,
+     "how long to wait for the answer", "MS"},
+    POPT_TABLEEND};
+
+/* Parses a command's options. On failure, or after --help, NULL is returned
+ * and *exit_code is set. */
+poptContext
+Cli_Parse(const char *command, int argc, const char **argv,
+          const struct poptOption *options, const char *arguments,
+          int *exit_code)
+{
+    static char name[NAME_BYTES];
+    snprintf(name, sizeof(name), "guavaflow %s", command);
+    argv[0] = name;
+    poptContext popt = poptGetContext(name, argc, argv, options, 0);
+    poptSetOtherOptionHelp(popt, arguments);
+    int rc = poptGetNextOpt(popt);
+    if (rc < -1) {
+        fprintf(stderr, "%s: %s: %s\n", name,
+                poptBadOption(popt, POPT_BADOPTION_NOALIAS), poptStrerror(rc));
+        fprintf(stderr, "'%s --help' shows what is allowed.\n", name);
+        poptFreeContext(popt);
+        *exit_code = CLI_USAGE_EXIT;
+        return NULL;
+    }
+    if (cli_target.output != NULL && strcmp(cli_target.output, "text") != 0 &&
+        strcmp(cli_target.output, "json") != 0) {
+        fprintf(stderr, "%s: --output is \"%s\"; allowed are text and json\n",
+                name, cli_target.output);
+        poptFreeContext(popt);
+        *exit_code = CLI_USAGE_EXIT;
+        return NULL;
+    }
+    return popt;
+}
+
+/* Prints an error and returns its exit code. */
+int
+Cli_Fail(const GfError *error)
+{
+    fprintf(stderr, "guavaflow: %s\n", error->text);
+    return GfError_ExitCode(error->kind);
+}
+
+/* Prints what is wrong with the arguments, frees the context and returns the
+ * exit code. */
+int
+Cli_Usage(poptContext popt, const char *format, ...)
+{
+    va_list args;
+    va_start(args, format);
+    fprintf(stderr, "guavaflow: ");
+    vfprintf(stderr, format, args);
+    fprintf(stderr, "\n");
+    va_end(args);
+    poptPrintUsage(popt, stderr, 0);
+    poptFreeContext(popt);
+    return CLI_USAGE_EXIT;
+}
+
+/* Tells whether output is for programs. */
+bool
+Cli_WantsJson(void)
+{
+    return cli_target.output != NULL && strcmp(cli_target.output, "json") == 0;
+}
--- /dev/null
+++ b/src/common/clock.c
@@ -0,0 +1,126 @@
+#include "guavaflow/clock.h"
+
+#include <assert.h>
+
+#define MS_PER_S 1000
+#define NS_PER_MS 1000000
+#define US_PER_MS 1000
+#define NS_PER_S 1000000000L
+
+/* Reads the boot-time clock, which also counts time spent suspended. */
+static struct timespec
+system_now(const GfClock *clock)
+{
+    (void)clock;
+    struct timespec t;
+    clock_gettime(CLOCK_BOOTTIME, &t);
+    return t;
+}
+
+/* Reads the time that a test has set. */
+static struct timespec
+manual_now(const GfClock *clock)
+{
+    return ((const GfManualClock *)clock)->time;
+}
+
+static const GfClock SYSTEM = {.now = system_now};
+
+/* Returns the clock of the host. */
+const GfClock *
+GfClock_System(void)
+{
+    return &SYSTEM;
+}
+
+/* Returns the time of the given clock. */
+struct timespec
+GfClock_Now(const GfClock *clock)
+{
+    assert(clock != NULL);
+    return clock->now(clock);
+}
+
+/* Sets up a clock that moves only when it is told to. */
+void
+GfManualClock_Init(GfManualClock *clock, int64_t ms)
+{
+    clock->clock.now = manual_now;
+    clock->time = GfTime_FromMs(ms);
+}
+
+/* Moves a manual clock forward. */
+void
+GfManualClock_Advance(GfManualClock *clock, int64_t ms)
+{
+    assert(ms >= 0);
+    clock->time = GfTime_AddMs(clock->time, ms);
+}
+
+/* Converts milliseconds since the clock's origin to a time. */
+struct timespec
+GfTime_FromMs(int64_t ms)
+{
+    return (struct timespec){.tv_sec = ms / MS_PER_S,
+                             .tv_nsec = (ms % MS_PER_S) * NS_PER_MS};
+}
+
+/* Returns the time that lies so many milliseconds later. */
+struct timespec
+GfTime_AddMs(struct timespec t, int64_t ms)
+{
+    t.tv_sec += ms / MS_PER_S;
+    t.tv_nsec += (ms % MS_PER_S) * NS_PER_MS;
+    if (t.tv_nsec >= NS_PER_S) {
+        t.tv_sec++;
+        t.tv_nsec -= NS_PER_S;
+    }
+    else if (t.tv_nsec < 0) {
+        t.tv_sec--;
+        t.tv_nsec += NS_PER_S;
+    }
+    return t;
+}
+
+/* Converts a time to milliseconds since the clock's origin. */
+int64_t
+GfTime_Ms(struct timespec t)
+{
+    return (int64_t)t.tv_sec * MS_PER_S + t.tv_nsec / NS_PER_MS;
+}
+
+/* Returns how many milliseconds lie between two times. */
+int64_t
+GfTime_DiffMs(struct timespec later, struct timespec earlier)
+{
+    int64_t ns = later.tv_nsec - earlier.tv_nsec;
+    return ((int64_t)later.tv_sec - earlier.tv_sec) * MS_PER_S +
+           ns / NS_PER_MS;
+}
+
+/* Tells whether a lies strictly before b. */
+bool
+GfTime_Before(struct timespec a, struct timespec b)
+{
+    if (a.tv_sec != b.tv_sec) {
+        return a.tv_sec < b.tv_sec;
+    }
+    return a.tv_nsec < b.tv_nsec;
+}
+
+/* Converts milliseconds to the interval type of the event loop. */
+struct timeval
+GfTime_Interval(int64_t ms)
+{
+    return (struct timeval){.tv_sec = ms / MS_PER_S,
+                            .tv_usec = (ms % MS_PER_S) * US_PER_MS};
+}
+
+/* Returns wall-clock milliseconds, for logs and audit records only. */
+int64_t
+GfTime_WallMs(void)
+{
+    struct timespec t;
+    clock_gettime(CLOCK_REALTIME, &t);
+    return GfTime_Ms(t);
+}
--- /dev/null
+++ b/src/common/error.c
@@ -0,0 +1,124 @@
+#include "guavaflow/error.h"
+
+#include <assert.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+typedef struct {
+    const char *name;
+    int http_status;
+    int exit_code;
+    bool may_retry;
+} Answer;
+
+/* May_retry: another rack or a later moment can give another answer. */
+static const Answer ANSWERS[GF_ERROR_KINDS] = {
+    [GF_OK] = {"ok", 200, 0, false},
+    [GF_BAD_REQUEST] = {"bad_request", 400, 2, false},
+    [GF_UNAUTHENTICATED] = {"unauthenticated", 401, 3, false},
+    [GF_FORBIDDEN] = {"forbidden", 403, 3, false},
+    [GF_NOT_FOUND] = {"not_found", 404, 4, false},
+    [GF_CONFLICT] = {"conflict", 409, 5, false},
+    [GF_TOO_LARGE] = {"too_large", 413, 2, false},
+    [GF_NEVER_FITS] = {"never_fits", 422, 5, false},
+    [GF_LIMIT_REACHED] = {"limit_reached", 429, 6, true},
+    [GF_BUSY] = {"busy", 503, 6, true},
+    [GF_NO_OWNER] = {"no_owner", 503, 6, true},
+    [GF_STORE_UNAVAILABLE] = {"store_unavailable", 503, 6, true},
+    [GF_NOT_CONFIRMED] = {"not_confirmed", 503, 6, true},
+    [GF_LEASE_LOST] = {"lease_lost", 503, 6, true},
+    [GF_TIMEOUT] = {"timeout", 504, 7, true},
+    [GF_CONNECTION_LOST] = {"connection_lost", 502, 7, true},
+    [GF_TARGET_FAILED] = {"target_failed", 502, 7, false},
+    [GF_OUTCOME_UNKNOWN] = {"outcome_unknown", 502, 7, false},
+    [GF_CANCELLED] = {"cancelled", 409, 5, false},
+    [GF_STOPPING] = {"stopping", 503, 6, true},
+    [GF_PROTOCOL] = {"protocol", 502, 7, false},
+    [GF_BAD_CONFIG] = {"bad_config", 500, 8, false},
+    [GF_INTERNAL] = {"internal", 500, 9, false},
+};
+
+static const char *const RAN_NAMES[GF_RANS] = {"no", "yes", "unknown"};
+
+/* Fills in the error, if there is one to fill, and returns false so that a
+ * failing function can return the call's value. */
+bool
+GfError_Set(GfError *error, GfErrorKind kind, const char *format, ...)
+{
+    assert(kind < GF_ERROR_KINDS);
+    if (error == NULL) {
+        return false;
+    }
+    error->kind = kind;
+    va_list args;
+    va_start(args, format);
+    vsnprintf(error->text, sizeof(error->text), format, args);
+    va_end(args);
+    return false;
+}
+
+/* Returns the kind's name as callers see it. */
+const char *
+GfError_Name(GfErrorKind kind)
+{
+    assert(kind < GF_ERROR_KINDS);
+    return ANSWERS[kind].name;
+}
+
+/* Returns the HTTP status that answers this kind. */
+int
+GfError_HttpStatus(GfErrorKind kind)
+{
+    assert(kind < GF_ERROR_KINDS);
+    return ANSWERS[kind].http_status;
+}
+
+/* Returns the exit code of a command that ended in this kind. */
+int
+GfError_ExitCode(GfErrorKind kind)
+{
+    assert(kind < GF_ERROR_KINDS);
+    return ANSWERS[kind].exit_code;
+}
+
+/* Tells whether the same work can be tried elsewhere or later, provided that
+ * it did not run. */
+bool
+GfError_MayRetry(GfErrorKind kind)
+{
+    assert(kind < GF_ERROR_KINDS);
+    return ANSWERS[kind].may_retry;
+}
+
+/* Finds a kind by name; an unknown name is GF_PROTOCOL. */
+GfErrorKind
+GfError_FromName(const char *name)
+{
+    for (int i = 0; name != NULL && i < GF_ERROR_KINDS; i++) {
+        if (strcmp(ANSWERS[i].name, name) == 0) {
+            return (GfErrorKind)i;
+        }
+    }
+    return GF_PROTOCOL;
+}
+
+/* Returns "no", "yes" or "unknown". */
+const char *
+GfRan_Name(GfRan ran)
+{
+    assert(ran < GF_RANS);
+    return RAN_NAMES[ran];
+}
+
+/* Finds an outcome by name; anything but "no" and "yes" is unknown. */
+GfRan
+GfRan_FromName(const char *name)
+{
+    for (int i = 0; name != NULL && i < GF_RANS; i++) {
+        if (strcmp(RAN_NAMES[i], name) == 0) {
+            return (GfRan)i;
+        }
+    }
+    return GF_RAN_UNKNOWN;
+}
--- /dev/null
+++ b/src/control/bundle.c
@@ -0,0 +1,507 @@
+#include "guavaflow/bundle.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#include "guavaflow/yaml.h"
+
+#define MAX_TEAMS 4096
+#define MAX_SERVICES 1024
+#define MAX_MEMBERS 256
+#define MAX_KEYS 64
+#define MAX_OPERATORS 64
+#define OPEN_TEAM "open"
+#define KEY_HASH_BYTES 32
+#define SECRET_BYTES 24
+#define PUBLIC_KEY_HEX 64
+#define MCORES_PER_CORE 1000
+#define MAX_CORES 4000000
+#define DEFAULT_REQUEST_LIMIT_MS 1500
+#define MAX_REQUEST_LIMIT_MS 120000
+#define DEFAULT_SLOTS 8
+
+typedef struct {
+    char *name;
+    uint32_t share;
+    uint32_t limit_cores;
+    uint32_t limit_requests;
+    char **keys;
+    unsigned keys_count;
+} YamlTeam;
+
+typedef struct {
+    char *name;
+    bool open;
+    uint32_t slots;
+    uint32_t request_limit_ms;
+} YamlService;
+
+typedef struct {
+    char *name;
+    char *key;
+} YamlMember;
+
+typedef struct {
+    char *name;
+    char **keys;
+    unsigned keys_count;
+} YamlOperator;
+
+typedef struct {
+    uint64_t version;
+    uint32_t quorum;
+    YamlOperator *operators;
+    unsigned operators_count;
+    YamlMember *members;
+    unsigned members_count;
+    YamlTeam *teams;
+    unsigned teams_count;
+    YamlService *services;
+    unsigned services_count;
+} YamlBundle;
+
+struct GfBundle {
+    YamlBundle *yaml;
+    GfTeam *teams;
+    GfService *services;
+};
+
+static const cyaml_schema_value_t TEXT = {
+    CYAML_VALUE_STRING(CYAML_FLAG_POINTER, char *, 1, 256)};
+
+static const cyaml_schema_field_t TEAM_FIELDS[] = {
+    CYAML_FIELD_STRING_PTR("name", CYAML_FLAG_POINTER, YamlTeam, name, 1,
+                           GF_NAME_MAX_BYTES),
+    CYAML_FIELD_UINT("share", CYAML_FLAG_DEFAULT, YamlTeam, share),
+    CYAML_FIELD_UINT("limit_cores", CYAML_FLAG_DEFAULT, YamlTeam, limit_cores),
+    CYAML_FIELD_UINT("limit_requests", CYAML_FLAG_DEFAULT, YamlTeam,
+                     limit_requests),
+    CYAML_FIELD_SEQUENCE("keys", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+                         YamlTeam, keys, &TEXT, 0, MAX_KEYS),
+    CYAML_FIELD_END};
+static const cyaml_schema_value_t TEAM = {
+    CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, YamlTeam, TEAM_FIELDS)};
+
+static const cyaml_schema_field_t SERVICE_FIELDS[] = {
+    CYAML_FIELD_STRING_PTR("name", CYAML_FLAG_POINTER, YamlService, name, 1,
+                           GF_NAME_MAX_BYTES),
+    CYAML_FIELD_BOOL("open", CYAML_FLAG_OPTIONAL, YamlService, open),
+    CYAML_FIELD_UINT("slots", CYAML_FLAG_OPTIONAL, YamlService, slots),
+    CYAML_FIELD_UINT("request_limit_ms", CYAML_FLAG_OPTIONAL, YamlService,
+                     request_limit_ms),
+    CYAML_FIELD_END};
+static const cyaml_schema_value_t SERVICE = {
+    CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, YamlService, SERVICE_FIELDS)};
+
+static const cyaml_schema_field_t MEMBER_FIELDS[] = {
+    CYAML_FIELD_STRING_PTR("name", CYAML_FLAG_POINTER, YamlMember, name, 1,
+                           GF_NAME_MAX_BYTES),
+    CYAML_FIELD_STRING_PTR("key", CYAML_FLAG_POINTER, YamlMember, key,
+                           PUBLIC_KEY_HEX, PUBLIC_KEY_HEX),
+    CYAML_FIELD_END};
+static const cyaml_schema_value_t MEMBER = {
+    CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, YamlMember, MEMBER_FIELDS)};
+
+static const cyaml_schema_field_t OPERATOR_FIELDS[] = {
+    CYAML_FIELD_STRING_PTR("name", CYAML_FLAG_POINTER, YamlOperator, name, 1,
+                           GF_NAME_MAX_BYTES),
+    CYAML_FIELD_SEQUENCE("keys", CYAML_FLAG_POINTER, YamlOperator, keys, &TEXT,
+                         0, MAX_KEYS),
+    CYAML_FIELD_END};
+static const cyaml_schema_value_t OPERATOR = {
+    CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, YamlOperator, OPERATOR_FIELDS)};
+
+static const cyaml_schema_field_t FIELDS[] = {
+    CYAML_FIELD_UINT("version", CYAML_FLAG_DEFAULT, YamlBundle, version),
+    CYAML_FIELD_UINT("quorum", CYAML_FLAG_DEFAULT, YamlBundle, quorum),
+    CYAML_FIELD_SEQUENCE("members", CYAML_FLAG_POINTER, YamlBundle, members,
+                         &MEMBER, 0, MAX_MEMBERS),
+    CYAML_FIELD_SEQUENCE("operators", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+                         YamlBundle, operators, &OPERATOR, 0, MAX_OPERATORS),
+    CYAML_FIELD_SEQUENCE("teams", CYAML_FLAG_POINTER, YamlBundle, teams, &TEAM,
+                         0, MAX_TEAMS),
+    CYAML_FIELD_SEQUENCE("services", CYAML_FLAG_POINTER, YamlBundle, services,
+                         &SERVICE, 0, MAX_SERVICES),
+    CYAML_FIELD_END};
+static const cyaml_schema_value_t SCHEMA = {
+    CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, YamlBundle, FIELDS)};
+
+/* Tells whether a text is a number of lower-case hexadecimal digits. */
+static bool
+is_hex(const char *text, size_t len)
+{
+    return strlen(text) == len && strspn(text, "0123456789abcdef") == len;
+}
+
+/* Takes a name that stands in keys of rows and in paths. */
+static bool
+take_name(GfName *name, const char *text, const char *path, const char *what,
+          unsigned index, GfError *error)
+{
+    if (GfName_SetText(name, text) && strpbrk(text, "/.?#%") == NULL) {
+        return true;
+    }
+    return GfError_Set(error, GF_BAD_CONFIG,
+                       "%s: %s[%u].name is \"%s\"; allowed are visible ASCII "
+                       "characters but / . ? # %% and quotes",
+                       path, what, index, text);
+}
+
+/* Checks one team and takes it over. */
+static bool
+take_team(GfBundle *b, unsigned i, const char *path, GfError *error)
+{
+    const YamlTeam *yaml = &b->yaml->teams[i];
+    GfTeam *team = &b->teams[i];
+    if (!take_name(&team->name, yaml->name, path, "teams", i, error)) {
+        return false;
+    }
+    if (yaml->share == 0 || yaml->limit_cores > MAX_CORES) {
+        return GfError_Set(error, GF_BAD_CONFIG,
+                           "%s: teams[%u] (%s): share must be over 0 and "
+                           "limit_cores at most %d",
+                           path, i, yaml->name, MAX_CORES);
+    }
+    team->share = yaml->share;
+    team->limit_mcores = (uint64_t)yaml->limit_cores * MCORES_PER_CORE;
+    team->limit_requests = yaml->limit_requests;
+    for (unsigned k = 0; k < yaml->keys_count; k++) {
+        if (!is_hex(yaml->keys[k], GF_KEY_HASH_HEX)) {
+            return GfError_Set(
+                error, GF_BAD_CONFIG,
+                "%s: teams[%u].keys[%u] is no key hash; allowed "
+                "are %d hexadecimal digits",
+                path, i, k, GF_KEY_HASH_HEX);
+        }
+    }
+    for (unsigned k = 0; k < i; k++) {
+        if (GfName_Equal(&b->teams[k].name, &team->name)) {
+            return GfError_Set(error, GF_BAD_CONFIG,
+                               "%s: teams[%u].name %s stands twice", path, i,
+                               yaml->name);
+        }
+    }
+    return true;
+}
+
+/* Checks one service and takes it over. */
+static bool
+take_service(GfBundle *b, unsigned i, const char *path, GfError *error)
+{
+    const YamlService *yaml = &b->yaml->services[i];
+    GfService *service = &b->services[i];
+    if (!take_name(&service->name, yaml->name, path, "services", i, error)) {
+        return false;
+    }
+    service->open = yaml->open;
+    service->slots = yaml->slots > 0 ? yaml->slots : DEFAULT_SLOTS;
+    service->request_limit_ms = yaml->request_limit_ms > 0
+                                    ? yaml->request_limit_ms
+                                    : DEFAULT_REQUEST_LIMIT_MS;
+    if (service->request_limit_ms > MAX_REQUEST_LIMIT_MS) {
+        return GfError_Set(error, GF_BAD_CONFIG,
+                           "%s: services[%u].request_limit_ms is %u; allowed "
+                           "is at most %d",
+                           path, i, service->request_limit_ms,
+                           MAX_REQUEST_LIMIT_MS);
+    }
+    return true;
+}
+
+/* Checks that no key belongs to two teams. */
+static bool
+check_keys(const GfBundle *b, const char *path, GfError *error)
+{
+    for (unsigned i = 0; i < b->yaml->teams_count; i++) {
+        const YamlTeam *team = &b->yaml->teams[i];
+        for (unsigned k = 0; k < team->keys_count; k++) {
+            for (unsigned j = i + 1; j < b->yaml->teams_count; j++) {
+                const YamlTeam *other = &b->yaml->teams[j];
+                for (unsigned m = 0; m < other->keys_count; m++) {
+                    if (strcmp(team->keys[k], other->keys[m]) == 0) {
+                        return GfError_Set(
+                            error, GF_BAD_CONFIG,
+                            "%s: teams[%u].keys[%u] is also a key of %s", path,
+                            j, m, team->name);
+                    }
+                }
+            }
+        }
+    }
+    return true;
+}
+
+/* Checks that the team exists for which open queues take work. */
+static bool
+check_open_team(const GfBundle *b, const char *path, GfError *error)
+{
+    GfName open;
+    GfName_SetText(&open, OPEN_TEAM);
+    for (unsigned i = 0; i < b->yaml->services_count; i++) {
+        if (b->services[i].open && GfBundle_FindTeam(b, &open) == NULL) {
+            return GfError_Set(error, GF_BAD_CONFIG,
+                               "%s: services[%u] (%s) is open, so there must "
+                               "be a team \"%s\" with its share and limits",
+                               path, i, b->yaml->services[i].name, OPEN_TEAM);
+        }
+    }
+    return true;
+}
+
+/* Checks the members and the quorum. */
+static bool
+check_members(const GfBundle *b, const char *path, GfError *error)
+{
+    const YamlBundle *yaml = b->yaml;
+    if (yaml->quorum == 0 || yaml->quorum > yaml->members_count) {
+        return GfError_Set(error, GF_BAD_CONFIG,
+                           "%s: quorum is %u; allowed is 1 to the number of "
+                           "members, which is %u",
+                           path, yaml->quorum, yaml->members_count);
+    }
+    for (unsigned i = 0; i < yaml->members_count; i++) {
+        if (!is_hex(yaml->members[i].key, PUBLIC_KEY_HEX)) {
+            return GfError_Set(error, GF_BAD_CONFIG,
+                               "%s: members[%u].key is no Ed25519 public key "
+                               "of %d hexadecimal digits",
+                               path, i, PUBLIC_KEY_HEX);
+        }
+        for (unsigned k = 0; k < i; k++) {
+            if (strcmp(yaml->members[i].name, yaml->members[k].name) == 0 ||
+                strcmp(yaml->members[i].key, yaml->members[k].key) == 0) {
+                return GfError_Set(error, GF_BAD_CONFIG,
+                                   "%s: members[%u] (%s) stands twice", path,
+                                   i, yaml->members[i].name);
+            }
+        }
+    }
+    return true;
+}
+
+/* Checks the whole document and fills in the typed tables. */
+static bool
+take_over(GfBundle *b, const char *path, GfError *error)
+{
+    b->teams = calloc(b->yaml->teams_count + 1, sizeof(*b->teams));
+    b->services = calloc(b->yaml->services_count + 1, sizeof(*b->services));
+    if (b->teams == NULL || b->services == NULL) {
+        abort();
+    }
+    if (b->yaml->version == 0) {
+        return GfError_Set(error, GF_BAD_CONFIG,
+                           "%s: version is 0; allowed is 1 and up", path);
+    }
+    for (unsigned i = 0; i < b->yaml->teams_count; i++) {
+        if (!take_team(b, i, path, error)) {
+            return false;
+        }
+    }
+    for (unsigned i = 0; i < b->yaml->services_count; i++) {
+        if (!take_service(b, i, path, error)) {
+            return false;
+        }
+    }
+    return check_members(b, path, error) && check_keys(b, path, error) &&
+           check_open_team(b, path, error);
+}
+
+/* Parses and checks a bundle. On failure the error has the path, the place
+ * and the reason, and NULL is returned. */
+GfBundle *
+GfBundle_Parse(const char *text, size_t len, const char *path, GfError *error)
+{
+    YamlBundle *yaml = GfYaml_Load(text, len, path, &SCHEMA, error);
+    if (yaml == NULL) {
+        return NULL;
+    }
+    GfBundle *b = calloc(1, sizeof(*b));
+    if (b == NULL) {
+        abort();
+    }
+    b->yaml = yaml;
+    if (!take_over(b, path, error)) {
+        GfBundle_Destroy(b);
+        return NULL;
+    }
+    return b;
+}
+
+/* Frees a bundle. */
+void
+GfBundle_Destroy(GfBundle *bundle)
+{
+    if (bundle != NULL) {
+        GfYaml_Free(&SCHEMA, bundle->yaml);
+        free(bundle->teams);
+        free(bundle->services);
+        free(bundle);
+    }
+}
+
+/* Returns the version that the document states. */
+uint64_t
+GfBundle_Version(const GfBundle *bundle)
+{
+    return bundle->yaml->version;
+}
+
+/* Returns how many members must sign the next bundle. */
+uint32_t
+GfBundle_Quorum(const GfBundle *bundle)
+{
+    return bundle->yaml->quorum;
+}
+
+/* Returns the number of teams. */
+size_t
+GfBundle_TeamCount(const GfBundle *bundle)
+{
+    return bundle->yaml->teams_count;
+}
+
+/* Returns a team by index. */
+const GfTeam *
+GfBundle_TeamAt(const GfBundle *bundle, size_t index)
+{
+    assert(index < bundle->yaml->teams_count);
+    return &bundle->teams[index];
+}
+
+/* Finds a team by name, or returns NULL. */
+const GfTeam *
+GfBundle_FindTeam(const GfBundle *bundle, const GfName *name)
+{
+    for (size_t i = 0; i < GfBundle_TeamCount(bundle); i++) {
+        if (GfName_Equal(&bundle->teams[i].name, name)) {
+            return &bundle->teams[i];
+        }
+    }
+    return NULL;
+}
+
+/* Finds the team that a caller's key belongs to, or returns NULL. */
+const GfTeam *
+GfBundle_TeamOfKey(const GfBundle *bundle, const char *key)
+{
+    char hex[GF_KEY_HASH_HEX + 1];
+    GfKey_Hash(key, strlen(key), hex);
+    for (unsigned i = 0; i < bundle->yaml->teams_count; i++) {
+        for (unsigned k = 0; k < bundle->yaml->teams[i].keys_count; k++) {
+            if (sodium_memcmp(bundle->yaml->teams[i].keys[k], hex,
+                              GF_KEY_HASH_HEX) == 0) {
+                return &bundle->teams[i];
+            }
+        }
+    }
+    return NULL;
+}
+
+/* Finds the operator whom a key belongs to, or returns NULL. */
+const char *
+GfBundle_OperatorOfKey(const GfBundle *bundle, const char *key)
+{
+    char hex[GF_KEY_HASH_HEX + 1];
+    GfKey_Hash(key, strlen(key), hex);
+    for (unsigned i = 0; i < bundle->yaml->operators_count; i++) {
+        const YamlOperator *op = &bundle->yaml->operators[i];
+        for (unsigned k = 0; k < op->keys_count; k++) {
+            if (strcmp(op->keys[k], hex) == 0) {
+                return op->name;
+            }
+        }
+    }
+    return NULL;
+}
+
+/* Returns how many key hashes a team has. */
+size_t
+GfBundle_KeyCount(const GfBundle *bundle, size_t team)
+{
+    assert(team < bundle->yaml->teams_count);
+    return bundle->yaml->teams[team].keys_count;
+}
+
+/* Returns a key hash of a team. */
+const char *
+GfBundle_KeyAt(const GfBundle *bundle, size_t team, size_t index)
+{
+    assert(index < GfBundle_KeyCount(bundle, team));
+    return bundle->yaml->teams[team].keys[index];
+}
+
+/* Returns the number of services. */
+size_t
+GfBundle_ServiceCount(const GfBundle *bundle)
+{
+    return bundle->yaml->services_count;
+}
+
+/* Returns a service by index. */
+const GfService *
+GfBundle_ServiceAt(const GfBundle *bundle, size_t index)
+{
+    assert(index < bundle->yaml->services_count);
+    return &bundle->services[index];
+}
+
+/* Finds a service by name, or returns NULL. */
+const GfService *
+GfBundle_FindService(const GfBundle *bundle, const GfName *name)
+{
+    for (size_t i = 0; i < GfBundle_ServiceCount(bundle); i++) {
+        if (GfName_Equal(&bundle->services[i].name, name)) {
+            return &bundle->services[i];
+        }
+    }
+    return NULL;
+}
+
+/* Returns the number of members who can sign. */
+size_t
+GfBundle_MemberCount(const GfBundle *bundle)
+{
+    return bundle->yaml->members_count;
+}
+
+/* Returns a member's name. */
+const char *
+GfBundle_MemberName(const GfBundle *bundle, size_t index)
+{
+    assert(index < bundle->yaml->members_count);
+    return bundle->yaml->members[index].name;
+}
+
+/* Returns a member's Ed25519 public key in hexadecimal. */
+const char *
+GfBundle_MemberKey(const GfBundle *bundle, size_t index)
+{
+    assert(index < bundle->yaml->members_count);
+    return bundle->yaml->members[index].key;
+}
+
+/* Hashes a caller's key (BLAKE2b, 256 bits) to hexadecimal. */
+void
+GfKey_Hash(const char *key, size_t len, char hex[GF_KEY_HASH_HEX + 1])
+{
+    unsigned char hash[KEY_HASH_BYTES];
+    crypto_generichash(hash, sizeof(hash), (const unsigned char *)key, len,
+                       NULL, 0);
+    sodium_bin2hex(hex, GF_KEY_HASH_HEX + 1, hash, sizeof(hash));
+}
+
+/* Makes a new key for a team: gfk_TEAM_SECRET. */
+GfStr
+GfKey_New(const GfName *team)
+{
+    unsigned char secret[SECRET_BYTES];
+    char hex[SECRET_BYTES * 2 + 1];
+    randombytes_buf(secret, sizeof(secret));
+    sodium_bin2hex(hex, sizeof(hex), secret, sizeof(secret));
+    GfStr key = GfStr_Format("gfk_%s_%s", team->data, hex);
+    sodium_memzero(secret, sizeof(secret));
+    sodium_memzero(hex, sizeof(hex));
+    return key;
+}
--- /dev/null
+++ b/src/control/control.c
@@ -0,0 +1,358 @@
+#include "guavaflow/control.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_RETURNED 64
+#define MAX_LOWERINGS 32
+#define BUNDLE_PATH "bundle"
+
+typedef struct {
+    GfName domain;
+    struct timespec since;
+} Returned;
+
+struct GfControl {
+    int32_t confirm_ms;
+    json_t *document;
+    GfBundle *bundle;
+    uint64_t version;
+    bool confirmed;
+    struct timespec confirmed_at;
+    Returned returned[MAX_RETURNED];
+    size_t returned_count;
+};
+
+/* Creates control state without a document. It counts as confirmed for
+ * confirm_ms after each confirmation. */
+GfControl *
+GfControl_Create(int32_t confirm_ms)
+{
+    GfControl *c = calloc(1, sizeof(*c));
+    if (c == NULL) {
+        abort();
+    }
+    c->confirm_ms = confirm_ms;
+    return c;
+}
+
+/* Frees the control state. */
+void
+GfControl_Destroy(GfControl *control)
+{
+    if (control != NULL) {
+        json_decref(control->document);
+        GfBundle_Destroy(control->bundle);
+        free(control);
+    }
+}
+
+/* Reads the version of a document; 0 if it has none. */
+static uint64_t
+version_of(const json_t *document)
+{
+    json_t *version = json_object_get(document, "version");
+    return json_is_integer(version) ? (uint64_t)json_integer_value(version)
+                                    : 0;
+}
+
+/* Tells whether a document lists a failure domain as out. */
+static bool
+lists_out(const json_t *document, const char *domain)
+{
+    size_t i;
+    json_t *item;
+    json_array_foreach(json_object_get(document, "domains_out"), i, item)
+    {
+        const char *name = json_string_value(item);
+        if (name != NULL && strcmp(name, domain) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Notes which failure domains came back with the new document. */
+static void
+note_returned(GfControl *c, const json_t *next, struct timespec now)
+{
+    size_t i;
+    json_t *item;
+    json_array_foreach(json_object_get(c->document, "domains_out"), i, item)
+    {
+        const char *name = json_string_value(item);
+        if (name == NULL || lists_out(next, name)) {
+            continue;
+        }
+        size_t at = 0;
+        GfName domain;
+        GfName_SetText(&domain, name);
+        while (at < c->returned_count &&
+               !GfName_Equal(&c->returned[at].domain, &domain)) {
+            at++;
+        }
+        if (at < MAX_RETURNED) {
+            c->returned[at] = (Returned){.domain = domain, .since = now};
+            c->returned_count += at == c->returned_count;
+        }
+    }
+}
+
+/* Takes a document if its version is higher than the one in force. A lower
+ * or equal version changes nothing and is no error; a document that cannot
+ * be read is one. */
+bool
+GfControl_Take(GfControl *control, const json_t *document, struct timespec now,
+               GfError *error)
+{
+    uint64_t version = version_of(document);
+    if (version <= control->version && version != 0) {
+        return true;
+    }
+    const char *yaml = json_string_value(json_object_get(document, "bundle"));
+    if (version == 0 || yaml == NULL) {
+        return GfError_Set(error, GF_PROTOCOL,
+                           "a control document has no version or bundle");
+    }
+    GfBundle *bundle = GfBundle_Parse(yaml, strlen(yaml), BUNDLE_PATH, error);
+    if (bundle == NULL) {
+        return false;
+    }
+    note_returned(control, document, now);
+    GfBundle_Destroy(control->bundle);
+    json_decref(control->document);
+    control->bundle = bundle;
+    control->document = json_deep_copy(document);
+    control->version = version;
+    return true;
+}
+
+/* Notes that the store or a peer, asked at sent_at, knew no version beyond
+ * the given one. */
+void
+GfControl_Confirm(GfControl *control, uint64_t version,
+                  struct timespec sent_at)
+{
+    if (version > control->version || control->version == 0) {
+        return;
+    }
+    if (!control->confirmed || GfTime_Before(control->confirmed_at, sent_at)) {
+        control->confirmed = true;
+        control->confirmed_at = sent_at;
+    }
+}
+
+/* Tells whether the state in force was confirmed lately. Without that no
+ * work may be accepted or started. */
+bool
+GfControl_IsConfirmed(const GfControl *control, struct timespec now)
+{
+    return control->confirmed && control->bundle != NULL &&
+           GfTime_DiffMs(now, control->confirmed_at) < control->confirm_ms;
+}
+
+/* Returns the version in force, 0 if there is none. */
+uint64_t
+GfControl_Version(const GfControl *control)
+{
+    return control->version;
+}
+
+/* Returns the document in force, or NULL. */
+const json_t *
+GfControl_Document(const GfControl *control)
+{
+    return control->document;
+}
+
+/* Returns the bundle in force, or NULL. */
+const GfBundle *
+GfControl_Bundle(const GfControl *control)
+{
+    return control->bundle;
+}
+
+/* Tells whether a failure domain is out of service. */
+bool
+GfControl_DomainIsOut(const GfControl *control, const GfName *domain)
+{
+    return lists_out(control->document, domain->data);
+}
+
+/* Tells since when a failure domain that was out is back. */
+bool
+GfControl_DomainReturned(const GfControl *control, const GfName *domain,
+                         struct timespec *since)
+{
+    for (size_t i = 0; i < control->returned_count; i++) {
+        if (GfName_Equal(&control->returned[i].domain, domain)) {
+            *since = control->returned[i].since;
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Scales one number down, rounding down. */
+static uint64_t
+scale(uint64_t amount, json_t *from, json_t *to)
+{
+    uint64_t old = (uint64_t)json_integer_value(from);
+    uint64_t new = (uint64_t)json_integer_value(to);
+    if (old == 0 || new >= old) {
+        return old == 0 ? 0 : amount;
+    }
+    return (uint64_t)((__uint128_t)amount * new / old);
+}
+
+/* Returns what is left of an amount that was granted at base_version, after
+ * every lowering of the team's limit since. Each holder of a part scales by
+ * this rule, so the sum of the parts stays within the lowered limit. An
+ * amount older than the recorded lowerings counts as nothing. */
+GfAmount
+GfControl_Scale(const GfControl *control, const GfName *team, GfAmount amount,
+                uint64_t base_version)
+{
+    json_t *limits = json_object_get(control->document, "lowerings");
+    json_t *list = json_object_get(limits, team->data);
+    json_t *floor = json_object_get(limits, "");
+    if ((uint64_t)json_integer_value(floor) > base_version) {
+        return (GfAmount){0};
+    }
+    size_t i;
+    json_t *step;
+    json_array_foreach(list, i, step)
+    {
+        uint64_t at = (uint64_t)json_integer_value(json_array_get(step, 0));
+        if (at <= base_version) {
+            continue;
+        }
+        amount.mcores = scale(amount.mcores, json_array_get(step, 1),
+                              json_array_get(step, 2));
+        amount.requests = scale(amount.requests, json_array_get(step, 3),
+                                json_array_get(step, 4));
+    }
+    return amount;
+}
+
+/* Builds the first document of a new system from a bundle. */
+json_t *
+GfControl_FirstDocument(const char *bundle_yaml, GfError *error)
+{
+    GfBundle *bundle =
+        GfBundle_Parse(bundle_yaml, strlen(bundle_yaml), BUNDLE_PATH, error);
+    if (bundle == NULL) {
+        return NULL;
+    }
+    GfBundle_Destroy(bundle);
+    return json_pack("{s:i,s:s,s:[],s:{}}", "version", 1, "bundle",
+                     bundle_yaml, "domains_out", "lowerings");
+}
+
+/* Returns a copy of the document with the next version. */
+static json_t *
+next_version(const json_t *document)
+{
+    json_t *next = json_deep_copy(document);
+    json_object_set_new(next, "version",
+                        json_integer((json_int_t)version_of(document) + 1));
+    return next;
+}
+
+/* Records that a team's limit was lowered. A team that is new, or whose
+ * limits only rose, needs no record. */
+static void
+record_lowering(json_t *next, const GfName *name, const GfTeam *old,
+                const GfTeam *new)
+{
+    uint64_t mcores = new == NULL ? 0 : new->limit_mcores;
+    uint32_t requests = new == NULL ? 0 : new->limit_requests;
+    if (mcores >= old->limit_mcores && requests >= old->limit_requests) {
+        return;
+    }
+    json_t *lowerings = json_object_get(next, "lowerings");
+    json_t *list = json_object_get(lowerings, name->data);
+    if (list == NULL) {
+        list = json_array();
+        json_object_set_new(lowerings, name->data, list);
+    }
+    json_array_append_new(
+        list, json_pack("[I,I,I,i,i]", (json_int_t)version_of(next),
+                        (json_int_t)old->limit_mcores, (json_int_t)mcores,
+                        (int)old->limit_requests, (int)requests));
+    if (json_array_size(list) > MAX_LOWERINGS) {
+        json_t *first = json_array_get(json_array_get(list, 0), 0);
+        json_int_t dropped = json_integer_value(first);
+        json_t *floor = json_object_get(lowerings, "");
+        if (dropped > json_integer_value(floor)) {
+            json_object_set_new(lowerings, "", json_integer(dropped));
+        }
+        json_array_remove(list, 0);
+    }
+}
+
+/* Returns the next document with another bundle, whose version must be the
+ * successor of the one in force. */
+json_t *
+GfControl_WithBundle(const json_t *document, const char *bundle_yaml,
+                     GfError *error)
+{
+    const char *old_yaml =
+        json_string_value(json_object_get(document, "bundle"));
+    GfBundle *old =
+        GfBundle_Parse(old_yaml, strlen(old_yaml), BUNDLE_PATH, error);
+    GfBundle *new =
+        GfBundle_Parse(bundle_yaml, strlen(bundle_yaml), BUNDLE_PATH, error);
+    json_t *next = NULL;
+    if (old == NULL || new == NULL) {
+        GfBundle_Destroy(old);
+        GfBundle_Destroy(new);
+        return NULL;
+    }
+    if (GfBundle_Version(new) != GfBundle_Version(old) + 1) {
+        GfError_Set(error, GF_CONFLICT,
+                    "the bundle has version %llu; the one in force has %llu, "
+                    "so the next must have %llu",
+                    (unsigned long long)GfBundle_Version(new),
+                    (unsigned long long)GfBundle_Version(old),
+                    (unsigned long long)GfBundle_Version(old) + 1);
+    }
+    else {
+        next = next_version(document);
+        json_object_set_new(next, "bundle", json_string(bundle_yaml));
+        for (size_t i = 0; i < GfBundle_TeamCount(old); i++) {
+            const GfTeam *team = GfBundle_TeamAt(old, i);
+            record_lowering(next, &team->name, team,
+                            GfBundle_FindTeam(new, &team->name));
+        }
+    }
+    GfBundle_Destroy(old);
+    GfBundle_Destroy(new);
+    return next;
+}
+
+/* Returns the next document with a failure domain taken out or back in. */
+json_t *
+GfControl_WithDomain(const json_t *document, const GfName *domain, bool out,
+                     GfError *error)
+{
+    if (lists_out(document, domain->data) == out) {
+        GfError_Set(error, GF_CONFLICT, "failure domain %s is already %s",
+                    domain->data, out ? "out" : "in");
+        return NULL;
+    }
+    json_t *next = next_version(document);
+    json_t *list = json_object_get(next, "domains_out");
+    if (out) {
+        json_array_append_new(list, json_string(domain->data));
+        return next;
+    }
+    for (size_t i = json_array_size(list); i > 0; i--) {
+        const char *name = json_string_value(json_array_get(list, i - 1));
+        if (name != NULL && strcmp(name, domain->data) == 0) {
+            json_array_remove(list, i - 1);
+        }
+    }
+    return next;
+}
--- /dev/null
+++ b/src/entry/peers.c
@@ -0,0 +1,370 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "entry_private.h"
+#include "guavaflow/log.h"
+#include "guavaflow/metrics.h"
+
+#define BEAT_TIMEOUT_MS 1000
+
+/* The connection to another entry. */
+struct EntryPeer {
+    GfEntry *entry;
+    GfName member;
+    char address[64];
+    uint16_t port;
+    GfRpcClient *client;
+    bool beating;
+    EntryPeer *next;
+};
+
+typedef struct {
+    EntryPeer *peer;
+    struct timespec sent_at;
+} BeatCall;
+
+/* Starts without connections; each is made when a member is first called. */
+void
+EntryPeers_Create(GfEntry *entry)
+{
+    entry->peers = NULL;
+}
+
+/* Closes all connections. */
+void
+EntryPeers_Destroy(GfEntry *entry)
+{
+    EntryPeer *p;
+    EntryPeer *tmp;
+    LL_FOREACH_SAFE(entry->peers, p, tmp)
+    {
+        LL_DELETE(entry->peers, p);
+        GfRpcClient_Destroy(p->client);
+        free(p);
+    }
+}
+
+/* Finds the connection to a member, or makes it. A member that has moved to
+ * another address gets a new one. */
+static EntryPeer *
+get_peer(GfEntry *entry, const GfMember *member)
+{
+    EntryPeer *p;
+    LL_FOREACH(entry->peers, p)
+    {
+        if (GfName_Equal(&p->member, &member->name) &&
+            p->port == member->port &&
+            strcmp(p->address, member->address) == 0) {
+            return p;
+        }
+    }
+    p = calloc(1, sizeof(*p));
+    if (p == NULL) {
+        abort();
+    }
+    p->entry = entry;
+    p->member = member->name;
+    memcpy(p->address, member->address, sizeof(p->address));
+    p->port = member->port;
+    p->client = GfRpcClient_Create(entry->base, p->address, p->port,
+                                   &ENTRY_PEER_PROGRAM, entry->clock);
+    LL_PREPEND(entry->peers, p);
+    return p;
+}
+
+/* Calls a procedure of another entry. Returns false, without a callback, if
+ * no member of that name is known. */
+bool
+EntryPeers_Call(GfEntry *entry, const GfName *member, uint32_t procedure,
+                void *args, size_t result_bytes, int timeout_ms,
+                GfRpcCallback callback, void *arg)
+{
+    const GfMember *m = GfMembers_Find(entry->members, member);
+    if (m == NULL) {
+        return false;
+    }
+    EntryPeer *p = get_peer(entry, m);
+    GfRpcClient_Start(p->client, procedure, args, result_bytes, timeout_ms,
+                      callback, arg);
+    return true;
+}
+
+/* Tells whether more than half of all known members, this one included, are
+ * in contact. */
+static bool
+has_majority(const GfEntry *entry, struct timespec now)
+{
+    size_t all = GfMembers_Count(entry->members) + 1;
+    size_t contact = 1;
+    for (size_t i = 0; i < all - 1; i++) {
+        contact += GfMembers_InContact(entry->members,
+                                       GfMembers_At(entry->members, i), now);
+    }
+    return contact * 2 > all;
+}
+
+/* Takes the answer to a heartbeat: a sign of life, and a confirmation of the
+ * control state if it is the same. */
+static void
+on_beat_reply(void *arg, const GfRpcOutcome *outcome)
+{
+    BeatCall *call = arg;
+    EntryPeer *p = call->peer;
+    GfEntry *entry = p->entry;
+    p->beating = false;
+    GfName member;
+    if (outcome->kind == GF_OK) {
+        const gfx_beat_reply *reply = outcome->result;
+        struct timespec now = Entry_Now(entry);
+        if (GfName_SetText(&member, reply->member)) {
+            GfMembers_Contact(entry->members, &member, reply->incarnation,
+                              reply->control_version, now);
+            uint64_t version = GfControl_Version(entry->control);
+            if (reply->control_version > version) {
+                EntryControl_FetchFrom(entry, &member);
+            }
+            else if (reply->control_version == version &&
+                     has_majority(entry, now)) {
+                GfControl_Confirm(entry->control, version, call->sent_at);
+            }
+        }
+    }
+    free(call);
+}
+
+/* Fills in what a heartbeat says of one rack. */
+static void
+fill_rack(gfx_rack *out, const GfRackView *view)
+{
+    out->rack = (char *)view->rack.data;
+    out->term = view->term;
+    out->open = view->open;
+    out->free_mcores = view->free_mcores;
+    out->widest_mcores = view->widest.mcores;
+    out->widest_memory_mb = view->widest.memory_mb;
+    out->widest_accelerators = view->widest.accelerators;
+    out->largest_mcores = view->largest.mcores;
+    out->largest_memory_mb = view->largest.memory_mb;
+    out->largest_accelerators = view->largest.accelerators;
+    out->services.services_len = (u_int)view->service_count;
+    gfx_service_room *rooms = calloc(view->service_count + 1, sizeof(*rooms));
+    if (rooms == NULL) {
+        abort();
+    }
+    out->services.services_val = rooms;
+    for (size_t i = 0; i < view->service_count; i++) {
+        rooms[i].service = (char *)view->services[i].service.data;
+        rooms[i].free_slots = view->services[i].free_slots;
+        rooms[i].queued = view->services[i].queued;
+    }
+}
+
+/* Fills in the racks held here and those handed over. */
+static void
+fill_racks(GfEntry *entry, gfx_beat *beat)
+{
+    size_t count = entry->rack_count + 1;
+    beat->racks.racks_val = calloc(count, sizeof(gfx_rack));
+    beat->clean_racks.clean_racks_val = calloc(count, sizeof(gfx_clean));
+    if (beat->racks.racks_val == NULL ||
+        beat->clean_racks.clean_racks_val == NULL) {
+        abort();
+    }
+    for (size_t i = 0; i < entry->rack_count; i++) {
+        GfRackAgent *agent = entry->racks[i];
+        const GfName *name = GfRackAgent_Name(agent);
+        uint64_t lease_sum = 0;
+        if (GfRackAgent_IsHeld(agent)) {
+            const GfRackView *view = GfFleet_Find(entry->fleet, name);
+            if (view != NULL && Entry_IsSelf(entry, &view->holder)) {
+                fill_rack(&beat->racks.racks_val[beat->racks.racks_len++],
+                          view);
+            }
+        }
+        else if (GfRackAgent_WasReleasedClean(agent, &lease_sum)) {
+            gfx_clean *out =
+                &beat->clean_racks
+                     .clean_racks_val[beat->clean_racks.clean_racks_len++];
+            out->rack = (char *)name->data;
+            out->lease_sum = lease_sum;
+        }
+    }
+}
+
+/* Fills in what each team has running on this entry's racks. */
+static void
+fill_uses(GfEntry *entry, gfx_beat *beat)
+{
+    const GfBundle *bundle = GfControl_Bundle(entry->control);
+    size_t count = bundle == NULL ? 0 : GfBundle_TeamCount(bundle);
+    beat->uses.uses_val = calloc(count + 1, sizeof(gfx_use));
+    if (beat->uses.uses_val == NULL) {
+        abort();
+    }
+    for (size_t t = 0; t < count; t++) {
+        const GfTeam *team = GfBundle_TeamAt(bundle, t);
+        GfAmount use = {0};
+        for (size_t i = 0; i < entry->rack_count; i++) {
+            if (GfRackAgent_IsHeld(entry->racks[i])) {
+                GfAmount part =
+                    GfRackAgent_TeamUse(entry->racks[i], &team->name);
+                use.mcores += part.mcores;
+                use.requests += part.requests;
+            }
+        }
+        if (use.mcores + use.requests > 0) {
+            gfx_use *out = &beat->uses.uses_val[beat->uses.uses_len++];
+            out->team = (char *)team->name.data;
+            out->mcores = (u_int)use.mcores;
+            out->requests = (u_int)use.requests;
+        }
+    }
+}
+
+/* Fills in the partitions that are owned here. */
+static void
+fill_parts(GfEntry *entry, gfx_beat *beat)
+{
+    uint32_t count = entry->settings->partitions;
+    beat->parts.parts_val = calloc(count, sizeof(gfx_part));
+    if (beat->parts.parts_val == NULL) {
+        abort();
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        GfJournal *journal = entry->partitions[i].journal;
+        if (GfJournal_State(journal) == GF_JOURNAL_OWNED) {
+            gfx_part *out = &beat->parts.parts_val[beat->parts.parts_len++];
+            out->partition = i;
+            out->epoch = GfJournal_Epoch(journal);
+        }
+    }
+}
+
+/* Frees what the fill functions made; the names belong to others. */
+static void
+free_beat(gfx_beat *beat)
+{
+    for (u_int i = 0; i < beat->racks.racks_len; i++) {
+        free(beat->racks.racks_val[i].services.services_val);
+    }
+    free(beat->racks.racks_val);
+    free(beat->clean_racks.clean_racks_val);
+    free(beat->uses.uses_val);
+    free(beat->parts.parts_val);
+}
+
+/* Sends a heartbeat to every known member. */
+void
+EntryPeers_SendBeats(GfEntry *entry)
+{
+    gfx_beat beat;
+    memset(&beat, 0, sizeof(beat));
+    beat.member = entry->member.data;
+    beat.incarnation = entry->incarnation;
+    beat.control_version = GfControl_Version(entry->control);
+    beat.leaving = entry->stopping;
+    beat.has_store = Entry_HasStore(entry);
+    fill_racks(entry, &beat);
+    fill_uses(entry, &beat);
+    fill_parts(entry, &beat);
+    u_long bytes = xdr_sizeof((xdrproc_t)xdr_gfx_beat, &beat);
+    for (size_t i = 0; i < GfMembers_Count(entry->members); i++) {
+        EntryPeer *p = get_peer(entry, GfMembers_At(entry->members, i));
+        BeatCall *call = calloc(1, sizeof(*call));
+        if (call == NULL) {
+            abort();
+        }
+        *call = (BeatCall){.peer = p, .sent_at = Entry_Now(entry)};
+        p->beating = true;
+        GfMetrics_Add(GF_METRIC_BEATS, 1);
+        GfMetrics_Add(GF_METRIC_BEAT_BYTES, bytes);
+        GfRpcClient_Start(p->client, GFX_BEAT, &beat, sizeof(gfx_beat_reply),
+                          BEAT_TIMEOUT_MS, on_beat_reply, call);
+    }
+    free_beat(&beat);
+}
+
+/* Takes what a heartbeat says of one rack. */
+static void
+take_rack(GfEntry *entry, const GfName *member, const gfx_rack *rack,
+          struct timespec now)
+{
+    GfRackView view;
+    memset(&view, 0, sizeof(view));
+    if (!GfName_SetText(&view.rack, rack->rack)) {
+        return;
+    }
+    view.holder = *member;
+    view.term = rack->term;
+    view.open = rack->open;
+    view.free_mcores = rack->free_mcores;
+    view.widest = (GfRoom){.mcores = rack->widest_mcores,
+                           .memory_mb = rack->widest_memory_mb,
+                           .accelerators = rack->widest_accelerators};
+    view.largest = (GfRoom){.mcores = rack->largest_mcores,
+                            .memory_mb = rack->largest_memory_mb,
+                            .accelerators = rack->largest_accelerators};
+    view.stated_at = now;
+    for (u_int i = 0; i < rack->services.services_len &&
+                      view.service_count < GF_RACK_SERVICES;
+         i++) {
+        const gfx_service_room *in = &rack->services.services_val[i];
+        GfServiceRoom *room = &view.services[view.service_count];
+        if (GfName_SetText(&room->service, in->service)) {
+            room->free_slots = in->free_slots;
+            room->queued = in->queued;
+            view.service_count++;
+        }
+    }
+    GfFleet_Update(entry->fleet, &view);
+}
+
+/* Takes a heartbeat of another entry. */
+void
+EntryPeers_TakeBeat(GfEntry *entry, const gfx_beat *beat)
+{
+    GfName member;
+    GfName name;
+    struct timespec now = Entry_Now(entry);
+    if (!GfName_SetText(&member, beat->member) ||
+        Entry_IsSelf(entry, &member)) {
+        return;
+    }
+    GfMembers_Contact(entry->members, &member, beat->incarnation,
+                      beat->control_version, now);
+    GfMembers_SetState(entry->members, &member, beat->leaving,
+                       beat->has_store);
+    for (u_int i = 0; i < beat->racks.racks_len; i++) {
+        take_rack(entry, &member, &beat->racks.racks_val[i], now);
+    }
+    GfFleet_CloseOthers(entry->fleet, &member, now);
+    GfFleet_ClearUse(entry->fleet, &member);
+    for (u_int i = 0; i < beat->uses.uses_len; i++) {
+        const gfx_use *use = &beat->uses.uses_val[i];
+        if (GfName_SetText(&name, use->team)) {
+            GfFleet_SetUse(
+                entry->fleet, &member, &name,
+                (GfAmount){.mcores = use->mcores, .requests = use->requests});
+        }
+    }
+    for (u_int i = 0; i < beat->parts.parts_len; i++) {
+        EntryPartitions_NoteOwner(entry, beat->parts.parts_val[i].partition,
+                                  beat->parts.parts_val[i].epoch, &member);
+    }
+    for (u_int i = 0; i < beat->clean_racks.clean_racks_len; i++) {
+        const gfx_clean *clean = &beat->clean_racks.clean_racks_val[i];
+        GfRackAgent *agent = NULL;
+        if (GfName_SetText(&name, clean->rack)) {
+            agent = Entry_FindRack(entry, &name);
+        }
+        if (agent != NULL) {
+            GfRackAgent_NoteClean(agent, clean->lease_sum);
+        }
+    }
+    if (beat->control_version > GfControl_Version(entry->control)) {
+        EntryControl_FetchFrom(entry, &member);
+    }
+}
--- /dev/null
+++ b/src/net/http.c
@@ -0,0 +1,344 @@
+#include "guavaflow/http.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/keyvalq_struct.h>
+#include <uthash.h>
+#include <utlist.h>
+
+#include "guavaflow/clock.h"
+
+#define ENDPOINT_BYTES 80
+#define MAX_IDLE_PER_ENDPOINT 64
+#define MAX_HEADER_BYTES 16384
+#define MAX_BODY_BYTES (8 * 1024 * 1024)
+
+typedef struct Connection {
+    struct evhttp_connection *evcon;
+    struct Connection *next;
+    struct Connection *prev;
+} Connection;
+
+typedef struct {
+    char key[ENDPOINT_BYTES];
+    Connection *idle;
+    int idle_count;
+    UT_hash_handle hh;
+} Endpoint;
+
+typedef struct Pending {
+    GfHttp *http;
+    Endpoint *endpoint;
+    Connection *connection;
+    GfHttpCallback callback;
+    void *arg;
+    struct event *timer;
+    struct Pending *next;
+    struct Pending *prev;
+} Pending;
+
+struct GfHttp {
+    struct event_base *base;
+    Endpoint *endpoints;
+    Pending *pending;
+    Connection *retired;
+    struct event *reaper;
+};
+
+/* Frees the connections that were given up, outside of their callbacks. */
+static void
+on_reap(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    GfHttp *http = arg;
+    Connection *c;
+    Connection *tmp;
+    DL_FOREACH_SAFE(http->retired, c, tmp)
+    {
+        DL_DELETE(http->retired, c);
+        evhttp_connection_free(c->evcon);
+        free(c);
+    }
+}
+
+/* Creates the pool of connections. */
+GfHttp *
+GfHttp_Create(struct event_base *base)
+{
+    GfHttp *http = calloc(1, sizeof(*http));
+    if (http == NULL) {
+        abort();
+    }
+    http->base = base;
+    http->reaper = event_new(base, -1, 0, on_reap, http);
+    return http;
+}
+
+/* Gives up a connection; it is freed from the loop. */
+static void
+retire(GfHttp *http, Connection *c)
+{
+    DL_APPEND(http->retired, c);
+    event_active(http->reaper, EV_TIMEOUT, 0);
+}
+
+/* Finds or makes the endpoint of an address. */
+static Endpoint *
+get_endpoint(GfHttp *http, const char *address, uint16_t port)
+{
+    char key[ENDPOINT_BYTES];
+    snprintf(key, sizeof(key), "%s:%u", address, port);
+    Endpoint *e;
+    HASH_FIND_STR(http->endpoints, key, e);
+    if (e == NULL) {
+        e = calloc(1, sizeof(*e));
+        if (e == NULL) {
+            abort();
+        }
+        memcpy(e->key, key, sizeof(key));
+        HASH_ADD_STR(http->endpoints, key, e);
+    }
+    return e;
+}
+
+/* Takes an idle connection, or opens one. */
+static Connection *
+take_connection(GfHttp *http, Endpoint *e, const GfHttpCall *call)
+{
+    Connection *c = e->idle;
+    if (c != NULL) {
+        DL_DELETE(e->idle, c);
+        e->idle_count--;
+        return c;
+    }
+    c = calloc(1, sizeof(*c));
+    if (c == NULL) {
+        abort();
+    }
+    c->evcon = evhttp_connection_base_new(http->base, NULL, call->address,
+                                          call->port);
+    if (c->evcon == NULL) {
+        free(c);
+        return NULL;
+    }
+    evhttp_connection_set_max_headers_size(c->evcon, MAX_HEADER_BYTES);
+    evhttp_connection_set_max_body_size(c->evcon, MAX_BODY_BYTES);
+    evhttp_connection_set_retries(c->evcon, 0);
+    return c;
+}
+
+/* Ends a pending call with the given outcome. */
+static void
+complete(Pending *p, const GfHttpResult *result, bool reuse)
+{
+    GfHttp *http = p->http;
+    DL_DELETE(http->pending, p);
+    event_free(p->timer);
+    Connection *c = p->connection;
+    if (reuse && p->endpoint->idle_count < MAX_IDLE_PER_ENDPOINT) {
+        DL_PREPEND(p->endpoint->idle, c);
+        p->endpoint->idle_count++;
+    }
+    else {
+        retire(http, c);
+    }
+    GfHttpCallback callback = p->callback;
+    void *arg = p->arg;
+    free(p);
+    callback(arg, result);
+}
+
+/* Tells whether the answer states its own length, so that a cut one cannot
+ * pass for a whole one. */
+static bool
+is_whole(struct evhttp_request *req)
+{
+    struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
+    const char *length = evhttp_find_header(headers, "Content-Length");
+    if (length != NULL) {
+        size_t got = evbuffer_get_length(evhttp_request_get_input_buffer(req));
+        return strtoull(length, NULL, 10) == got;
+    }
+    const char *coding = evhttp_find_header(headers, "Transfer-Encoding");
+    return coding != NULL && strcmp(coding, "chunked") == 0;
+}
+
+/* Receives the library's outcome of a call. */
+static void
+on_done(struct evhttp_request *req, void *arg)
+{
+    Pending *p = arg;
+    GfHttpResult result = {.kind = GF_CONNECTION_LOST, .sent = true};
+    if (req == NULL || evhttp_request_get_response_code(req) == 0) {
+        /* The library passes the request back only if connecting failed. */
+        result.sent = req == NULL;
+        complete(p, &result, false);
+        return;
+    }
+    if (!is_whole(req)) {
+        result.kind = GF_PROTOCOL;
+        complete(p, &result, false);
+        return;
+    }
+    struct evbuffer *in = evhttp_request_get_input_buffer(req);
+    result.kind = GF_OK;
+    result.status = evhttp_request_get_response_code(req);
+    result.body_len = evbuffer_get_length(in);
+    result.body = (const char *)evbuffer_pullup(in, -1);
+    const char *token = evhttp_find_header(
+        evhttp_request_get_input_headers(req), "Connection");
+    bool reuse = token == NULL || evutil_ascii_strcasecmp(token, "close") != 0;
+    GfStr copy = GfStr_Copy(result.body, result.body_len);
+    result.body = copy.data;
+    complete(p, &result, reuse);
+    GfStr_Clear(&copy);
+}
+
+/* Ends a call whose time is up. The connection is not used again, so a late
+ * answer can meet no other call. */
+static void
+on_timeout(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    Pending *p = arg;
+    GfHttpResult result = {.kind = GF_TIMEOUT, .sent = true};
+    Connection *c = p->connection;
+    GfHttpCallback callback = p->callback;
+    void *callback_arg = p->arg;
+    GfHttp *http = p->http;
+    DL_DELETE(http->pending, p);
+    event_free(p->timer);
+    /* Freeing the connection frees the request without calling back. */
+    evhttp_connection_free(c->evcon);
+    free(c);
+    free(p);
+    callback(callback_arg, &result);
+}
+
+/* Copies the call's headers onto the request. */
+static void
+add_headers(struct evhttp_request *req, const GfHttpCall *call)
+{
+    struct evkeyvalq *out = evhttp_request_get_output_headers(req);
+    char host[ENDPOINT_BYTES];
+    snprintf(host, sizeof(host), "%s:%u", call->address, call->port);
+    evhttp_add_header(out, "Host", host);
+    for (size_t i = 0; i < call->header_count; i++) {
+        evhttp_add_header(out, call->headers[i].name, call->headers[i].value);
+    }
+}
+
+/* Starts a call. The callback runs exactly once, from the loop or, if the
+ * call cannot be sent at all, at once. */
+void
+GfHttp_Start(GfHttp *http, const GfHttpCall *call, GfHttpCallback callback,
+             void *arg)
+{
+    assert(http != NULL && call != NULL && callback != NULL);
+    GfHttpResult refused = {.kind = GF_CONNECTION_LOST, .sent = false};
+    Endpoint *e = get_endpoint(http, call->address, call->port);
+    Connection *c = take_connection(http, e, call);
+    if (c == NULL) {
+        callback(arg, &refused);
+        return;
+    }
+    Pending *p = calloc(1, sizeof(*p));
+    if (p == NULL) {
+        abort();
+    }
+    *p = (Pending){.http = http, .endpoint = e, .connection = c};
+    p->callback = callback;
+    p->arg = arg;
+    p->timer = evtimer_new(http->base, on_timeout, p);
+    struct timeval limit = GfTime_Interval(call->timeout_ms);
+    evtimer_add(p->timer, &limit);
+    DL_APPEND(http->pending, p);
+    struct evhttp_request *req = evhttp_request_new(on_done, p);
+    add_headers(req, call);
+    if (call->body_len > 0) {
+        evbuffer_add(evhttp_request_get_output_buffer(req), call->body,
+                     call->body_len);
+    }
+    if (evhttp_make_request(c->evcon, req, call->method, call->path) != 0) {
+        /* The library has freed the request without a callback. */
+        complete(p, &refused, false);
+    }
+}
+
+/* Posts a JSON document, whose reference it takes. */
+void
+GfHttp_PostJson(GfHttp *http, const char *address, uint16_t port,
+                const char *path, json_t *body, int timeout_ms,
+                GfHttpCallback callback, void *arg)
+{
+    static const GfHttpHeader TYPE = {"Content-Type", "application/json"};
+    char *text = json_dumps(body, JSON_COMPACT);
+    json_decref(body);
+    assert(text != NULL);
+    GfHttpCall call = {.address = address,
+                       .port = port,
+                       .method = EVHTTP_REQ_POST,
+                       .path = path,
+                       .headers = &TYPE,
+                       .header_count = 1,
+                       .body = text,
+                       .body_len = strlen(text),
+                       .timeout_ms = timeout_ms};
+    GfHttp_Start(http, &call, callback, arg);
+    free(text);
+}
+
+/* Parses a whole answer as JSON; returns NULL if it is none. */
+json_t *
+GfHttp_ParseJson(const GfHttpResult *result)
+{
+    if (result->kind != GF_OK) {
+        return NULL;
+    }
+    return json_loadb(result->body, result->body_len, JSON_REJECT_DUPLICATES,
+                      NULL);
+}
+
+/* Closes all connections. Calls still pending get no callback. */
+void
+GfHttp_Destroy(GfHttp *http)
+{
+    if (http == NULL) {
+        return;
+    }
+    Pending *p;
+    Pending *ptmp;
+    DL_FOREACH_SAFE(http->pending, p, ptmp)
+    {
+        DL_DELETE(http->pending, p);
+        event_free(p->timer);
+        evhttp_connection_free(p->connection->evcon);
+        free(p->connection);
+        free(p);
+    }
+    Endpoint *e;
+    Endpoint *etmp;
+    HASH_ITER(hh, http->endpoints, e, etmp)
+    {
+        Connection *c;
+        Connection *ctmp;
+        DL_FOREACH_SAFE(e->idle, c, ctmp)
+        {
+            DL_DELETE(e->idle, c);
+            evhttp_connection_free(c->evcon);
+            free(c);
+        }
+        HASH_DEL(http->endpoints, e);
+        free(e);
+    }
+    on_reap(-1, 0, http);
+    event_free(http->reaper);
+    free(http);
+}
--- /dev/null
+++ b/src/rpc/record.c
@@ -0,0 +1,86 @@
+#include "record.h"
+
+#include <arpa/inet.h>
+#include <assert.h>
+#include <stdint.h>
+#include <stdlib.h>
+
+#define MARK_BYTES 4
+#define LAST_FRAGMENT 0x80000000u
+#define LENGTH_MASK 0x7fffffffu
+
+/* Reads the mark at an offset of the buffer. */
+static uint32_t
+peek_mark(struct evbuffer *in, size_t offset)
+{
+    struct evbuffer_ptr pos;
+    evbuffer_ptr_set(in, &pos, offset, EVBUFFER_PTR_SET);
+    uint32_t mark = 0;
+    evbuffer_copyout_from(in, &pos, &mark, MARK_BYTES);
+    return ntohl(mark);
+}
+
+/* Finds how far the record at the start of the buffer reaches. */
+static RecordState
+measure(struct evbuffer *in, size_t max_bytes, size_t *total)
+{
+    size_t have = evbuffer_get_length(in);
+    size_t offset = 0;
+    *total = 0;
+    for (;;) {
+        if (have < offset + MARK_BYTES) {
+            return RECORD_PARTIAL;
+        }
+        uint32_t mark = peek_mark(in, offset);
+        size_t part = mark & LENGTH_MASK;
+        *total += part;
+        if (*total > max_bytes || (part == 0 && !(mark & LAST_FRAGMENT))) {
+            return RECORD_BAD;
+        }
+        if (have < offset + MARK_BYTES + part) {
+            return RECORD_PARTIAL;
+        }
+        if (mark & LAST_FRAGMENT) {
+            return RECORD_WHOLE;
+        }
+        offset += MARK_BYTES + part;
+    }
+}
+
+/* Takes one whole record off the buffer. On RECORD_WHOLE the caller frees
+ * *data. A record over max_bytes, or one with an empty fragment before its
+ * last, is RECORD_BAD. */
+RecordState
+Record_Read(struct evbuffer *in, size_t max_bytes, char **data, size_t *len)
+{
+    assert(in != NULL && data != NULL && len != NULL);
+    size_t total = 0;
+    RecordState state = measure(in, max_bytes, &total);
+    if (state != RECORD_WHOLE) {
+        return state;
+    }
+    *data = malloc(total + 1);
+    if (*data == NULL) {
+        abort();
+    }
+    *len = 0;
+    uint32_t mark = 0;
+    do {
+        mark = peek_mark(in, 0);
+        evbuffer_drain(in, MARK_BYTES);
+        size_t part = mark & LENGTH_MASK;
+        evbuffer_remove(in, *data + *len, part);
+        *len += part;
+    } while (!(mark & LAST_FRAGMENT));
+    return RECORD_WHOLE;
+}
+
+/* Appends one record as a single fragment. */
+void
+Record_Write(struct evbuffer *out, const char *data, size_t len)
+{
+    assert(len <= LENGTH_MASK);
+    uint32_t mark = htonl((uint32_t)len | LAST_FRAGMENT);
+    evbuffer_add(out, &mark, MARK_BYTES);
+    evbuffer_add(out, data, len);
+}
--- /dev/null
+++ b/src/rpc/rpc_client.c
@@ -0,0 +1,345 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <rpc/rpc.h>
+#include <uthash.h>
+
+#include "guavaflow/log.h"
+#include "guavaflow/rpc.h"
+#include "record.h"
+
+#define PART "rpc"
+#define ADDRESS_BYTES 64
+#define CALL_HEADER_BYTES 512
+#define RECONNECT_MS 100
+
+typedef struct Pending {
+    GfRpcClient *client;
+    uint32_t xid;
+    const GfRpcProcedure *procedure;
+    size_t result_bytes;
+    struct timespec started;
+    struct event *timer;
+    GfRpcCallback callback;
+    void *arg;
+    UT_hash_handle hh;
+} Pending;
+
+struct GfRpcClient {
+    struct event_base *base;
+    char address[ADDRESS_BYTES];
+    uint16_t port;
+    const GfRpcProgram *program;
+    const GfClock *clock;
+    struct bufferevent *bev;
+    bool connected;
+    struct timespec last_read;
+    struct timespec last_failure;
+    bool has_failed;
+    uint32_t next_xid;
+    uint64_t replacements;
+    Pending *pending;
+};
+
+/* Creates a client; it connects with its first call. */
+GfRpcClient *
+GfRpcClient_Create(struct event_base *base, const char *address, uint16_t port,
+                   const GfRpcProgram *program, const GfClock *clock)
+{
+    assert(base != NULL && address != NULL && program != NULL);
+    GfRpcClient *client = calloc(1, sizeof(*client));
+    if (client == NULL) {
+        abort();
+    }
+    client->base = base;
+    snprintf(client->address, sizeof(client->address), "%s", address);
+    client->port = port;
+    client->program = program;
+    client->clock = clock;
+    evutil_secure_rng_get_bytes(&client->next_xid, sizeof(client->next_xid));
+    return client;
+}
+
+/* Ends a call that is still in the table and frees it. */
+static void
+complete(Pending *p, const GfRpcOutcome *outcome)
+{
+    HASH_DEL(p->client->pending, p);
+    event_free(p->timer);
+    GfRpcCallback callback = p->callback;
+    void *arg = p->arg;
+    free(p);
+    callback(arg, outcome);
+}
+
+/* Closes the connection and ends every call that waits on it. */
+static void
+drop_connection(GfRpcClient *client)
+{
+    GfRpcOutcome outcome = {.kind = GF_CONNECTION_LOST};
+    outcome.sent = client->connected;
+    if (client->bev != NULL) {
+        bufferevent_free(client->bev);
+        client->bev = NULL;
+    }
+    client->connected = false;
+    client->last_failure = GfClock_Now(client->clock);
+    client->has_failed = true;
+    Pending *all = client->pending;
+    Pending *p;
+    Pending *tmp;
+    client->pending = NULL;
+    HASH_ITER(hh, all, p, tmp)
+    {
+        HASH_DEL(all, p);
+        HASH_ADD(hh, client->pending, xid, sizeof(p->xid), p);
+        complete(p, &outcome);
+    }
+}
+
+/* Decodes nothing: the result is decoded once its type is known. */
+static bool_t
+decode_later(XDR *in, ...)
+{
+    (void)in;
+    return TRUE;
+}
+
+/* Decodes a reply and ends the call it belongs to. A reply that belongs to
+ * no call in flight is late and is dropped. */
+static bool
+handle_record(GfRpcClient *client, char *data, size_t len)
+{
+    XDR in;
+    xdrmem_create(&in, data, (u_int)len, XDR_DECODE);
+    struct rpc_msg msg;
+    memset(&msg, 0, sizeof(msg));
+    char verf[MAX_AUTH_BYTES];
+    msg.acpted_rply.ar_verf.oa_base = verf;
+    msg.acpted_rply.ar_results.proc = decode_later;
+    bool good = xdr_replymsg(&in, &msg) && msg.rm_direction == REPLY;
+    Pending *p = NULL;
+    if (good) {
+        uint32_t xid = msg.rm_xid;
+        HASH_FIND(hh, client->pending, &xid, sizeof(xid), p);
+    }
+    if (p != NULL) {
+        GfRpcOutcome outcome = {.kind = GF_PROTOCOL, .sent = true};
+        void *result = calloc(1, p->result_bytes + 1);
+        if (result == NULL) {
+            abort();
+        }
+        xdrproc_t xdr = p->procedure->xdr_result;
+        if (msg.rm_reply.rp_stat == MSG_ACCEPTED &&
+            msg.acpted_rply.ar_stat == SUCCESS && xdr(&in, result)) {
+            outcome.kind = GF_OK;
+            outcome.result = result;
+        }
+        complete(p, &outcome);
+        xdr_free(xdr, result);
+        free(result);
+    }
+    xdr_destroy(&in);
+    return good;
+}
+
+/* Reads the records that have arrived. */
+static void
+on_read(struct bufferevent *bev, void *arg)
+{
+    GfRpcClient *client = arg;
+    client->last_read = GfClock_Now(client->clock);
+    while (client->bev == bev) {
+        char *data = NULL;
+        size_t len = 0;
+        RecordState state = Record_Read(bufferevent_get_input(bev),
+                                        GF_RPC_MAX_RECORD_BYTES, &data, &len);
+        if (state == RECORD_PARTIAL) {
+            return;
+        }
+        bool good = state == RECORD_WHOLE && handle_record(client, data, len);
+        free(data);
+        if (!good && client->bev == bev) {
+            GfLog(GF_LOG_WARNING, PART, "A peer sent a bad record.");
+            drop_connection(client);
+            return;
+        }
+    }
+}
+
+/* Notes that the connection is up, or has ended. */
+static void
+on_event(struct bufferevent *bev, short what, void *arg)
+{
+    (void)bev;
+    GfRpcClient *client = arg;
+    if (what & BEV_EVENT_CONNECTED) {
+        client->connected = true;
+        return;
+    }
+    drop_connection(client);
+}
+
+/* Ends a call whose time is up. If nothing at all has been read since the
+ * call was sent, the connection counts as silent and is replaced. */
+static void
+on_timeout(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    Pending *p = arg;
+    GfRpcClient *client = p->client;
+    GfRpcOutcome outcome = {.kind = GF_TIMEOUT, .sent = true};
+    bool silent = GfTime_Before(client->last_read, p->started);
+    complete(p, &outcome);
+    if (silent && client->bev != NULL) {
+        GfLog(GF_LOG_INFO, PART, "The connection to %s:%u is silent.",
+              client->address, client->port);
+        client->replacements++;
+        drop_connection(client);
+    }
+}
+
+/* Starts connecting. Returns false if the last attempt failed just now. */
+static bool
+connect_client(GfRpcClient *client)
+{
+    struct timespec now = GfClock_Now(client->clock);
+    if (client->has_failed &&
+        GfTime_DiffMs(now, client->last_failure) < RECONNECT_MS) {
+        return false;
+    }
+    struct sockaddr_in sin;
+    memset(&sin, 0, sizeof(sin));
+    sin.sin_family = AF_INET;
+    sin.sin_port = htons(client->port);
+    if (inet_pton(AF_INET, client->address, &sin.sin_addr) != 1) {
+        return false;
+    }
+    client->bev =
+        bufferevent_socket_new(client->base, -1, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(client->bev, on_read, NULL, on_event, client);
+    bufferevent_enable(client->bev, EV_READ | EV_WRITE);
+    client->last_read = now;
+    if (bufferevent_socket_connect(client->bev, (struct sockaddr *)&sin,
+                                   sizeof(sin)) != 0) {
+        if (client->bev != NULL) {
+            bufferevent_free(client->bev);
+            client->bev = NULL;
+        }
+        client->last_failure = now;
+        client->has_failed = true;
+        return false;
+    }
+    return true;
+}
+
+/* Encodes the call message with its arguments onto the connection. */
+static bool
+write_call(GfRpcClient *client, const Pending *p, void *args)
+{
+    size_t room = CALL_HEADER_BYTES + xdr_sizeof(p->procedure->xdr_args, args);
+    char *data = malloc(room);
+    if (data == NULL) {
+        abort();
+    }
+    struct rpc_msg msg;
+    memset(&msg, 0, sizeof(msg));
+    msg.rm_xid = p->xid;
+    msg.rm_direction = CALL;
+    msg.rm_call.cb_rpcvers = RPC_MSG_VERSION;
+    msg.rm_call.cb_prog = client->program->program;
+    msg.rm_call.cb_vers = client->program->version;
+    msg.rm_call.cb_proc = p->procedure->number;
+    msg.rm_call.cb_cred = _null_auth;
+    msg.rm_call.cb_verf = _null_auth;
+    XDR out;
+    xdrmem_create(&out, data, (u_int)room, XDR_ENCODE);
+    bool good = xdr_callmsg(&out, &msg) && p->procedure->xdr_args(&out, args);
+    if (good) {
+        Record_Write(bufferevent_get_output(client->bev), data,
+                     xdr_getpos(&out));
+    }
+    xdr_destroy(&out);
+    free(data);
+    return good;
+}
+
+/* Finds a procedure by its number. */
+static const GfRpcProcedure *
+find_procedure(const GfRpcProgram *program, uint32_t number)
+{
+    for (size_t i = 0; i < program->procedure_count; i++) {
+        if (program->procedures[i].number == number) {
+            return &program->procedures[i];
+        }
+    }
+    return NULL;
+}
+
+/* Starts a call. The callback runs exactly once; at once if the peer cannot
+ * be reached. */
+void
+GfRpcClient_Start(GfRpcClient *client, uint32_t procedure, void *args,
+                  size_t result_bytes, int timeout_ms, GfRpcCallback callback,
+                  void *arg)
+{
+    assert(client != NULL && args != NULL && callback != NULL);
+    GfRpcOutcome refused = {.kind = GF_CONNECTION_LOST, .sent = false};
+    if (client->bev == NULL && !connect_client(client)) {
+        callback(arg, &refused);
+        return;
+    }
+    Pending *p = calloc(1, sizeof(*p));
+    if (p == NULL) {
+        abort();
+    }
+    p->client = client;
+    p->xid = client->next_xid++;
+    p->procedure = find_procedure(client->program, procedure);
+    assert(p->procedure != NULL);
+    p->result_bytes = result_bytes;
+    p->started = GfClock_Now(client->clock);
+    p->callback = callback;
+    p->arg = arg;
+    p->timer = evtimer_new(client->base, on_timeout, p);
+    struct timeval limit = GfTime_Interval(timeout_ms);
+    evtimer_add(p->timer, &limit);
+    HASH_ADD(hh, client->pending, xid, sizeof(p->xid), p);
+    if (!write_call(client, p, args)) {
+        refused.kind = GF_PROTOCOL;
+        complete(p, &refused);
+    }
+}
+
+/* Returns how many silent connections were replaced. */
+uint64_t
+GfRpcClient_Replacements(const GfRpcClient *client)
+{
+    return client->replacements;
+}
+
+/* Closes the connection. Calls still pending get no callback. */
+void
+GfRpcClient_Destroy(GfRpcClient *client)
+{
+    if (client == NULL) {
+        return;
+    }
+    Pending *p;
+    Pending *tmp;
+    HASH_ITER(hh, client->pending, p, tmp)
+    {
+        HASH_DEL(client->pending, p);
+        event_free(p->timer);
+        free(p);
+    }
+    if (client->bev != NULL) {
+        bufferevent_free(client->bev);
+    }
+    free(client);
+}
--- /dev/null
+++ b/src/rpc/rpc_server.c
@@ -0,0 +1,304 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <arpa/inet.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <rpc/rpc.h>
+#include <utlist.h>
+
+#include "guavaflow/log.h"
+#include "guavaflow/rpc.h"
+#include "record.h"
+
+#define PART "rpc"
+#define LISTEN_BACKLOG 128
+#define REPLY_HEADER_BYTES 512
+
+typedef struct Connection {
+    GfRpcServer *server;
+    struct bufferevent *bev;
+    int references;
+    struct Connection *next;
+    struct Connection *prev;
+} Connection;
+
+struct GfRpcServer {
+    const GfRpcProgram *program;
+    void *ctx;
+    struct evconnlistener *listener;
+    Connection *connections;
+};
+
+struct GfRpcCall {
+    Connection *connection;
+    const GfRpcProcedure *procedure;
+    uint32_t xid;
+};
+
+/* Drops one reference; the last one frees the connection's record. */
+static void
+release(Connection *c)
+{
+    c->references--;
+    if (c->references == 0) {
+        free(c);
+    }
+}
+
+/* Closes the connection. Calls still being answered find it gone. */
+static void
+close_connection(Connection *c)
+{
+    if (c->bev == NULL) {
+        return;
+    }
+    bufferevent_free(c->bev);
+    c->bev = NULL;
+    DL_DELETE(c->server->connections, c);
+    release(c);
+}
+
+/* Writes a reply message whose header is given and whose result, if any,
+ * the header's result procedure encodes. */
+static void
+write_reply(Connection *c, struct rpc_msg *reply, xdrproc_t xdr, void *result)
+{
+    size_t room =
+        REPLY_HEADER_BYTES + (result == NULL ? 0 : xdr_sizeof(xdr, result));
+    char *data = malloc(room);
+    if (data == NULL) {
+        abort();
+    }
+    XDR out;
+    xdrmem_create(&out, data, (u_int)room, XDR_ENCODE);
+    if (xdr_replymsg(&out, reply)) {
+        Record_Write(bufferevent_get_output(c->bev), data, xdr_getpos(&out));
+    }
+    else {
+        GfLog(GF_LOG_ERROR, PART, "A reply could not be encoded.");
+    }
+    xdr_destroy(&out);
+    free(data);
+}
+
+/* Answers a call with a result, unless its connection has gone, and frees
+ * the call. */
+void
+GfRpcCall_Reply(GfRpcCall *call, void *result)
+{
+    assert(call != NULL && result != NULL);
+    Connection *c = call->connection;
+    if (c->bev != NULL) {
+        struct rpc_msg reply;
+        memset(&reply, 0, sizeof(reply));
+        reply.rm_xid = call->xid;
+        reply.rm_direction = REPLY;
+        reply.rm_reply.rp_stat = MSG_ACCEPTED;
+        reply.acpted_rply.ar_verf = _null_auth;
+        reply.acpted_rply.ar_stat = SUCCESS;
+        reply.acpted_rply.ar_results.where = result;
+        reply.acpted_rply.ar_results.proc = call->procedure->xdr_result;
+        write_reply(c, &reply, call->procedure->xdr_result, result);
+    }
+    release(c);
+    free(call);
+}
+
+/* Refuses a call that names no known procedure or cannot be decoded. */
+static void
+refuse(Connection *c, uint32_t xid, enum accept_stat stat)
+{
+    struct rpc_msg reply;
+    memset(&reply, 0, sizeof(reply));
+    reply.rm_xid = xid;
+    reply.rm_direction = REPLY;
+    reply.rm_reply.rp_stat = MSG_ACCEPTED;
+    reply.acpted_rply.ar_verf = _null_auth;
+    reply.acpted_rply.ar_stat = stat;
+    write_reply(c, &reply, NULL, NULL);
+}
+
+/* Finds a procedure by its number. */
+static const GfRpcProcedure *
+find_procedure(const GfRpcProgram *program, uint32_t number)
+{
+    for (size_t i = 0; i < program->procedure_count; i++) {
+        if (program->procedures[i].number == number) {
+            return &program->procedures[i];
+        }
+    }
+    return NULL;
+}
+
+/* Decodes the arguments and hands the call to its procedure. */
+static void
+dispatch(Connection *c, XDR *in, const GfRpcProcedure *procedure, uint32_t xid)
+{
+    void *args = calloc(1, procedure->args_bytes + 1);
+    GfRpcCall *call = calloc(1, sizeof(*call));
+    if (args == NULL || call == NULL) {
+        abort();
+    }
+    if (!procedure->xdr_args(in, args)) {
+        GfLog(GF_LOG_WARNING, PART, "A call has bad arguments.");
+        refuse(c, xid, GARBAGE_ARGS);
+        free(call);
+    }
+    else {
+        *call = (GfRpcCall){.connection = c, .procedure = procedure};
+        call->xid = xid;
+        c->references++;
+        procedure->handle(c->server->ctx, call, args);
+    }
+    xdr_free(procedure->xdr_args, args);
+    free(args);
+}
+
+/* Handles one record. Returns false if the connection is of no further
+ * use. */
+static bool
+handle_record(Connection *c, char *data, size_t len)
+{
+    XDR in;
+    xdrmem_create(&in, data, (u_int)len, XDR_DECODE);
+    struct rpc_msg msg;
+    memset(&msg, 0, sizeof(msg));
+    char cred[MAX_AUTH_BYTES];
+    char verf[MAX_AUTH_BYTES];
+    msg.rm_call.cb_cred.oa_base = cred;
+    msg.rm_call.cb_verf.oa_base = verf;
+    bool good = xdr_callmsg(&in, &msg) && msg.rm_direction == CALL;
+    if (good) {
+        const GfRpcProgram *program = c->server->program;
+        const GfRpcProcedure *procedure =
+            find_procedure(program, msg.rm_call.cb_proc);
+        if (msg.rm_call.cb_prog != program->program ||
+            msg.rm_call.cb_vers != program->version) {
+            refuse(c, msg.rm_xid, PROG_UNAVAIL);
+        }
+        else if (procedure == NULL) {
+            refuse(c, msg.rm_xid, PROC_UNAVAIL);
+        }
+        else {
+            dispatch(c, &in, procedure, msg.rm_xid);
+        }
+    }
+    xdr_destroy(&in);
+    return good;
+}
+
+/* Reads the records that have arrived. */
+static void
+on_read(struct bufferevent *bev, void *arg)
+{
+    Connection *c = arg;
+    c->references++;
+    while (c->bev != NULL) {
+        char *data = NULL;
+        size_t len = 0;
+        RecordState state = Record_Read(bufferevent_get_input(bev),
+                                        GF_RPC_MAX_RECORD_BYTES, &data, &len);
+        if (state == RECORD_PARTIAL) {
+            break;
+        }
+        if (state == RECORD_BAD || !handle_record(c, data, len)) {
+            GfLog(GF_LOG_WARNING, PART, "A connection sent a bad record.");
+            close_connection(c);
+        }
+        free(data);
+    }
+    release(c);
+}
+
+/* Closes a connection that ended or failed. */
+static void
+on_event(struct bufferevent *bev, short what, void *arg)
+{
+    (void)bev;
+    if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) {
+        close_connection(arg);
+    }
+}
+
+/* Takes a new connection. */
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+          struct sockaddr *address, int len, void *arg)
+{
+    (void)address;
+    (void)len;
+    GfRpcServer *server = arg;
+    Connection *c = calloc(1, sizeof(*c));
+    if (c == NULL) {
+        abort();
+    }
+    c->server = server;
+    c->references = 1;
+    c->bev = bufferevent_socket_new(evconnlistener_get_base(listener), fd,
+                                    BEV_OPT_CLOSE_ON_FREE);
+    DL_APPEND(server->connections, c);
+    bufferevent_setcb(c->bev, on_read, NULL, on_event, c);
+    bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+}
+
+/* Opens a server for one program. Fails with GF_BAD_CONFIG if the address
+ * cannot be bound. */
+GfRpcServer *
+GfRpcServer_Create(struct event_base *base, const char *address, uint16_t port,
+                   const GfRpcProgram *program, void *ctx, GfError *error)
+{
+    assert(base != NULL && address != NULL && program != NULL);
+    struct sockaddr_in sin;
+    memset(&sin, 0, sizeof(sin));
+    sin.sin_family = AF_INET;
+    sin.sin_port = htons(port);
+    if (inet_pton(AF_INET, address, &sin.sin_addr) != 1) {
+        GfError_Set(error, GF_BAD_CONFIG, "%s is not an IP number", address);
+        return NULL;
+    }
+    GfRpcServer *server = calloc(1, sizeof(*server));
+    if (server == NULL) {
+        abort();
+    }
+    server->program = program;
+    server->ctx = ctx;
+    server->listener = evconnlistener_new_bind(
+        base, on_accept, server, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+        LISTEN_BACKLOG, (struct sockaddr *)&sin, sizeof(sin));
+    if (server->listener == NULL) {
+        GfError_Set(error, GF_BAD_CONFIG, "cannot listen on %s port %u",
+                    address, port);
+        free(server);
+        return NULL;
+    }
+    return server;
+}
+
+/* Closes the listening socket; open connections go on. */
+void
+GfRpcServer_StopAccepting(GfRpcServer *server)
+{
+    if (server->listener != NULL) {
+        evconnlistener_free(server->listener);
+        server->listener = NULL;
+    }
+}
+
+/* Closes the server and its connections. */
+void
+GfRpcServer_Destroy(GfRpcServer *server)
+{
+    if (server == NULL) {
+        return;
+    }
+    GfRpcServer_StopAccepting(server);
+    Connection *c;
+    Connection *tmp;
+    DL_FOREACH_SAFE(server->connections, c, tmp)
+    {
+        close_connection(c);
+    }
+    free(server);
+}
--- /dev/null
+++ b/src/sched/fleet.c
@@ -0,0 +1,389 @@
+#include "guavaflow/fleet.h"
+
+#include <assert.h>
+#include <stdlib.h>
+
+#include <uthash.h>
+
+typedef struct {
+    GfRackView view;
+    GfName domain;
+} Rack;
+
+typedef struct {
+    GfName member;
+    GfName team;
+} UseKey;
+
+typedef struct {
+    UseKey key;
+    GfAmount use;
+    UT_hash_handle hh;
+} Use;
+
+struct GfFleet {
+    Rack *racks;
+    size_t count;
+    uint32_t random;
+    Use *uses;
+};
+
+/* Creates an empty view; the seed decides its random choices. */
+GfFleet *
+GfFleet_Create(uint32_t seed)
+{
+    GfFleet *fleet = calloc(1, sizeof(*fleet));
+    if (fleet == NULL) {
+        abort();
+    }
+    fleet->random = seed | 1;
+    return fleet;
+}
+
+/* Frees the view. */
+void
+GfFleet_Destroy(GfFleet *fleet)
+{
+    if (fleet == NULL) {
+        return;
+    }
+    Use *u;
+    Use *tmp;
+    HASH_ITER(hh, fleet->uses, u, tmp)
+    {
+        HASH_DEL(fleet->uses, u);
+        free(u);
+    }
+    free(fleet->racks);
+    free(fleet);
+}
+
+/* Returns the next pseudo-random number (xorshift, Marsaglia 2003). */
+static uint32_t
+next_random(GfFleet *fleet)
+{
+    uint32_t x = fleet->random;
+    x ^= x << 13;
+    x ^= x >> 17;
+    x ^= x << 5;
+    fleet->random = x;
+    return x;
+}
+
+/* Finds a rack, or NULL. */
+static Rack *
+find(const GfFleet *fleet, const GfName *rack)
+{
+    for (size_t i = 0; i < fleet->count; i++) {
+        if (GfName_Equal(&fleet->racks[i].view.rack, rack)) {
+            return &fleet->racks[i];
+        }
+    }
+    return NULL;
+}
+
+/* Adds a rack of the host list; it has no holder yet. */
+void
+GfFleet_AddRack(GfFleet *fleet, const GfName *rack, const GfName *domain)
+{
+    Rack *r = find(fleet, rack);
+    if (r == NULL) {
+        size_t bytes = (fleet->count + 1) * sizeof(*fleet->racks);
+        Rack *grown = realloc(fleet->racks, bytes);
+        if (grown == NULL) {
+            abort();
+        }
+        fleet->racks = grown;
+        r = &fleet->racks[fleet->count++];
+        memset(r, 0, sizeof(*r));
+        r->view.rack = *rack;
+    }
+    r->domain = *domain;
+}
+
+/* Takes a holder's statement about a rack. One that says the rack is not
+ * open does not displace another holder's that says it is. */
+void
+GfFleet_Update(GfFleet *fleet, const GfRackView *view)
+{
+    Rack *r = find(fleet, &view->rack);
+    if (r == NULL) {
+        return;
+    }
+    if (!view->open && r->view.open &&
+        !GfName_Equal(&r->view.holder, &view->holder)) {
+        return;
+    }
+    r->view = *view;
+}
+
+/* Marks the racks of a holder that is out of contact as without holder. */
+void
+GfFleet_DropHolder(GfFleet *fleet, const GfName *holder)
+{
+    for (size_t i = 0; i < fleet->count; i++) {
+        if (GfName_Equal(&fleet->racks[i].view.holder, holder)) {
+            fleet->racks[i].view.open = false;
+        }
+    }
+}
+
+/* Marks the racks that a holder no longer names in its statements, those
+ * made since the given time, as without holder. */
+void
+GfFleet_CloseOthers(GfFleet *fleet, const GfName *holder,
+                    struct timespec since)
+{
+    for (size_t i = 0; i < fleet->count; i++) {
+        GfRackView *v = &fleet->racks[i].view;
+        if (GfName_Equal(&v->holder, holder) &&
+            GfTime_Before(v->stated_at, since)) {
+            v->open = false;
+        }
+    }
+}
+
+/* Returns the number of racks. */
+size_t
+GfFleet_Count(const GfFleet *fleet)
+{
+    return fleet->count;
+}
+
+/* Returns a rack's view by index. */
+const GfRackView *
+GfFleet_At(const GfFleet *fleet, size_t index)
+{
+    assert(index < fleet->count);
+    return &fleet->racks[index].view;
+}
+
+/* Finds a rack's view, or returns NULL. */
+const GfRackView *
+GfFleet_Find(const GfFleet *fleet, const GfName *rack)
+{
+    Rack *r = find(fleet, rack);
+    return r == NULL ? NULL : &r->view;
+}
+
+/* Returns a rack's failure domain, or NULL. */
+const GfName *
+GfFleet_Domain(const GfFleet *fleet, const GfName *rack)
+{
+    Rack *r = find(fleet, rack);
+    return r == NULL ? NULL : &r->domain;
+}
+
+/* Tells whether work may go to a rack at all. */
+static bool
+is_usable(const Rack *r, const GfControl *control)
+{
+    return r->view.open && !GfControl_DomainIsOut(control, &r->domain);
+}
+
+/* Picks a rack for tasks of one need: of two usable racks with room, drawn at
+ * random, the one with more free processors (the power of two choices,
+ * Mitzenmacher 2001). Returns NULL if none has room. */
+const GfRackView *
+GfFleet_PickForTask(GfFleet *fleet, const GfControl *control,
+                    const GfRoom *need, uint32_t count)
+{
+    const Rack *picks[2] = {NULL, NULL};
+    uint32_t seen = 0;
+    for (size_t i = 0; i < fleet->count; i++) {
+        const Rack *r = &fleet->racks[i];
+        if (!is_usable(r, control) || !GfRoom_Fits(&r->view.widest, need) ||
+            r->view.free_mcores < need->mcores * count) {
+            continue;
+        }
+        seen++;
+        /* Reservoir sampling of two racks. */
+        if (seen <= 2) {
+            picks[seen - 1] = r;
+        }
+        else {
+            uint32_t at = next_random(fleet) % seen;
+            if (at < 2) {
+                picks[at] = r;
+            }
+        }
+    }
+    if (picks[1] == NULL) {
+        return picks[0] == NULL ? NULL : &picks[0]->view;
+    }
+    bool first = picks[0]->view.free_mcores >= picks[1]->view.free_mcores;
+    return first ? &picks[0]->view : &picks[1]->view;
+}
+
+/* Finds what a rack states about a service, or NULL. */
+static const GfServiceRoom *
+service_room(const GfRackView *view, const GfName *service)
+{
+    for (size_t i = 0; i < view->service_count; i++) {
+        if (GfName_Equal(&view->services[i].service, service)) {
+            return &view->services[i];
+        }
+    }
+    return NULL;
+}
+
+/* Tells whether a rack was tried before. */
+static bool
+was_tried(const GfName *rack, const GfName *tried, size_t tries)
+{
+    for (size_t i = 0; i < tries; i++) {
+        if (GfName_Equal(rack, &tried[i])) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Rates a rack for a request: free slots less the queue. */
+static int64_t
+rate(const GfServiceRoom *room)
+{
+    return (int64_t)room->free_slots - (int64_t)room->queued;
+}
+
+/* Picks a rack for a request among those not tried yet: the better of two
+ * drawn at random. Returns NULL if no rack serves the service. */
+const GfRackView *
+GfFleet_PickForRequest(GfFleet *fleet, const GfControl *control,
+                       const GfName *service, const GfName *tried,
+                       size_t tries)
+{
+    const GfRackView *picks[2] = {NULL, NULL};
+    int64_t rates[2] = {0, 0};
+    uint32_t seen = 0;
+    for (size_t i = 0; i < fleet->count; i++) {
+        const Rack *r = &fleet->racks[i];
+        const GfServiceRoom *room = service_room(&r->view, service);
+        if (room == NULL || !is_usable(r, control) ||
+            was_tried(&r->view.rack, tried, tries)) {
+            continue;
+        }
+        seen++;
+        uint32_t at = seen <= 2 ? seen - 1 : next_random(fleet) % seen;
+        if (at < 2) {
+            picks[at] = &r->view;
+            rates[at] = rate(room);
+        }
+    }
+    if (picks[1] == NULL) {
+        return picks[0];
+    }
+    if (rates[0] == rates[1]) {
+        return picks[next_random(fleet) % 2];
+    }
+    return rates[0] > rates[1] ? picks[0] : picks[1];
+}
+
+/* Takes room off a rack's statement for work just sent there, until the
+ * holder states it anew. */
+void
+GfFleet_Reserve(GfFleet *fleet, const GfName *rack, const GfRoom *need)
+{
+    Rack *r = find(fleet, rack);
+    if (r != NULL) {
+        uint32_t free_mcores = r->view.free_mcores;
+        r->view.free_mcores =
+            free_mcores > need->mcores ? free_mcores - need->mcores : 0;
+    }
+}
+
+/* Takes a slot off a rack's statement for a request just sent there. */
+void
+GfFleet_ReserveSlot(GfFleet *fleet, const GfName *rack, const GfName *service)
+{
+    Rack *r = find(fleet, rack);
+    GfServiceRoom *room =
+        r == NULL ? NULL : (GfServiceRoom *)service_room(&r->view, service);
+    if (room == NULL) {
+        return;
+    }
+    if (room->free_slots > 0) {
+        room->free_slots--;
+    }
+    else {
+        room->queued++;
+    }
+}
+
+/* Tells whether any worker is large enough for a need. While no rack is
+ * known well enough, the answer is yes. */
+bool
+GfFleet_CanEverFit(const GfFleet *fleet, const GfRoom *need)
+{
+    bool all_known = fleet->count > 0;
+    for (size_t i = 0; i < fleet->count; i++) {
+        const GfRackView *v = &fleet->racks[i].view;
+        if (GfRoom_Fits(&v->largest, need)) {
+            return true;
+        }
+        all_known = all_known && v->largest.mcores > 0;
+    }
+    return !all_known;
+}
+
+/* Counts the racks that no entry schedules. */
+size_t
+GfFleet_WithoutHolder(const GfFleet *fleet)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < fleet->count; i++) {
+        count += !fleet->racks[i].view.open;
+    }
+    return count;
+}
+
+/* Sets what a member states that a team uses on its racks. */
+void
+GfFleet_SetUse(GfFleet *fleet, const GfName *member, const GfName *team,
+               GfAmount use)
+{
+    UseKey key;
+    memset(&key, 0, sizeof(key));
+    key.member = *member;
+    key.team = *team;
+    Use *u;
+    HASH_FIND(hh, fleet->uses, &key, sizeof(key), u);
+    if (u == NULL) {
+        u = calloc(1, sizeof(*u));
+        if (u == NULL) {
+            abort();
+        }
+        u->key = key;
+        HASH_ADD(hh, fleet->uses, key, sizeof(key), u);
+    }
+    u->use = use;
+}
+
+/* Forgets what a member stated about the use of teams. */
+void
+GfFleet_ClearUse(GfFleet *fleet, const GfName *member)
+{
+    Use *u;
+    Use *tmp;
+    HASH_ITER(hh, fleet->uses, u, tmp)
+    {
+        if (GfName_Equal(&u->key.member, member)) {
+            HASH_DEL(fleet->uses, u);
+            free(u);
+        }
+    }
+}
+
+/* Returns a team's use over all members' statements. */
+GfAmount
+GfFleet_TeamUse(const GfFleet *fleet, const GfName *team)
+{
+    GfAmount sum = {0};
+    for (const Use *u = fleet->uses; u != NULL; u = u->hh.next) {
+        if (GfName_Equal(&u->key.team, team)) {
+            sum.mcores += u->use.mcores;
+            sum.requests += u->use.requests;
+        }
+    }
+    return sum;
+}
--- /dev/null
+++ b/src/sched/rack_requests.c
@@ -0,0 +1,456 @@
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "guavaflow/log.h"
+#include "guavaflow/metrics.h"
+#include "rack_agent_private.h"
+
+#define STATUS_OK 200
+#define STATUS_ERROR 500
+#define DOWN_MS 500
+#define MAX_DOWN_MS 8000
+#define ID_HEADER "X-Request-Id"
+
+/* A request that waits for a slot or runs on one. */
+struct RackRequest {
+    GfRackAgent *agent;
+    GfServiceRequest request;
+    struct timespec deadline;
+    GfName instance;
+    GfAnswerCallback callback;
+    void *arg;
+    struct event *slot_timer;
+    RackRequest *next;
+    RackRequest *prev;
+};
+
+/* Finds an instance, or NULL. */
+static RackInstance *
+find_instance(const GfRackAgent *agent, const GfName *name)
+{
+    for (size_t i = 0; i < agent->instance_count; i++) {
+        if (GfName_Equal(&agent->instances[i].name, name)) {
+            return &agent->instances[i];
+        }
+    }
+    return NULL;
+}
+
+/* Takes what the host list says of a target. */
+void
+RackRequests_SetTarget(GfRackAgent *agent, const GfHost *host)
+{
+    RackInstance *in = find_instance(agent, &host->name);
+    if (in == NULL) {
+        size_t bytes = (agent->instance_count + 1) * sizeof(*agent->instances);
+        RackInstance *grown = realloc(agent->instances, bytes);
+        if (grown == NULL) {
+            abort();
+        }
+        agent->instances = grown;
+        in = &agent->instances[agent->instance_count++];
+        memset(in, 0, sizeof(*in));
+        in->name = host->name;
+    }
+    snprintf(in->address, sizeof(in->address), "%s", host->address);
+    in->port = host->port;
+    in->state = host->state;
+    in->service = host->service;
+    in->slots = host->slots;
+}
+
+/* Finds a team's load record, or adds it. */
+static RackTeamLoad *
+get_load(GfRackAgent *agent, const GfName *team)
+{
+    RackTeamLoad *load;
+    HASH_FIND(hh, agent->loads, team, sizeof(*team), load);
+    if (load == NULL) {
+        load = calloc(1, sizeof(*load));
+        if (load == NULL) {
+            abort();
+        }
+        load->team = *team;
+        HASH_ADD(hh, agent->loads, team, sizeof(load->team), load);
+    }
+    return load;
+}
+
+/* Returns how many slots a team's requests take. */
+uint32_t
+RackRequests_TeamLoad(const GfRackAgent *agent, const GfName *team)
+{
+    RackTeamLoad *load;
+    HASH_FIND(hh, agent->loads, team, sizeof(*team), load);
+    return load == NULL ? 0 : load->requests;
+}
+
+/* Frees a request's record. */
+static void
+free_request(RackRequest *r)
+{
+    if (r->slot_timer != NULL) {
+        event_free(r->slot_timer);
+    }
+    GfStr_Clear(&r->request.body);
+    free(r);
+}
+
+/* Answers a request that waits in the queue, and frees it. */
+static void
+refuse_queued(GfRackAgent *agent, RackRequest *r, GfErrorKind kind)
+{
+    DL_DELETE(agent->queue, r);
+    agent->queued--;
+    GfAnswer answer = GfAnswer_Make(kind, GF_RAN_NO, "rack %s: %s",
+                                    agent->name.data, GfError_Name(kind));
+    r->callback(r->arg, &answer);
+    free_request(r);
+}
+
+/* Refuses every request that waits in the queue. None of them was sent. */
+void
+RackRequests_Fail(GfRackAgent *agent, GfErrorKind kind)
+{
+    while (agent->queue != NULL) {
+        refuse_queued(agent, agent->queue, kind);
+    }
+}
+
+/* Returns the request limit of a service, or 0 if there is none of that
+ * name. */
+static uint32_t
+request_limit(const GfRackAgent *agent, const GfName *service)
+{
+    const GfBundle *bundle = GfControl_Bundle(agent->env->control);
+    const GfService *s =
+        bundle == NULL ? NULL : GfBundle_FindService(bundle, service);
+    return s == NULL ? 0 : s->request_limit_ms;
+}
+
+/* Tells whether requests of a former holder can still be running on the
+ * rack's targets: it may have sent some until its leases lapsed. */
+static bool
+in_quarantine(const GfRackAgent *agent, const GfName *service,
+              struct timespec now)
+{
+    if (RackAgent_IsCleanTakeover(agent)) {
+        return false;
+    }
+    return GfTime_DiffMs(now, agent->term_started) <
+           request_limit(agent, service);
+}
+
+/* Tells whether an instance takes a request now. */
+static bool
+has_slot(const RackInstance *in, struct timespec now)
+{
+    return in->state == GF_HOST_LIVE && in->busy < in->slots &&
+           !GfTime_Before(now, in->down_until);
+}
+
+/* Picks the instance of a service with the most free slots, or NULL. */
+static RackInstance *
+pick_instance(GfRackAgent *agent, const GfName *service, struct timespec now)
+{
+    RackInstance *best = NULL;
+    for (size_t i = 0; i < agent->instance_count; i++) {
+        RackInstance *in = &agent->instances[i];
+        if (!GfName_Equal(&in->service, service) || !has_slot(in, now)) {
+            continue;
+        }
+        if (best == NULL || in->slots - in->busy > best->slots - best->busy) {
+            best = in;
+        }
+    }
+    return best;
+}
+
+/* Frees the slot that a request held. */
+static void
+free_slot(RackRequest *r)
+{
+    GfRackAgent *agent = r->agent;
+    RackInstance *in = find_instance(agent, &r->instance);
+    if (in != NULL && in->busy > 0) {
+        in->busy--;
+    }
+    RackTeamLoad *load = get_load(agent, &r->request.team);
+    load->requests -= load->requests > 0;
+    agent->running--;
+}
+
+/* Frees a slot whose request got no whole answer, once the target must have
+ * ended it. */
+static void
+on_slot_over(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    RackRequest *r = arg;
+    GfRackAgent *agent = r->agent;
+    free_slot(r);
+    free_request(r);
+    RackRequests_Tick(agent);
+}
+
+/* Keeps the slot of a request that may still run on its target. */
+static void
+keep_slot(RackRequest *r)
+{
+    uint32_t limit = request_limit(r->agent, &r->request.service);
+    r->slot_timer = evtimer_new(r->agent->env->base, on_slot_over, r);
+    struct timeval tv = GfTime_Interval(limit);
+    evtimer_add(r->slot_timer, &tv);
+}
+
+/* Takes an instance out for a while after a failed connection, longer after
+ * each further one. */
+static void
+note_down(GfRackAgent *agent, RackInstance *in)
+{
+    int64_t ms = (int64_t)DOWN_MS << (in->failures < 4 ? in->failures : 4);
+    in->failures++;
+    in->down_until = GfTime_AddMs(RackAgent_Now(agent),
+                                  ms < MAX_DOWN_MS ? ms : MAX_DOWN_MS);
+}
+
+/* Tells whether a target's answer is the one to this request. */
+static bool
+is_own_answer(const RackRequest *r, const json_t *echo)
+{
+    const char *text = json_string_value(echo);
+    return text != NULL && strcmp(text, r->request.id.data) == 0;
+}
+
+/* Makes the caller's answer of a target's. An answer that is not whole or
+ * belongs to another request says nothing about this one. */
+static GfAnswer
+answer_of(const RackRequest *r, const GfHttpResult *result)
+{
+    if (result->kind != GF_OK && !result->sent) {
+        return GfAnswer_Make(GF_CONNECTION_LOST, GF_RAN_NO,
+                             "target %s cannot be reached", r->instance.data);
+    }
+    if (result->kind != GF_OK) {
+        return GfAnswer_Make(result->kind, GF_RAN_UNKNOWN,
+                             "target %s gave no whole answer",
+                             r->instance.data);
+    }
+    json_t *body = GfHttp_ParseJson(result);
+    bool own = is_own_answer(r, json_object_get(body, "echo"));
+    json_decref(body);
+    if (!own) {
+        return GfAnswer_Make(GF_PROTOCOL, GF_RAN_UNKNOWN,
+                             "target %s answered another request",
+                             r->instance.data);
+    }
+    GfAnswer answer =
+        GfAnswer_Make(result->status < STATUS_ERROR ? GF_OK : GF_TARGET_FAILED,
+                      GF_RAN_YES, "%s", "");
+    answer.body = GfStr_Copy(result->body, result->body_len);
+    return answer;
+}
+
+/* Handles a target's answer. */
+static void
+on_target(void *arg, const GfHttpResult *result)
+{
+    RackRequest *r = arg;
+    GfRackAgent *agent = r->agent;
+    RackInstance *in = find_instance(agent, &r->instance);
+    GfAnswer answer = answer_of(r, result);
+    if (in != NULL && answer.ran == GF_RAN_YES) {
+        in->failures = 0;
+    }
+    else if (in != NULL) {
+        note_down(agent, in);
+    }
+    r->callback(r->arg, &answer);
+    bool may_run_on = answer.ran == GF_RAN_UNKNOWN;
+    GfAnswer_Clear(&answer);
+    if (may_run_on) {
+        keep_slot(r);
+        return;
+    }
+    free_slot(r);
+    free_request(r);
+    RackRequests_Tick(agent);
+}
+
+/* Sends a request to an instance and takes one of its slots. */
+static void
+send_request(GfRackAgent *agent, RackRequest *r, RackInstance *in,
+             struct timespec now)
+{
+    r->instance = in->name;
+    in->busy++;
+    agent->running++;
+    get_load(agent, &r->request.team)->requests++;
+    int64_t left = GfTime_DiffMs(r->deadline, now);
+    uint32_t limit = request_limit(agent, &r->request.service);
+    GfHttpHeader headers[] = {{ID_HEADER, r->request.id.data},
+                              {"X-Team", r->request.team.data},
+                              {"Content-Type", "application/json"}};
+    GfHttpCall call = {.address = in->address,
+                       .port = in->port,
+                       .method = EVHTTP_REQ_POST,
+                       .path = "/v1/call",
+                       .headers = headers,
+                       .header_count = 3,
+                       .body = r->request.body.data,
+                       .body_len = r->request.body.len,
+                       .timeout_ms = (int)(left < limit ? left : limit)};
+    GfHttp_Start(agent->env->http, &call, on_target, r);
+}
+
+/* Rates how far a team is from its share of the rack's slots. */
+static uint64_t
+rate_team(GfRackAgent *agent, const GfName *team)
+{
+    const GfBundle *bundle = GfControl_Bundle(agent->env->control);
+    const GfTeam *t = GfBundle_FindTeam(bundle, team);
+    uint32_t share = t == NULL ? 1 : t->share;
+    return ((uint64_t)RackRequests_TeamLoad(agent, team) << 20) / share;
+}
+
+/* Finds the waiting request to serve next: of those that a slot and the
+ * allotment admit, the first of the team that has least of its share. */
+static RackRequest *
+next_request(GfRackAgent *agent, struct timespec now, RackInstance **instance)
+{
+    RackRequest *best = NULL;
+    uint64_t least = UINT64_MAX;
+    RackRequest *r;
+    DL_FOREACH(agent->queue, r)
+    {
+        uint64_t rate = rate_team(agent, &r->request.team);
+        if (rate >= least || in_quarantine(agent, &r->request.service, now)) {
+            continue;
+        }
+        RackInstance *in = pick_instance(agent, &r->request.service, now);
+        GfAmount need = {.requests = 1};
+        if (in != NULL && RackAllot_Admits(agent, &r->request.team, need)) {
+            best = r;
+            least = rate;
+            *instance = in;
+        }
+    }
+    return best;
+}
+
+/* Refuses the requests whose time is up before they were sent. */
+static void
+expire(GfRackAgent *agent, struct timespec now)
+{
+    RackRequest *r;
+    RackRequest *tmp;
+    DL_FOREACH_SAFE(agent->queue, r, tmp)
+    {
+        if (!GfTime_Before(now, r->deadline)) {
+            refuse_queued(agent, r, GF_BUSY);
+        }
+    }
+}
+
+/* Serves the queue as far as slots and allotments reach. */
+void
+RackRequests_Tick(GfRackAgent *agent)
+{
+    struct timespec now = RackAgent_Now(agent);
+    GfErrorKind why = GF_OK;
+    expire(agent, now);
+    if (agent->queue == NULL) {
+        return;
+    }
+    if (!RackAgent_MayStart(agent, &why)) {
+        RackRequests_Fail(agent, why);
+        return;
+    }
+    RackInstance *in = NULL;
+    RackRequest *r = next_request(agent, now, &in);
+    while (r != NULL) {
+        DL_DELETE(agent->queue, r);
+        agent->queued--;
+        send_request(agent, r, in, now);
+        r = next_request(agent, now, &in);
+    }
+}
+
+/* Takes a request for one of the rack's services. It is sent to a target, or
+ * waits, or is refused early; the callback runs exactly once. */
+void
+GfRackAgent_Execute(GfRackAgent *agent, const GfServiceRequest *request,
+                    GfAnswerCallback callback, void *arg)
+{
+    assert(agent != NULL && request != NULL && callback != NULL);
+    GfErrorKind why = GF_BUSY;
+    if (!RackAgent_MayStart(agent, &why) ||
+        agent->queued >= agent->env->settings->front.rack_queue) {
+        GfAnswer answer = GfAnswer_Make(why, GF_RAN_NO, "rack %s: %s",
+                                        agent->name.data, GfError_Name(why));
+        callback(arg, &answer);
+        return;
+    }
+    RackRequest *r = calloc(1, sizeof(*r));
+    if (r == NULL) {
+        abort();
+    }
+    r->agent = agent;
+    r->request = *request;
+    r->request.body = GfStr_Copy(request->body.data, request->body.len);
+    r->deadline = GfTime_AddMs(RackAgent_Now(agent), request->time_ms);
+    r->callback = callback;
+    r->arg = arg;
+    DL_APPEND(agent->queue, r);
+    agent->queued++;
+    RackRequests_Tick(agent);
+}
+
+/* Finds the entry of a service in a view, or adds it. */
+static GfServiceRoom *
+view_service(GfRackView *view, const GfName *service)
+{
+    for (size_t i = 0; i < view->service_count; i++) {
+        if (GfName_Equal(&view->services[i].service, service)) {
+            return &view->services[i];
+        }
+    }
+    if (view->service_count == GF_RACK_SERVICES) {
+        return NULL;
+    }
+    GfServiceRoom *room = &view->services[view->service_count++];
+    memset(room, 0, sizeof(*room));
+    room->service = *service;
+    return room;
+}
+
+/* Adds the free slots of each service to the rack's view. */
+void
+RackRequests_View(GfRackAgent *agent, GfRackView *view)
+{
+    struct timespec now = RackAgent_Now(agent);
+    for (size_t i = 0; i < agent->instance_count; i++) {
+        const RackInstance *in = &agent->instances[i];
+        if (in->state != GF_HOST_LIVE) {
+            continue;
+        }
+        GfServiceRoom *room = view_service(view, &in->service);
+        if (room != NULL && has_slot(in, now) &&
+            !in_quarantine(agent, &in->service, now)) {
+            room->free_slots += in->slots - in->busy;
+        }
+    }
+    RackRequest *r;
+    DL_FOREACH(agent->queue, r)
+    {
+        GfServiceRoom *room = view_service(view, &r->request.service);
+        if (room != NULL) {
+            room->queued++;
+        }
+    }
+}
--- /dev/null
+++ b/src/sched/rack_tasks.c
@@ -0,0 +1,563 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "guavaflow/log.h"
+#include "guavaflow/metrics.h"
+#include "rack_agent_private.h"
+
+#define PART "rack"
+#define STATUS_OK 200
+#define STATUS_CONFLICT 409
+#define DRAIN_INTERVAL_MS 200
+#define DRAIN_BATCH 16
+#define MIN_STARTS_TO_JUDGE 5
+#define ASIDE_MS 30000
+
+/* Placements that are answered together. */
+struct RackBatch {
+    GfPlaced *placed;
+    size_t count;
+    size_t open;
+    GfPlacedCallback callback;
+    void *arg;
+};
+
+/* One call that starts tasks on one worker. */
+typedef struct {
+    GfRackAgent *agent;
+    GfName worker;
+    GfName *tasks;
+    size_t count;
+} StartCall;
+
+/* Drops one hold on a batch; the last one answers the batch. */
+static void
+drop_hold(RackBatch *batch)
+{
+    batch->open--;
+    if (batch->open == 0) {
+        batch->callback(batch->arg, batch->placed, batch->count);
+        free(batch->placed);
+        free(batch);
+    }
+}
+
+/* Ends one placement of a batch. */
+static void
+end_item(RackBatch *batch, size_t index, GfErrorKind kind, GfRan ran,
+         const GfName *worker)
+{
+    batch->placed[index].kind = kind;
+    batch->placed[index].ran = ran;
+    if (worker != NULL) {
+        batch->placed[index].worker = *worker;
+    }
+    drop_hold(batch);
+}
+
+/* Ends the wait for a start's answer, if one waits. */
+static void
+end_start(GfRackAgent *agent, const GfName *task, GfErrorKind kind, GfRan ran,
+          const GfName *worker)
+{
+    RackStart *s;
+    HASH_FIND(hh, agent->starts, task, sizeof(*task), s);
+    if (s == NULL) {
+        return;
+    }
+    HASH_DEL(agent->starts, s);
+    GfMetrics_Add(
+        kind == GF_OK ? GF_METRIC_TASKS_PLACED : GF_METRIC_TASKS_REFUSED, 1);
+    end_item(s->batch, s->index, kind, ran, worker);
+    free(s);
+}
+
+/* Settles a start whose lease was replaced: the new lease's inventory tells
+ * whether it took effect, and it cannot any more. */
+void
+RackTasks_OnFlight(void *ctx, const GfName *worker, const GfTaskSpec *spec,
+                   bool seen)
+{
+    GfRackAgent *agent = ctx;
+    if (seen) {
+        end_start(agent, &spec->id, GF_OK, GF_RAN_YES, worker);
+    }
+    else {
+        end_start(agent, &spec->id, GF_BUSY, GF_RAN_NO, worker);
+    }
+}
+
+/* Handles a worker's answer to a start. Without an answer the lease is
+ * replaced; the placements wait for that. */
+static void
+on_start(void *arg, const GfHttpResult *result)
+{
+    StartCall *call = arg;
+    GfRackAgent *agent = call->agent;
+    json_t *body = GfHttp_ParseJson(result);
+    json_t *version = json_object_get(body, "version");
+    bool accepted = result->status == STATUS_OK && json_is_integer(version);
+    bool refused =
+        (result->kind == GF_OK && result->status == STATUS_CONFLICT) ||
+        (result->kind != GF_OK && !result->sent);
+    for (size_t i = 0; i < call->count; i++) {
+        if (accepted) {
+            GfRack_StartAccepted(agent->rack, &call->worker, &call->tasks[i],
+                                 json_integer_value(version));
+            end_start(agent, &call->tasks[i], GF_OK, GF_RAN_YES,
+                      &call->worker);
+        }
+        else if (refused) {
+            GfRack_StartRefused(agent->rack, &call->worker, &call->tasks[i]);
+            end_start(agent, &call->tasks[i], GF_LEASE_LOST, GF_RAN_NO,
+                      &call->worker);
+        }
+    }
+    if (!accepted && !refused) {
+        GfMetrics_Add(GF_METRIC_TASKS_IN_DOUBT, call->count);
+        GfRack_StartUnanswered(agent->rack, &call->worker);
+        RackWorker *w = RackAgent_FindWorker(agent, &call->worker);
+        if (w != NULL && !w->fencing) {
+            RackAgent_CallLease(w, true);
+        }
+    }
+    json_decref(body);
+    free(call->tasks);
+    free(call);
+}
+
+/* Describes a task as workers read it. */
+static json_t *
+spec_json(const GfRackAgent *agent, const GfTaskSpec *spec)
+{
+    return json_pack("{s:s,s:s,s:i,s:i,s:i,s:i,s:s,s:b,s:b,s:i}", "id",
+                     spec->id.data, "team", spec->team.data, "mcores",
+                     (int)spec->need.mcores, "memory_mb",
+                     (int)spec->need.memory_mb, "accelerators",
+                     (int)spec->need.accelerators, "run_ms", (int)spec->run_ms,
+                     "class", GfClass_Name(spec->work_class), "repeatable",
+                     spec->repeatable, "fails", spec->fails, "task_lapse_ms",
+                     (int)agent->env->settings->lease.task_lapse_ms);
+}
+
+/* Tells whether a worker takes new tasks. */
+static bool
+takes_tasks(const RackWorker *w, struct timespec now)
+{
+    return w->state == GF_HOST_LIVE && !GfTime_Before(now, w->aside_until);
+}
+
+/* Rates the room that is left: accelerators left idle by a task that needs
+ * none weigh most, so that they stay with tasks that need them. */
+static uint64_t
+leftover(const GfRoom *room, const GfRoom *need)
+{
+    uint64_t idle =
+        need->accelerators == 0 ? (uint64_t)room->accelerators << 40 : 0;
+    return idle + (room->mcores - need->mcores);
+}
+
+/* Picks the worker on which the task leaves the least room (best fit,
+ * Johnson 1973), or NULL if it fits on none. */
+static RackWorker *
+pick_worker(GfRackAgent *agent, const GfRoom *need, struct timespec now)
+{
+    RackWorker *best = NULL;
+    uint64_t least = UINT64_MAX;
+    for (size_t i = 0; i < agent->worker_count; i++) {
+        RackWorker *w = agent->workers[i];
+        if (!takes_tasks(w, now)) {
+            continue;
+        }
+        GfRoom room = GfRack_FreeRoom(agent->rack, &w->name, now);
+        if (!GfRoom_Fits(&room, need)) {
+            continue;
+        }
+        uint64_t left = leftover(&room, need);
+        if (left < least) {
+            least = left;
+            best = w;
+        }
+    }
+    return best;
+}
+
+/* Tells whether a placement comes from the owner of its partition and for
+ * the running term. */
+static bool
+is_current(GfRackAgent *agent, const GfPlacement *p)
+{
+    if (p->partition >= RACK_MAX_FENCES ||
+        p->term != GfRack_Term(agent->rack)) {
+        return false;
+    }
+    uint64_t epoch = agent->fences[p->partition].epoch;
+    return p->epoch > epoch ||
+           (p->epoch == epoch && p->seq > agent->fences[p->partition].seq);
+}
+
+/* Chooses a worker for one placement and notes the start. Returns the kind
+ * that answers a refusal. */
+static GfErrorKind
+admit(GfRackAgent *agent, const GfPlacement *p, RackWorker **worker)
+{
+    GfErrorKind why = GF_OK;
+    if (!RackAgent_MayStart(agent, &why)) {
+        return why;
+    }
+    if (!is_current(agent, p)) {
+        return GF_LEASE_LOST;
+    }
+    if (GfRack_HasTask(agent->rack, &p->spec.id)) {
+        return GF_CONFLICT;
+    }
+    GfAmount need = {.mcores = p->spec.need.mcores};
+    if (!RackAllot_Admits(agent, &p->spec.team, need)) {
+        return GF_LIMIT_REACHED;
+    }
+    *worker = pick_worker(agent, &p->spec.need, RackAgent_Now(agent));
+    if (*worker == NULL) {
+        return GF_BUSY;
+    }
+    GfRack_StartSent(agent->rack, &(*worker)->name, &p->spec);
+    return GF_OK;
+}
+
+/* Sends the starts that were chosen for one worker. */
+static void
+send_starts(GfRackAgent *agent, RackWorker *w, const GfPlacement *placements,
+            RackWorker **chosen, size_t count)
+{
+    StartCall *call = calloc(1, sizeof(*call));
+    json_t *list = json_array();
+    if (call == NULL) {
+        abort();
+    }
+    call->agent = agent;
+    call->worker = w->name;
+    call->tasks = calloc(count, sizeof(*call->tasks));
+    if (call->tasks == NULL) {
+        abort();
+    }
+    for (size_t i = 0; i < count; i++) {
+        if (chosen[i] == w) {
+            call->tasks[call->count++] = placements[i].spec.id;
+            json_array_append_new(list, spec_json(agent, &placements[i].spec));
+            chosen[i] = NULL;
+        }
+    }
+    w->starts += (uint32_t)call->count;
+    json_t *body = json_pack("{s:I,s:o}", "lease",
+                             (json_int_t)GfRack_Lease(agent->rack, &w->name),
+                             "tasks", list);
+    GfHttp_PostJson(agent->env->http, w->address, w->port, "/v1/start", body,
+                    (int)agent->env->settings->lease.command_timeout_ms,
+                    on_start, call);
+}
+
+/* Takes the starts of a gang back that were noted before one did not fit. */
+static void
+undo_gang(GfRackAgent *agent, const GfPlacement *placements,
+          RackWorker **chosen, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (chosen[i] != NULL) {
+            GfRack_StartRefused(agent->rack, &chosen[i]->name,
+                                &placements[i].spec.id);
+            chosen[i] = NULL;
+        }
+    }
+}
+
+/* Makes the record of a batch whose placements are all open. The batch has
+ * one hold more, which its maker drops. */
+static RackBatch *
+new_batch(size_t count, GfPlacedCallback callback, void *arg)
+{
+    RackBatch *batch = calloc(1, sizeof(*batch));
+    if (batch == NULL) {
+        abort();
+    }
+    batch->placed = calloc(count, sizeof(*batch->placed));
+    if (batch->placed == NULL) {
+        abort();
+    }
+    batch->count = count;
+    batch->open = count + 1;
+    batch->callback = callback;
+    batch->arg = arg;
+    return batch;
+}
+
+/* Notes that the start of a placement waits for its worker's answer. */
+static void
+await_start(GfRackAgent *agent, const GfName *task, RackBatch *batch,
+            size_t index)
+{
+    RackStart *s = calloc(1, sizeof(*s));
+    if (s == NULL) {
+        abort();
+    }
+    s->task = *task;
+    s->batch = batch;
+    s->index = index;
+    HASH_ADD(hh, agent->starts, task, sizeof(s->task), s);
+}
+
+/* Places tasks on workers of the rack. Each is started or refused; a gang is
+ * started only if all of it fits. The callback runs once all are settled. */
+void
+GfRackAgent_Place(GfRackAgent *agent, const GfPlacement *placements,
+                  size_t count, bool gang, GfPlacedCallback callback,
+                  void *arg)
+{
+    assert(agent != NULL && placements != NULL && count > 0);
+    RackBatch *batch = new_batch(count, callback, arg);
+    RackWorker **chosen = calloc(count, sizeof(RackWorker *));
+    GfErrorKind *kinds = calloc(count, sizeof(*kinds));
+    if (chosen == NULL || kinds == NULL) {
+        abort();
+    }
+    GfErrorKind gang_kind = GF_OK;
+    for (size_t i = 0; i < count && gang_kind == GF_OK; i++) {
+        kinds[i] = admit(agent, &placements[i], &chosen[i]);
+        if (gang && kinds[i] != GF_OK) {
+            gang_kind = kinds[i];
+        }
+    }
+    if (gang_kind != GF_OK) {
+        undo_gang(agent, placements, chosen, count);
+    }
+    for (size_t i = 0; i < count; i++) {
+        GfErrorKind kind = gang_kind != GF_OK ? gang_kind : kinds[i];
+        if (kind == GF_OK) {
+            await_start(agent, &placements[i].spec.id, batch, i);
+        }
+        else {
+            GfMetrics_Add(GF_METRIC_TASKS_REFUSED, 1);
+            end_item(batch, i, kind, GF_RAN_NO, NULL);
+        }
+    }
+    for (size_t i = 0; i < count; i++) {
+        if (chosen[i] != NULL) {
+            send_starts(agent, chosen[i], placements, chosen, count);
+        }
+    }
+    drop_hold(batch);
+    free(chosen);
+    free(kinds);
+}
+
+/* Ignores the answer to a stop: the inventory tells its effect. */
+static void
+on_stop(void *arg, const GfHttpResult *result)
+{
+    (void)arg;
+    (void)result;
+}
+
+typedef struct {
+    GfName task;
+    GfName worker;
+    const GfTask *found;
+    bool running;
+} Search;
+
+/* Notes the worker on which the searched task is. */
+static void
+match_task(void *ctx, const GfName *worker, const GfTask *task)
+{
+    Search *search = ctx;
+    if (GfName_Equal(&task->spec.id, &search->task)) {
+        search->worker = *worker;
+        search->found = task;
+        search->running = task->state == GF_TASK_RUNNING;
+    }
+}
+
+/* Sends a stop, checkpoint or throttle command to a worker. */
+static void
+send_stop(GfRackAgent *agent, const GfName *worker, const GfName *task,
+          GfStopMode mode)
+{
+    RackWorker *w = RackAgent_FindWorker(agent, worker);
+    struct timespec now = RackAgent_Now(agent);
+    if (w == NULL || !GfRack_Holds(agent->rack, worker, now)) {
+        return;
+    }
+    json_t *body =
+        json_pack("{s:I,s:s,s:s}", "lease",
+                  (json_int_t)GfRack_Lease(agent->rack, worker), "task",
+                  task->data, "mode", GfStopMode_Name(mode));
+    GfHttp_PostJson(agent->env->http, w->address, w->port, "/v1/stop", body,
+                    (int)agent->env->settings->lease.command_timeout_ms,
+                    on_stop, NULL);
+}
+
+/* Stops, checkpoints or throttles a task that runs on the rack. */
+void
+GfRackAgent_Stop(GfRackAgent *agent, const GfName *task, GfStopMode mode)
+{
+    Search search = {.task = *task};
+    GfRack_ForEachTask(agent->rack, match_task, &search);
+    if (search.running) {
+        send_stop(agent, &search.worker, task, mode);
+    }
+}
+
+typedef struct {
+    GfRackAgent *agent;
+    uint32_t partition;
+    bool ended_only;
+    GfEventCallback callback;
+    void *ctx;
+} Listing;
+
+/* Tells whether a task's end has been acknowledged by its job's owner. */
+static bool
+is_acked(GfRackAgent *agent, const GfName *worker, const GfName *task)
+{
+    const RackWorker *w = RackAgent_FindWorker(agent, worker);
+    size_t i;
+    json_t *ack;
+    json_array_foreach(w == NULL ? NULL : w->acks, i, ack)
+    {
+        if (strcmp(json_string_value(ack), task->data) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Passes on one task of the inventories as an event. */
+static void
+list_task(void *ctx, const GfName *worker, const GfTask *task)
+{
+    const Listing *listing = ctx;
+    uint32_t partition = 0;
+    if (listing->ended_only) {
+        if (task->state == GF_TASK_RUNNING ||
+            is_acked(listing->agent, worker, &task->spec.id)) {
+            return;
+        }
+    }
+    else if (!GfTask_Partition(&task->spec.id, &partition) ||
+             partition != listing->partition) {
+        return;
+    }
+    GfTaskEvent event = {.task = task->spec.id,
+                         .rack = listing->agent->name,
+                         .worker = *worker,
+                         .state = task->state,
+                         .exit_code = task->exit_code};
+    listing->callback(listing->ctx, &event);
+}
+
+/* Lists the tasks of a partition that are on the rack and ends the effect of
+ * every placement up to the given epoch and seq. Returns whether the list is
+ * complete: then a task of such a placement that is not listed is not on the
+ * rack and will not be. */
+bool
+GfRackAgent_Find(GfRackAgent *agent, uint32_t partition, uint64_t epoch,
+                 uint64_t seq, GfEventCallback callback, void *ctx)
+{
+    if (partition >= RACK_MAX_FENCES ||
+        epoch < agent->fences[partition].epoch) {
+        return false;
+    }
+    if (epoch > agent->fences[partition].epoch ||
+        seq > agent->fences[partition].seq) {
+        agent->fences[partition].epoch = epoch;
+        agent->fences[partition].seq = seq;
+    }
+    Listing listing = {.agent = agent,
+                       .partition = partition,
+                       .callback = callback,
+                       .ctx = ctx};
+    GfRack_ForEachTask(agent->rack, list_task, &listing);
+    return GfRack_IsComplete(agent->rack, RackAgent_Now(agent)) &&
+           !GfRack_HasFlight(agent->rack, partition);
+}
+
+/* Lists the tasks that have ended and are not acknowledged. */
+void
+GfRackAgent_ForEachEnded(GfRackAgent *agent, GfEventCallback callback,
+                         void *ctx)
+{
+    if (agent->term == 0) {
+        return;
+    }
+    Listing listing = {
+        .agent = agent, .ended_only = true, .callback = callback, .ctx = ctx};
+    GfRack_ForEachTask(agent->rack, list_task, &listing);
+}
+
+/* Judges a worker by the tasks that failed on it: one that fails at least
+ * half of what it starts takes no new tasks for a while. */
+static void
+judge(RackWorker *w, GfTaskState state, struct timespec now)
+{
+    w->failures += state == GF_TASK_FAILED;
+    if (state == GF_TASK_FAILED && w->starts >= MIN_STARTS_TO_JUDGE &&
+        w->failures * 2 >= w->starts) {
+        GfLog(GF_LOG_WARNING, PART,
+              "Worker %s failed %u of %u tasks and is set aside.",
+              w->name.data, w->failures, w->starts);
+        w->aside_until = GfTime_AddMs(now, ASIDE_MS);
+        w->starts = 0;
+        w->failures = 0;
+    }
+}
+
+/* Notes that the end of a task is durable with its job's owner; the worker
+ * may forget the task. */
+void
+GfRackAgent_Ack(GfRackAgent *agent, const GfName *task)
+{
+    Search search = {.task = *task};
+    GfRack_ForEachTask(agent->rack, match_task, &search);
+    RackWorker *w = search.found == NULL
+                        ? NULL
+                        : RackAgent_FindWorker(agent, &search.worker);
+    if (w == NULL || search.running || is_acked(agent, &w->name, task)) {
+        return;
+    }
+    judge(w, search.found->state, RackAgent_Now(agent));
+    json_array_append_new(w->acks, json_string(task->data));
+    if (w->calls == 0 || json_array_size(w->acks) == 1) {
+        RackAgent_CallLease(w, false);
+    }
+}
+
+typedef struct {
+    GfRackAgent *agent;
+    uint32_t sent;
+} Drain;
+
+/* Checkpoints a task that can run again elsewhere. */
+static void
+drain_task(void *ctx, const GfName *worker, const GfTask *task)
+{
+    Drain *drain = ctx;
+    if (task->state == GF_TASK_RUNNING && task->spec.repeatable &&
+        drain->sent < DRAIN_BATCH) {
+        drain->sent++;
+        send_stop(drain->agent, worker, &task->spec.id, GF_STOP_CHECKPOINT);
+    }
+}
+
+/* While the rack's failure domain is out, moves its repeatable tasks off, a
+ * few at a time. What is not repeatable runs to its end. */
+void
+RackTasks_Drain(GfRackAgent *agent)
+{
+    struct timespec now = RackAgent_Now(agent);
+    if (agent->term == 0 || GfTime_Before(now, agent->next_drain) ||
+        !GfControl_DomainIsOut(agent->env->control, &agent->domain)) {
+        return;
+    }
+    agent->next_drain = GfTime_AddMs(now, DRAIN_INTERVAL_MS);
+    Drain drain = {.agent = agent};
+    GfRack_ForEachTask(agent->rack, drain_task, &drain);
+}
--- /dev/null
+++ b/src/task/task.c
@@ -0,0 +1,126 @@
+#include "guavaflow/task.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PARTITION_DIGITS 3
+
+static const char *const CLASS_NAMES[GF_CLASSES] = {"urgent", "service",
+                                                    "gang", "batch"};
+static const char *const STATE_NAMES[GF_TASK_STATES] = {
+    "running", "ended", "failed", "stopped", "lost"};
+static const char *const MODE_NAMES[GF_STOP_MODES] = {"stop", "checkpoint",
+                                                      "throttle"};
+
+/* Tells whether a need fits into the room. */
+bool
+GfRoom_Fits(const GfRoom *room, const GfRoom *need)
+{
+    return need->mcores <= room->mcores &&
+           need->memory_mb <= room->memory_mb &&
+           need->accelerators <= room->accelerators;
+}
+
+/* Subtracts without going below zero. */
+static uint32_t
+minus(uint32_t a, uint32_t b)
+{
+    return a > b ? a - b : 0;
+}
+
+/* Returns the room that is left beside a need; no dimension goes below
+ * zero. */
+GfRoom
+GfRoom_Minus(const GfRoom *room, const GfRoom *need)
+{
+    return (GfRoom){.mcores = minus(room->mcores, need->mcores),
+                    .memory_mb = minus(room->memory_mb, need->memory_mb),
+                    .accelerators =
+                        minus(room->accelerators, need->accelerators)};
+}
+
+/* Returns the class's name as callers write it. */
+const char *
+GfClass_Name(GfClass work_class)
+{
+    assert(work_class < GF_CLASSES);
+    return CLASS_NAMES[work_class];
+}
+
+/* Finds a class by name. */
+bool
+GfClass_FromName(const char *name, GfClass *work_class)
+{
+    for (int i = 0; name != NULL && i < GF_CLASSES; i++) {
+        if (strcmp(CLASS_NAMES[i], name) == 0) {
+            *work_class = (GfClass)i;
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns the state's name. */
+const char *
+GfTaskState_Name(GfTaskState state)
+{
+    assert(state < GF_TASK_STATES);
+    return STATE_NAMES[state];
+}
+
+/* Finds a state by the name that a worker reports. A worker that stopped,
+ * checkpointed or restarted a task reports it under further names. */
+GfTaskState
+GfTaskState_FromName(const char *name)
+{
+    for (int i = 0; name != NULL && i < GF_TASK_STATES; i++) {
+        if (strcmp(STATE_NAMES[i], name) == 0) {
+            return (GfTaskState)i;
+        }
+    }
+    if (name != NULL && strcmp(name, "checkpointed") == 0) {
+        return GF_TASK_STOPPED;
+    }
+    return GF_TASK_LOST;
+}
+
+/* Returns the mode's name as workers read it. */
+const char *
+GfStopMode_Name(GfStopMode mode)
+{
+    assert(mode < GF_STOP_MODES);
+    return MODE_NAMES[mode];
+}
+
+/* Reads the partition from an id of the form jPPP-HEX[.INDEX.ATTEMPT]. */
+bool
+GfTask_Partition(const GfName *id, uint32_t *partition)
+{
+    if (id->len < PARTITION_DIGITS + 2 || id->data[0] != 'j' ||
+        id->data[PARTITION_DIGITS + 1] != '-') {
+        return false;
+    }
+    uint32_t value = 0;
+    for (int i = 1; i <= PARTITION_DIGITS; i++) {
+        if (id->data[i] < '0' || id->data[i] > '9') {
+            return false;
+        }
+        value = value * 10 + (uint32_t)(id->data[i] - '0');
+    }
+    *partition = value;
+    return true;
+}
+
+/* Returns the id of the job that a task belongs to. */
+GfName
+GfTask_Job(const GfName *id)
+{
+    GfName job;
+    const char *dot = memchr(id->data, '.', id->len);
+    size_t len = dot == NULL ? id->len : (size_t)(dot - id->data);
+    bool good = GfName_Set(&job, id->data, len);
+    assert(good);
+    (void)good;
+    return job;
+}
--- /dev/null
+++ b/tests/support/fake_store.c
@@ -0,0 +1,229 @@
+#include "fake_store.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_HELD 256
+
+typedef struct {
+    json_t *body;
+    GfCommitCallback callback;
+    void *arg;
+} Held;
+
+struct FakeStore {
+    GfStore base;
+    json_t *rows;
+    json_t *objects;
+    int64_t version;
+    size_t commits;
+    FakeMode mode;
+    Held held[MAX_HELD];
+    size_t held_count;
+};
+
+/* Finds a row {version, value}, or NULL. */
+static json_t *
+find(const FakeStore *f, const char *key)
+{
+    return json_object_get(f->rows, key);
+}
+
+/* Applies a transaction if its checks hold. */
+static GfTxnOutcome
+apply(FakeStore *f, const json_t *body)
+{
+    size_t i;
+    json_t *item;
+    json_array_foreach(json_object_get(body, "checks"), i, item)
+    {
+        json_t *row = find(f, json_string_value(json_object_get(item, "key")));
+        json_int_t have = json_integer_value(json_object_get(row, "version"));
+        if (have != json_integer_value(json_object_get(item, "version"))) {
+            return (GfTxnOutcome){.state = GF_TXN_CONFLICT};
+        }
+    }
+    f->version++;
+    f->commits++;
+    json_array_foreach(json_object_get(body, "puts"), i, item)
+    {
+        json_object_set_new(
+            f->rows, json_string_value(json_object_get(item, "key")),
+            json_pack("{s:I,s:o}", "version", (json_int_t)f->version, "value",
+                      json_deep_copy(json_object_get(item, "value"))));
+    }
+    json_array_foreach(json_object_get(body, "deletes"), i, item)
+    {
+        json_object_del(f->rows, json_string_value(item));
+    }
+    return (GfTxnOutcome){.state = GF_TXN_COMMITTED, .version = f->version};
+}
+
+/* Answers a transaction in the given mode. */
+static void
+answer(FakeStore *f, const json_t *body, FakeMode mode,
+       GfCommitCallback callback, void *arg)
+{
+    GfTxnOutcome outcome = {.state = GF_TXN_UNKNOWN};
+    if (mode != FAKE_LOSE_CALL) {
+        outcome = apply(f, body);
+    }
+    if (mode == FAKE_LOSE_ANSWER) {
+        outcome = (GfTxnOutcome){.state = GF_TXN_UNKNOWN};
+    }
+    callback(arg, &outcome);
+}
+
+/* Takes a transaction. */
+static void
+commit(GfStore *store, const GfTxn *txn, GfCommitCallback callback, void *arg)
+{
+    FakeStore *f = (FakeStore *)store;
+    if (f->mode == FAKE_HOLD && f->held_count < MAX_HELD) {
+        f->held[f->held_count++] =
+            (Held){.body = json_deep_copy(GfTxn_Body(txn)),
+                   .callback = callback,
+                   .arg = arg};
+        return;
+    }
+    answer(f, GfTxn_Body(txn), f->mode, callback, arg);
+}
+
+/* Orders rows by key. */
+static int
+by_key(const void *a, const void *b)
+{
+    return GfName_Compare(&((const GfRow *)a)->key, &((const GfRow *)b)->key);
+}
+
+/* Reads the rows under a prefix; a store that loses calls is away. */
+static void
+read_rows(GfStore *store, const char *prefix, GfReadCallback callback,
+          void *arg)
+{
+    FakeStore *f = (FakeStore *)store;
+    if (f->mode == FAKE_LOSE_CALL) {
+        callback(arg, GF_STORE_UNAVAILABLE, NULL, 0);
+        return;
+    }
+    GfRow *rows = calloc(json_object_size(f->rows) + 1, sizeof(*rows));
+    size_t count = 0;
+    const char *key;
+    json_t *row;
+    json_object_foreach(f->rows, key, row)
+    {
+        if (strncmp(key, prefix, strlen(prefix)) == 0) {
+            GfName_SetText(&rows[count].key, key);
+            rows[count].version =
+                json_integer_value(json_object_get(row, "version"));
+            rows[count].value = json_incref(json_object_get(row, "value"));
+            count++;
+        }
+    }
+    qsort(rows, count, sizeof(*rows), by_key);
+    callback(arg, GF_OK, rows, count);
+    for (size_t i = 0; i < count; i++) {
+        json_decref(rows[i].value);
+    }
+    free(rows);
+}
+
+/* Writes an object. */
+static void
+put_object(GfStore *store, const GfName *name, const char *data, size_t len,
+           GfObjectCallback callback, void *arg)
+{
+    FakeStore *f = (FakeStore *)store;
+    json_object_set_new(f->objects, name->data, json_stringn(data, len));
+    callback(arg, GF_OK, NULL, 0);
+}
+
+/* Reads an object. */
+static void
+get_object(GfStore *store, const GfName *name, GfObjectCallback callback,
+           void *arg)
+{
+    FakeStore *f = (FakeStore *)store;
+    json_t *object = json_object_get(f->objects, name->data);
+    callback(arg, object == NULL ? GF_NOT_FOUND : GF_OK,
+             json_string_value(object), json_string_length(object));
+}
+
+/* Frees the store. */
+static void
+destroy(GfStore *store)
+{
+    FakeStore *f = (FakeStore *)store;
+    for (size_t i = 0; i < f->held_count; i++) {
+        json_decref(f->held[i].body);
+    }
+    json_decref(f->rows);
+    json_decref(f->objects);
+    free(f);
+}
+
+static const GfStoreOps OPS = {.commit = commit,
+                               .read = read_rows,
+                               .put_object = put_object,
+                               .get_object = get_object,
+                               .destroy = destroy};
+
+/* Creates an empty store that answers. */
+FakeStore *
+FakeStore_Create(void)
+{
+    FakeStore *f = calloc(1, sizeof(*f));
+    f->base.ops = &OPS;
+    f->rows = json_object();
+    f->objects = json_object();
+    return f;
+}
+
+/* Returns the store as the product sees it. */
+GfStore *
+FakeStore_Base(FakeStore *fake)
+{
+    return &fake->base;
+}
+
+/* Sets what becomes of the transactions to come. */
+void
+FakeStore_SetMode(FakeStore *fake, FakeMode mode)
+{
+    fake->mode = mode;
+}
+
+/* Returns how many transactions are held back. */
+size_t
+FakeStore_Held(const FakeStore *fake)
+{
+    return fake->held_count;
+}
+
+/* Delivers a transaction that was held back. */
+void
+FakeStore_Deliver(FakeStore *fake, size_t index, FakeMode mode)
+{
+    Held held = fake->held[index];
+    fake->held_count--;
+    memmove(&fake->held[index], &fake->held[index + 1],
+            (fake->held_count - index) * sizeof(held));
+    answer(fake, held.body, mode, held.callback, held.arg);
+    json_decref(held.body);
+}
+
+/* Returns how many transactions took effect. */
+size_t
+FakeStore_Commits(const FakeStore *fake)
+{
+    return fake->commits;
+}
+
+/* Returns a row's value, or NULL, and its version. */
+json_t *
+FakeStore_Row(FakeStore *fake, const char *key, int64_t *version)
+{
+    json_t *row = find(fake, key);
+    *version = json_integer_value(json_object_get(row, "version"));
+    return json_object_get(row, "value");
+}
--- /dev/null
+++ b/tests/unit/name.c
@@ -0,0 +1,50 @@
+#include "guavaflow/name.h"
+
+#include "suite.h"
+
+/* A name takes visible ASCII up to its length and nothing else. */
+static void
+test_limits(void)
+{
+    GfName name;
+    char longest[GF_NAME_MAX_BYTES + 2];
+    memset(longest, 'a', sizeof(longest));
+    CU_ASSERT_TRUE(GfName_Set(&name, longest, GF_NAME_MAX_BYTES));
+    CU_ASSERT_FALSE(GfName_Set(&name, longest, GF_NAME_MAX_BYTES + 1));
+    CU_ASSERT_FALSE(GfName_SetText(&name, "two words"));
+    CU_ASSERT_FALSE(GfName_SetText(&name, "line\nbreak"));
+    CU_ASSERT_FALSE(GfName_SetText(&name, "\"quoted\""));
+    CU_ASSERT_FALSE(GfName_SetText(&name, "\x80"));
+    CU_ASSERT_TRUE(GfName_SetText(&name, NULL));
+    CU_ASSERT_EQUAL(name.len, 0);
+}
+
+/* The hash decides ownership, so it is the same on every host. */
+static void
+test_hash(void)
+{
+    GfName a = GfName_Format("rack%d", 1);
+    GfName b;
+    GfName_SetText(&b, "rack1");
+    CU_ASSERT_TRUE(GfName_Equal(&a, &b));
+    CU_ASSERT_EQUAL(GfName_Hash(&a, 7), GfName_Hash(&b, 7));
+    CU_ASSERT_NOT_EQUAL(GfName_Hash(&a, 7), GfName_Hash(&a, 8));
+    CU_ASSERT_EQUAL(GfName_Hash(&a, 0), 9516779231604917177ULL);
+}
+
+/* Owned strings count their bytes, NUL included. */
+static void
+test_str(void)
+{
+    GfStr s = GfStr_Copy("a\0b", 3);
+    CU_ASSERT_EQUAL(s.len, 3);
+    CU_ASSERT_EQUAL(s.data[3], '\0');
+    GfStr_Clear(&s);
+    CU_ASSERT_EQUAL(s.len, 0);
+    CU_ASSERT_PTR_NULL(s.data);
+}
+
+static const SuiteTest TESTS[] = {
+    {"limits", test_limits}, {"hash", test_hash}, {"str", test_str}};
+
+SUITE_MAIN("name", TESTS)
--- /dev/null
+++ b/tests/unit/rack.c
@@ -0,0 +1,155 @@
+#include "guavaflow/rack.h"
+
+#include "suite.h"
+
+#define TTL_MS 4000
+#define MARGIN_MS 200
+
+static GfManualClock clock_;
+static GfName workers[3];
+
+/* Makes a rack of three workers. */
+static GfRack *
+make_rack(void)
+{
+    GfManualClock_Init(&clock_, 100000);
+    GfRackConfig config = {.name = GfName_Format("r"),
+                           .first_term = 10,
+                           .margin_ms = MARGIN_MS,
+                           .rules = GF_RACK_ALL_RULES};
+    GfRack *rack = GfRack_Create(&config);
+    for (int i = 0; i < 3; i++) {
+        workers[i] = GfName_Format("w%d", i);
+        GfRack_AddWorker(rack, &workers[i], clock_.time);
+    }
+    return rack;
+}
+
+/* Makes a task of one team that needs 1000 millicores. */
+static GfTask
+make_task(const char *id)
+{
+    GfTask task = {.state = GF_TASK_RUNNING};
+    GfName_SetText(&task.spec.id, id);
+    GfName_SetText(&task.spec.team, "t");
+    task.spec.need.mcores = 1000;
+    return task;
+}
+
+/* Grants a lease with the given inventory. */
+static bool
+grant(GfRack *rack, int worker, int64_t lease, int64_t version,
+      const GfTask *tasks, size_t count, struct timespec sent_at)
+{
+    GfLeaseGrant g = {.lease = lease,
+                      .ttl_ms = TTL_MS,
+                      .boot = GfName_Format("b"),
+                      .version = version,
+                      .capacity = {.mcores = 4000},
+                      .tasks = tasks,
+                      .task_count = count};
+    return GfRack_Granted(rack, &workers[worker], &g, sent_at, clock_.time,
+                          NULL, NULL);
+}
+
+/* A term needs a majority and ends when the majority's leases lapse. */
+static void
+test_term(void)
+{
+    GfRack *rack = make_rack();
+    CU_ASSERT_TRUE(grant(rack, 0, 1, 1, NULL, 0, clock_.time));
+    CU_ASSERT_FALSE(GfRack_InTerm(rack, clock_.time));
+    CU_ASSERT_TRUE(grant(rack, 1, 1, 1, NULL, 0, clock_.time));
+    CU_ASSERT_TRUE(GfRack_InTerm(rack, clock_.time));
+    CU_ASSERT_EQUAL(GfRack_Term(rack), 11);
+    GfManualClock_Advance(&clock_, TTL_MS - MARGIN_MS);
+    CU_ASSERT_FALSE(GfRack_InTerm(rack, clock_.time));
+    GfRack_Destroy(rack);
+}
+
+/* The lease counts from the sending of the call, not from its answer. */
+static void
+test_lease_counts_from_send(void)
+{
+    GfRack *rack = make_rack();
+    struct timespec sent = clock_.time;
+    GfManualClock_Advance(&clock_, 3000);
+    CU_ASSERT_TRUE(grant(rack, 0, 1, 1, NULL, 0, sent));
+    CU_ASSERT_TRUE(GfRack_Holds(rack, &workers[0], clock_.time));
+    GfManualClock_Advance(&clock_, 900);
+    CU_ASSERT_FALSE(GfRack_Holds(rack, &workers[0], clock_.time));
+    /* An answer that arrives after its lease has lapsed is dropped. */
+    CU_ASSERT_FALSE(grant(rack, 1, 1, 1, NULL, 0, sent));
+    GfRack_Destroy(rack);
+}
+
+/* A worker not seen in the term counts as filled by every team. */
+static void
+test_reserve(void)
+{
+    GfRack *rack = make_rack();
+    GfName team = GfName_Format("t");
+    GfTask task = make_task("j000-1.0.1");
+    grant(rack, 0, 1, 1, &task, 1, clock_.time);
+    grant(rack, 1, 1, 1, NULL, 0, clock_.time);
+    CU_ASSERT_TRUE(GfRack_TeamUse(rack, &team, clock_.time) > UINT32_MAX);
+    grant(rack, 2, 1, 1, NULL, 0, clock_.time);
+    CU_ASSERT_EQUAL(GfRack_TeamUse(rack, &team, clock_.time), 1000);
+    GfRack_Destroy(rack);
+}
+
+/* A start counts until an inventory settles it, or a new lease ends it. */
+static void
+test_flights(void)
+{
+    GfRack *rack = make_rack();
+    GfName team = GfName_Format("t");
+    for (int i = 0; i < 3; i++) {
+        grant(rack, i, 1, 1, NULL, 0, clock_.time);
+    }
+    GfTask task = make_task("j000-1.0.1");
+    GfRack_StartSent(rack, &workers[0], &task.spec);
+    CU_ASSERT_EQUAL(GfRack_TeamUse(rack, &team, clock_.time), 1000);
+    CU_ASSERT_EQUAL(GfRack_FreeRoom(rack, &workers[0], clock_.time).mcores,
+                    3000);
+    GfRack_StartAccepted(rack, &workers[0], &task.spec.id, 2);
+    /* The inventory of before the start does not settle it. */
+    grant(rack, 0, 1, 1, NULL, 0, clock_.time);
+    CU_ASSERT_EQUAL(GfRack_TeamUse(rack, &team, clock_.time), 1000);
+    /* One of after it does: the task has ended already. */
+    grant(rack, 0, 1, 2, NULL, 0, clock_.time);
+    CU_ASSERT_EQUAL(GfRack_TeamUse(rack, &team, clock_.time), 0);
+    GfRack_StartSent(rack, &workers[0], &task.spec);
+    GfRack_StartUnanswered(rack, &workers[0]);
+    CU_ASSERT_TRUE(GfRack_NeedsFence(rack, &workers[0]));
+    CU_ASSERT_FALSE(GfRack_IsComplete(rack, clock_.time));
+    grant(rack, 0, 2, 2, NULL, 0, clock_.time);
+    CU_ASSERT_FALSE(GfRack_NeedsFence(rack, &workers[0]));
+    CU_ASSERT_EQUAL(GfRack_TeamUse(rack, &team, clock_.time), 0);
+    CU_ASSERT_TRUE(GfRack_IsComplete(rack, clock_.time));
+    GfRack_Destroy(rack);
+}
+
+/* Answers that arrive late or crossed do not replace newer ones. */
+static void
+test_stale(void)
+{
+    GfRack *rack = make_rack();
+    GfTask task = make_task("j000-1.0.1");
+    GfName id = task.spec.id;
+    grant(rack, 0, 2, 7, &task, 1, clock_.time);
+    CU_ASSERT_FALSE(grant(rack, 0, 2, 6, NULL, 0, clock_.time));
+    CU_ASSERT_FALSE(grant(rack, 0, 1, 9, NULL, 0, clock_.time));
+    CU_ASSERT_TRUE(GfRack_HasTask(rack, &id));
+    CU_ASSERT_EQUAL(GfRack_Lease(rack, &workers[0]), 2);
+    GfRack_Destroy(rack);
+}
+
+static const SuiteTest TESTS[] = {
+    {"term", test_term},
+    {"lease counts from send", test_lease_counts_from_send},
+    {"reserve", test_reserve},
+    {"flights", test_flights},
+    {"stale", test_stale}};
+
+SUITE_MAIN("rack", TESTS)
