--- a/include/guavaflow/allot.h
+++ b/include/guavaflow/allot.h
@@ -10,33 +10,22 @@
 
 typedef struct GfParts GfParts;
 
-GfParts *
-GfParts_Create(void);
-void
-GfParts_Destroy(GfParts *parts);
-bool
-GfParts_Load(GfParts *parts, const json_t *row, GfError *error);
-json_t *
-GfParts_Save(const GfParts *parts);
-void
-GfParts_Clear(GfParts *parts);
-size_t
-GfParts_Count(const GfParts *parts);
-GfName
-GfParts_TeamAt(const GfParts *parts, size_t index);
-GfAmount
-GfParts_Get(const GfParts *parts, const GfName *team,
-            const GfControl *control);
-void
-GfParts_Set(GfParts *parts, const GfName *team, GfAmount amount,
-            uint64_t base_version);
-uint64_t
-GfParts_MaxBase(const GfParts *parts);
-void
-GfParts_Normalize(GfParts *parts, const GfControl *control);
-void
-GfPool_Adjust(GfParts *pool, const GfControl *before, const GfControl *after);
-GfAmount
-GfPool_Take(GfAmount pool, GfAmount wanted, size_t rack_count);
+GfParts *GfParts_Create(void);
+void GfParts_Destroy(GfParts *parts);
+bool GfParts_Load(GfParts *parts, const json_t *row, GfError *error);
+json_t *GfParts_Save(const GfParts *parts);
+void GfParts_Clear(GfParts *parts);
+size_t GfParts_Count(const GfParts *parts);
+GfName GfParts_TeamAt(const GfParts *parts, size_t index);
+GfAmount GfParts_Get(const GfParts *parts, const GfName *team,
+                     const GfControl *control);
+void GfParts_Set(GfParts *parts, const GfName *team, GfAmount amount,
+                 uint64_t base_version);
+uint64_t GfParts_MaxBase(const GfParts *parts);
+void GfParts_Normalize(GfParts *parts, const GfControl *control);
+void GfPool_Adjust(GfParts *pool, const GfControl *before,
+                   const GfControl *after);
+GfAmount GfPool_Take(GfAmount pool, GfAmount wanted, GfAmount least,
+                     size_t rack_count);
 
 #endif
--- a/include/guavaflow/answer.h
+++ b/include/guavaflow/answer.h
@@ -17,16 +17,11 @@
 
 typedef void (*GfAnswerCallback)(void *arg, const GfAnswer *answer);
 
-GfAnswer
-GfAnswer_Make(GfErrorKind kind, GfRan ran, const char *format, ...)
+GfAnswer GfAnswer_Make(GfErrorKind kind, GfRan ran, const char *format, ...)
     __attribute__((format(printf, 3, 4)));
-GfAnswer
-GfAnswer_Copy(const GfAnswer *answer);
-void
-GfAnswer_SetJson(GfAnswer *answer, json_t *body);
-json_t *
-GfAnswer_ToJson(const GfAnswer *answer, const GfName *request);
-void
-GfAnswer_Clear(GfAnswer *answer);
+GfAnswer GfAnswer_Copy(const GfAnswer *answer);
+void GfAnswer_SetJson(GfAnswer *answer, json_t *body);
+json_t *GfAnswer_ToJson(const GfAnswer *answer, const GfName *request);
+void GfAnswer_Clear(GfAnswer *answer);
 
 #endif
--- a/include/guavaflow/clock.h
+++ b/include/guavaflow/clock.h
@@ -19,28 +19,17 @@
     struct timespec time;
 } GfManualClock;
 
-const GfClock *
-GfClock_System(void);
-struct timespec
-GfClock_Now(const GfClock *clock);
-void
-GfManualClock_Init(GfManualClock *clock, int64_t ms);
-void
-GfManualClock_Advance(GfManualClock *clock, int64_t ms);
+const GfClock *GfClock_System(void);
+struct timespec GfClock_Now(const GfClock *clock);
+void GfManualClock_Init(GfManualClock *clock, int64_t ms);
+void GfManualClock_Advance(GfManualClock *clock, int64_t ms);
 
-struct timespec
-GfTime_FromMs(int64_t ms);
-struct timespec
-GfTime_AddMs(struct timespec t, int64_t ms);
-int64_t
-GfTime_Ms(struct timespec t);
-int64_t
-GfTime_DiffMs(struct timespec later, struct timespec earlier);
-bool
-GfTime_Before(struct timespec a, struct timespec b);
-struct timeval
-GfTime_Interval(int64_t ms);
-int64_t
-GfTime_WallMs(void);
+struct timespec GfTime_FromMs(int64_t ms);
+struct timespec GfTime_AddMs(struct timespec t, int64_t ms);
+int64_t GfTime_Ms(struct timespec t);
+int64_t GfTime_DiffMs(struct timespec later, struct timespec earlier);
+bool GfTime_Before(struct timespec a, struct timespec b);
+struct timeval GfTime_Interval(int64_t ms);
+int64_t GfTime_WallMs(void);
 
 #endif
--- a/include/guavaflow/entry.h
+++ b/include/guavaflow/entry.h
@@ -10,12 +10,9 @@
 
 typedef struct GfEntry GfEntry;
 
-GfEntry *
-GfEntry_Create(struct event_base *base, const GfSettings *settings,
-               const GfClock *clock, GfError *error);
-void
-GfEntry_Stop(GfEntry *entry);
-void
-GfEntry_Destroy(GfEntry *entry);
+GfEntry *GfEntry_Create(struct event_base *base, const GfSettings *settings,
+                        const GfClock *clock, GfError *error);
+void GfEntry_Stop(GfEntry *entry);
+void GfEntry_Destroy(GfEntry *entry);
 
 #endif
--- a/include/guavaflow/error.h
+++ b/include/guavaflow/error.h
@@ -43,22 +43,14 @@
     char text[GF_ERROR_TEXT_BYTES];
 } GfError;
 
-bool
-GfError_Set(GfError *error, GfErrorKind kind, const char *format, ...)
+bool GfError_Set(GfError *error, GfErrorKind kind, const char *format, ...)
     __attribute__((format(printf, 3, 4)));
-const char *
-GfError_Name(GfErrorKind kind);
-int
-GfError_HttpStatus(GfErrorKind kind);
-int
-GfError_ExitCode(GfErrorKind kind);
-bool
-GfError_MayRetry(GfErrorKind kind);
-GfErrorKind
-GfError_FromName(const char *name);
-const char *
-GfRan_Name(GfRan ran);
-GfRan
-GfRan_FromName(const char *name);
+const char *GfError_Name(GfErrorKind kind);
+int GfError_HttpStatus(GfErrorKind kind);
+int GfError_ExitCode(GfErrorKind kind);
+bool GfError_MayRetry(GfErrorKind kind);
+GfErrorKind GfError_FromName(const char *name);
+const char *GfRan_Name(GfRan ran);
+GfRan GfRan_FromName(const char *name);
 
 #endif
--- a/include/guavaflow/fleet.h
+++ b/include/guavaflow/fleet.h
@@ -30,48 +30,34 @@
     struct timespec stated_at;
 } GfRackView;
 
-GfFleet *
-GfFleet_Create(uint32_t seed);
-void
-GfFleet_Destroy(GfFleet *fleet);
-void
-GfFleet_AddRack(GfFleet *fleet, const GfName *rack, const GfName *domain);
-void
-GfFleet_Update(GfFleet *fleet, const GfRackView *view);
-void
-GfFleet_DropHolder(GfFleet *fleet, const GfName *holder);
-void
-GfFleet_CloseOthers(GfFleet *fleet, const GfName *holder,
-                    struct timespec since);
-size_t
-GfFleet_Count(const GfFleet *fleet);
-const GfRackView *
-GfFleet_At(const GfFleet *fleet, size_t index);
-const GfRackView *
-GfFleet_Find(const GfFleet *fleet, const GfName *rack);
-const GfName *
-GfFleet_Domain(const GfFleet *fleet, const GfName *rack);
-const GfRackView *
-GfFleet_PickForTask(GfFleet *fleet, const GfControl *control,
-                    const GfRoom *need, uint32_t count);
-const GfRackView *
-GfFleet_PickForRequest(GfFleet *fleet, const GfControl *control,
-                       const GfName *service, const GfName *tried,
-                       size_t tries);
-void
-GfFleet_Reserve(GfFleet *fleet, const GfName *rack, const GfRoom *need);
-void
-GfFleet_ReserveSlot(GfFleet *fleet, const GfName *rack, const GfName *service);
-bool
-GfFleet_CanEverFit(const GfFleet *fleet, const GfRoom *need);
-size_t
-GfFleet_WithoutHolder(const GfFleet *fleet);
-void
-GfFleet_SetUse(GfFleet *fleet, const GfName *member, const GfName *team,
-               GfAmount use);
-void
-GfFleet_ClearUse(GfFleet *fleet, const GfName *member);
-GfAmount
-GfFleet_TeamUse(const GfFleet *fleet, const GfName *team);
+GfFleet *GfFleet_Create(uint32_t seed);
+void GfFleet_Destroy(GfFleet *fleet);
+void GfFleet_AddRack(GfFleet *fleet, const GfName *rack, const GfName *domain);
+void GfFleet_Update(GfFleet *fleet, const GfRackView *view);
+void GfFleet_DropHolder(GfFleet *fleet, const GfName *holder);
+void GfFleet_CloseOthers(GfFleet *fleet, const GfName *holder,
+                         struct timespec since);
+size_t GfFleet_Count(const GfFleet *fleet);
+const GfRackView *GfFleet_At(const GfFleet *fleet, size_t index);
+const GfRackView *GfFleet_Find(const GfFleet *fleet, const GfName *rack);
+const GfName *GfFleet_Domain(const GfFleet *fleet, const GfName *rack);
+const GfRackView *GfFleet_PickForTask(GfFleet *fleet, const GfControl *control,
+                                      const GfName *team, const GfRoom *need,
+                                      uint32_t count, struct timespec now);
+void GfFleet_BlockTeam(GfFleet *fleet, const GfName *rack, const GfName *team,
+                       struct timespec until);
+const GfRackView *GfFleet_PickForRequest(GfFleet *fleet,
+                                         const GfControl *control,
+                                         const GfName *service,
+                                         const GfName *tried, size_t tries);
+void GfFleet_Reserve(GfFleet *fleet, const GfName *rack, const GfRoom *need);
+void GfFleet_ReserveSlot(GfFleet *fleet, const GfName *rack,
+                         const GfName *service);
+bool GfFleet_CanEverFit(const GfFleet *fleet, const GfRoom *need);
+size_t GfFleet_WithoutHolder(const GfFleet *fleet);
+void GfFleet_SetUse(GfFleet *fleet, const GfName *member, const GfName *team,
+                    GfAmount use);
+void GfFleet_ClearUse(GfFleet *fleet, const GfName *member);
+GfAmount GfFleet_TeamUse(const GfFleet *fleet, const GfName *team);
 
 #endif
--- a/include/guavaflow/hosts.h
+++ b/include/guavaflow/hosts.h
@@ -38,14 +38,10 @@
 typedef void (*GfHostsCallback)(void *ctx, GfErrorKind kind,
                                 const GfHost *hosts, size_t count);
 
-GfHosts *
-GfHosts_Create(GfHttp *http, const char *address, uint16_t port,
-               GfHostsCallback callback, void *ctx);
-void
-GfHosts_Poll(GfHosts *hosts);
-void
-GfHosts_Destroy(GfHosts *hosts);
-bool
-GfHost_Parse(const json_t *json, GfHost *host);
+GfHosts *GfHosts_Create(GfHttp *http, const char *address, uint16_t port,
+                        GfHostsCallback callback, void *ctx);
+void GfHosts_Poll(GfHosts *hosts);
+void GfHosts_Destroy(GfHosts *hosts);
+bool GfHost_Parse(const json_t *json, GfHost *host);
 
 #endif
--- a/include/guavaflow/http.h
+++ b/include/guavaflow/http.h
@@ -41,18 +41,13 @@
     int timeout_ms;
 } GfHttpCall;
 
-GfHttp *
-GfHttp_Create(struct event_base *base);
-void
-GfHttp_Destroy(GfHttp *http);
-void
-GfHttp_Start(GfHttp *http, const GfHttpCall *call, GfHttpCallback callback,
-             void *arg);
-void
-GfHttp_PostJson(GfHttp *http, const char *address, uint16_t port,
-                const char *path, json_t *body, int timeout_ms,
-                GfHttpCallback callback, void *arg);
-json_t *
-GfHttp_ParseJson(const GfHttpResult *result);
+GfHttp *GfHttp_Create(struct event_base *base);
+void GfHttp_Destroy(GfHttp *http);
+void GfHttp_Start(GfHttp *http, const GfHttpCall *call,
+                  GfHttpCallback callback, void *arg);
+void GfHttp_PostJson(GfHttp *http, const char *address, uint16_t port,
+                     const char *path, json_t *body, int timeout_ms,
+                     GfHttpCallback callback, void *arg);
+json_t *GfHttp_ParseJson(const GfHttpResult *result);
 
 #endif
--- a/include/guavaflow/job.h
+++ b/include/guavaflow/job.h
@@ -62,33 +62,19 @@
     GfJobTask *tasks;
 };
 
-bool
-GfJobSpec_Parse(const json_t *body, GfJobSpec *spec, GfError *error);
-GfName
-GfJob_MakeId(uint32_t partition, uint64_t number);
-GfJob *
-GfJob_Create(const GfJobSpec *spec);
-void
-GfJob_Destroy(GfJob *job);
-bool
-GfJobTask_IsFinal(const GfJobTask *task);
-GfName
-GfJobTask_Id(const GfJobTask *task);
-GfTaskSpec
-GfJobTask_Spec(const GfJobTask *task);
-bool
-GfJobTask_ParseId(const GfName *id, uint32_t *index, uint32_t *attempt);
-const char *
-GfJobTaskState_Name(GfJobTaskState state);
-json_t *
-GfJob_Record(const GfJob *job);
-json_t *
-GfJobTask_Record(const GfJobTask *task);
-json_t *
-GfJob_CancelRecord(const GfJob *job);
-bool
-GfJob_FromRecord(const json_t *record, GfJobSpec *spec);
-json_t *
-GfJob_Status(const GfJob *job);
+bool GfJobSpec_Parse(const json_t *body, GfJobSpec *spec, GfError *error);
+GfName GfJob_MakeId(uint32_t partition, uint64_t number);
+GfJob *GfJob_Create(const GfJobSpec *spec);
+void GfJob_Destroy(GfJob *job);
+bool GfJobTask_IsFinal(const GfJobTask *task);
+GfName GfJobTask_Id(const GfJobTask *task);
+GfTaskSpec GfJobTask_Spec(const GfJobTask *task);
+bool GfJobTask_ParseId(const GfName *id, uint32_t *index, uint32_t *attempt);
+const char *GfJobTaskState_Name(GfJobTaskState state);
+json_t *GfJob_Record(const GfJob *job);
+json_t *GfJobTask_Record(const GfJobTask *task);
+json_t *GfJob_CancelRecord(const GfJob *job);
+bool GfJob_FromRecord(const json_t *record, GfJobSpec *spec);
+json_t *GfJob_Status(const GfJob *job);
 
 #endif
--- a/include/guavaflow/journal.h
+++ b/include/guavaflow/journal.h
@@ -41,39 +41,24 @@
  * be. */
 typedef void (*GfAppendCallback)(void *arg, GfErrorKind kind);
 
-GfJournal *
-GfJournal_Create(const GfJournalConfig *config, GfStore *store,
-                 const GfJournalOps *ops, void *ctx);
-void
-GfJournal_Destroy(GfJournal *journal);
-void
-GfJournal_Claim(GfJournal *journal, int64_t head_version, const json_t *head,
-                const GfRow *owner_row);
-bool
-GfJournal_IsHeadOwn(const GfJournal *journal, const json_t *head);
-void
-GfJournal_Lose(GfJournal *journal);
-void
-GfJournal_Append(GfJournal *journal, json_t *record, GfAppendCallback callback,
-                 void *arg);
-void
-GfJournal_Tick(GfJournal *journal, struct timespec now);
-void
-GfJournal_Release(GfJournal *journal);
-GfJournalState
-GfJournal_State(const GfJournal *journal);
-const char *
-GfJournal_StateName(GfJournalState state);
-uint64_t
-GfJournal_Epoch(const GfJournal *journal);
-size_t
-GfJournal_Waiting(const GfJournal *journal);
-bool
-GfJournal_IsStuck(const GfJournal *journal, struct timespec now,
-                  int32_t limit_ms);
-uint64_t
-GfJournal_Commits(const GfJournal *journal);
-GfName
-GfJournal_HeadKey(uint32_t partition);
+GfJournal *GfJournal_Create(const GfJournalConfig *config, GfStore *store,
+                            const GfJournalOps *ops, void *ctx);
+void GfJournal_Destroy(GfJournal *journal);
+void GfJournal_Claim(GfJournal *journal, int64_t head_version,
+                     const json_t *head, const GfRow *owner_row);
+bool GfJournal_IsHeadOwn(const GfJournal *journal, const json_t *head);
+void GfJournal_Lose(GfJournal *journal);
+void GfJournal_Append(GfJournal *journal, json_t *record,
+                      GfAppendCallback callback, void *arg);
+void GfJournal_Tick(GfJournal *journal, struct timespec now);
+void GfJournal_Release(GfJournal *journal);
+GfJournalState GfJournal_State(const GfJournal *journal);
+const char *GfJournal_StateName(GfJournalState state);
+uint64_t GfJournal_Epoch(const GfJournal *journal);
+size_t GfJournal_Waiting(const GfJournal *journal);
+bool GfJournal_IsStuck(const GfJournal *journal, struct timespec now,
+                       int32_t limit_ms);
+uint64_t GfJournal_Commits(const GfJournal *journal);
+GfName GfJournal_HeadKey(uint32_t partition);
 
 #endif
--- a/include/guavaflow/keeper.h
+++ b/include/guavaflow/keeper.h
@@ -30,47 +30,34 @@
     uint32_t max_waiting;
 } GfKeeperConfig;
 
-GfKeeper *
-GfKeeper_Create(const GfKeeperConfig *config, GfFleet *fleet,
-                const GfControl *control, const GfClock *clock,
-                const GfKeeperOps *ops, void *ctx);
-void
-GfKeeper_Destroy(GfKeeper *keeper);
-
-void
-GfKeeper_Close(GfKeeper *keeper, uint32_t partition);
-void
-GfKeeper_Replay(GfKeeper *keeper, const json_t *record);
-void
-GfKeeper_Open(GfKeeper *keeper, uint32_t partition, uint64_t epoch);
-void
-GfKeeper_Snapshot(const GfKeeper *keeper, uint32_t partition, json_t *records);
-
-void
-GfKeeper_Submit(GfKeeper *keeper, const GfJobSpec *spec,
-                GfAnswerCallback callback, void *arg);
-GfAnswer
-GfKeeper_Status(const GfKeeper *keeper, const GfName *job, const GfName *team);
-GfAnswer
-GfKeeper_Cancel(GfKeeper *keeper, const GfName *job, const GfName *team);
-
-void
-GfKeeper_Placed(GfKeeper *keeper, const GfPlacement *placement,
-                const GfPlaced *placed);
-bool
-GfKeeper_Event(GfKeeper *keeper, const GfTaskEvent *event);
-bool
-GfKeeper_WantsFind(const GfKeeper *keeper, uint32_t partition, bool *urgent,
-                   uint64_t *epoch, uint64_t *seq);
-void
-GfKeeper_Found(GfKeeper *keeper, uint32_t partition, uint64_t seq,
-               const GfName *rack, bool complete, const GfTaskEvent *events,
-               size_t count);
-void
-GfKeeper_Tick(GfKeeper *keeper);
-size_t
-GfKeeper_CountState(const GfKeeper *keeper, GfJobTaskState state);
-size_t
-GfKeeper_ServicesBelowCount(const GfKeeper *keeper);
+GfKeeper *GfKeeper_Create(const GfKeeperConfig *config, GfFleet *fleet,
+                          const GfControl *control, const GfClock *clock,
+                          const GfKeeperOps *ops, void *ctx);
+void GfKeeper_Destroy(GfKeeper *keeper);
+
+void GfKeeper_Close(GfKeeper *keeper, uint32_t partition);
+void GfKeeper_Replay(GfKeeper *keeper, const json_t *record);
+void GfKeeper_Open(GfKeeper *keeper, uint32_t partition, uint64_t epoch);
+void GfKeeper_Snapshot(const GfKeeper *keeper, uint32_t partition,
+                       json_t *records);
+
+void GfKeeper_Submit(GfKeeper *keeper, const GfJobSpec *spec,
+                     GfAnswerCallback callback, void *arg);
+GfAnswer GfKeeper_Status(const GfKeeper *keeper, const GfName *job,
+                         const GfName *team);
+GfAnswer GfKeeper_Cancel(GfKeeper *keeper, const GfName *job,
+                         const GfName *team);
+
+void GfKeeper_Placed(GfKeeper *keeper, const GfPlacement *placement,
+                     const GfPlaced *placed);
+bool GfKeeper_Event(GfKeeper *keeper, const GfTaskEvent *event);
+bool GfKeeper_WantsFind(const GfKeeper *keeper, uint32_t partition,
+                        bool *urgent, uint64_t *epoch, uint64_t *seq);
+void GfKeeper_Found(GfKeeper *keeper, uint32_t partition, uint64_t seq,
+                    const GfName *rack, bool complete,
+                    const GfTaskEvent *events, size_t count);
+void GfKeeper_Tick(GfKeeper *keeper);
+size_t GfKeeper_CountState(const GfKeeper *keeper, GfJobTaskState state);
+size_t GfKeeper_ServicesBelowCount(const GfKeeper *keeper);
 
 #endif
--- a/include/guavaflow/log.h
+++ b/include/guavaflow/log.h
@@ -13,14 +13,10 @@
     GF_LOG_LEVELS
 } GfLogLevel;
 
-void
-GfLog_SetLevel(GfLogLevel level);
-bool
-GfLog_SetLevelByName(const char *name);
-void
-GfLog_SetHost(const char *host);
-void
-GfLog(GfLogLevel level, const char *part, const char *format, ...)
+void GfLog_SetLevel(GfLogLevel level);
+bool GfLog_SetLevelByName(const char *name);
+void GfLog_SetHost(const char *host);
+void GfLog(GfLogLevel level, const char *part, const char *format, ...)
     __attribute__((format(printf, 3, 4)));
 
 #endif
--- a/include/guavaflow/member.h
+++ b/include/guavaflow/member.h
@@ -28,36 +28,25 @@
     int32_t forget_ms;
 } GfMemberConfig;
 
-GfMembers *
-GfMembers_Create(const GfName *self, const GfMemberConfig *config);
-void
-GfMembers_Destroy(GfMembers *members);
-void
-GfMembers_List(GfMembers *members, const GfName *name, const char *address,
-               uint16_t port, uint16_t caller_port, struct timespec now);
-void
-GfMembers_Contact(GfMembers *members, const GfName *name, uint64_t incarnation,
-                  uint64_t control_version, struct timespec now);
-void
-GfMembers_SetState(GfMembers *members, const GfName *name, bool leaving,
-                   bool has_store);
-void
-GfMembers_Forget(GfMembers *members, struct timespec now);
-void
-GfMembers_Remove(GfMembers *members, const GfName *name);
-void
-GfMembers_SetSelfLeaving(GfMembers *members);
-size_t
-GfMembers_Count(const GfMembers *members);
-const GfMember *
-GfMembers_At(const GfMembers *members, size_t index);
-const GfMember *
-GfMembers_Find(const GfMembers *members, const GfName *name);
-bool
-GfMembers_InContact(const GfMembers *members, const GfMember *member,
+GfMembers *GfMembers_Create(const GfName *self, const GfMemberConfig *config);
+void GfMembers_Destroy(GfMembers *members);
+void GfMembers_List(GfMembers *members, const GfName *name,
+                    const char *address, uint16_t port, uint16_t caller_port,
                     struct timespec now);
-bool
-GfMembers_Owner(const GfMembers *members, const GfName *subject,
-                struct timespec now, GfName *owner);
+void GfMembers_Contact(GfMembers *members, const GfName *name,
+                       uint64_t incarnation, uint64_t control_version,
+                       struct timespec now);
+void GfMembers_SetState(GfMembers *members, const GfName *name, bool leaving,
+                        bool has_store);
+void GfMembers_Forget(GfMembers *members, struct timespec now);
+void GfMembers_Remove(GfMembers *members, const GfName *name);
+void GfMembers_SetSelfLeaving(GfMembers *members);
+size_t GfMembers_Count(const GfMembers *members);
+const GfMember *GfMembers_At(const GfMembers *members, size_t index);
+const GfMember *GfMembers_Find(const GfMembers *members, const GfName *name);
+bool GfMembers_InContact(const GfMembers *members, const GfMember *member,
+                         struct timespec now);
+bool GfMembers_Owner(const GfMembers *members, const GfName *subject,
+                     struct timespec now, GfName *owner);
 
 #endif
--- a/include/guavaflow/metrics.h
+++ b/include/guavaflow/metrics.h
@@ -39,16 +39,13 @@
     GF_METRIC_TASKS_WAITING,
     GF_METRIC_TASKS_RUNNING,
     GF_METRIC_SERVICES_BELOW_COUNT,
+    GF_METRIC_LOOP_LAG_MAX_MS,
     GF_METRICS
 } GfMetric;
 
-void
-GfMetrics_Add(GfMetric metric, uint64_t amount);
-void
-GfMetrics_Set(GfMetric metric, uint64_t value);
-uint64_t
-GfMetrics_Get(GfMetric metric);
-GfStr
-GfMetrics_Expose(void);
+void GfMetrics_Add(GfMetric metric, uint64_t amount);
+void GfMetrics_Set(GfMetric metric, uint64_t value);
+uint64_t GfMetrics_Get(GfMetric metric);
+GfStr GfMetrics_Expose(void);
 
 #endif
--- a/include/guavaflow/name.h
+++ b/include/guavaflow/name.h
@@ -19,24 +19,17 @@
     char *data;
 } GfStr;
 
-bool
-GfName_Set(GfName *name, const char *data, size_t len);
-bool
-GfName_SetText(GfName *name, const char *text);
-GfName
-GfName_Format(const char *format, ...) __attribute__((format(printf, 1, 2)));
-bool
-GfName_Equal(const GfName *a, const GfName *b);
-int
-GfName_Compare(const GfName *a, const GfName *b);
-uint64_t
-GfName_Hash(const GfName *name, uint64_t seed);
+bool GfName_Set(GfName *name, const char *data, size_t len);
+bool GfName_SetText(GfName *name, const char *text);
+GfName GfName_Format(const char *format, ...)
+    __attribute__((format(printf, 1, 2)));
+bool GfName_Equal(const GfName *a, const GfName *b);
+int GfName_Compare(const GfName *a, const GfName *b);
+uint64_t GfName_Hash(const GfName *name, uint64_t seed);
 
-GfStr
-GfStr_Copy(const char *data, size_t len);
-GfStr
-GfStr_Format(const char *format, ...) __attribute__((format(printf, 1, 2)));
-void
-GfStr_Clear(GfStr *str);
+GfStr GfStr_Copy(const char *data, size_t len);
+GfStr GfStr_Format(const char *format, ...)
+    __attribute__((format(printf, 1, 2)));
+void GfStr_Clear(GfStr *str);
 
 #endif
--- a/include/guavaflow/rack.h
+++ b/include/guavaflow/rack.h
@@ -50,70 +50,47 @@
 typedef void (*GfTaskCallback)(void *ctx, const GfName *worker,
                                const GfTask *task);
 
-GfRack *
-GfRack_Create(const GfRackConfig *config);
-void
-GfRack_Destroy(GfRack *rack);
-const GfName *
-GfRack_Name(const GfRack *rack);
+GfRack *GfRack_Create(const GfRackConfig *config);
+void GfRack_Destroy(GfRack *rack);
+const GfName *GfRack_Name(const GfRack *rack);
 
-void
-GfRack_AddWorker(GfRack *rack, const GfName *worker, struct timespec now);
-void
-GfRack_RemoveWorker(GfRack *rack, const GfName *worker, struct timespec now);
-size_t
-GfRack_WorkerCount(const GfRack *rack);
-const GfName *
-GfRack_WorkerAt(const GfRack *rack, size_t index);
-bool
-GfRack_HasWorker(const GfRack *rack, const GfName *worker);
+void GfRack_AddWorker(GfRack *rack, const GfName *worker, struct timespec now);
+void GfRack_RemoveWorker(GfRack *rack, const GfName *worker,
+                         struct timespec now);
+size_t GfRack_WorkerCount(const GfRack *rack);
+const GfName *GfRack_WorkerAt(const GfRack *rack, size_t index);
+bool GfRack_HasWorker(const GfRack *rack, const GfName *worker);
 
-bool
-GfRack_Granted(GfRack *rack, const GfName *worker, const GfLeaseGrant *grant,
-               struct timespec sent_at, struct timespec now,
-               GfFlightCallback callback, void *ctx);
-void
-GfRack_GivenUp(GfRack *rack, const GfName *worker, struct timespec now);
-bool
-GfRack_Holds(const GfRack *rack, const GfName *worker, struct timespec now);
-int64_t
-GfRack_Lease(const GfRack *rack, const GfName *worker);
-int64_t
-GfRack_SeenVersion(const GfRack *rack, const GfName *worker);
-size_t
-GfRack_HeldCount(const GfRack *rack, struct timespec now);
-bool
-GfRack_InTerm(GfRack *rack, struct timespec now);
-uint64_t
-GfRack_Term(const GfRack *rack);
-bool
-GfRack_IsComplete(GfRack *rack, struct timespec now);
+bool GfRack_Granted(GfRack *rack, const GfName *worker,
+                    const GfLeaseGrant *grant, struct timespec sent_at,
+                    struct timespec now, GfFlightCallback callback, void *ctx);
+void GfRack_GivenUp(GfRack *rack, const GfName *worker, struct timespec now);
+bool GfRack_Holds(const GfRack *rack, const GfName *worker,
+                  struct timespec now);
+int64_t GfRack_Lease(const GfRack *rack, const GfName *worker);
+int64_t GfRack_SeenVersion(const GfRack *rack, const GfName *worker);
+size_t GfRack_HeldCount(const GfRack *rack, struct timespec now);
+bool GfRack_InTerm(GfRack *rack, struct timespec now);
+uint64_t GfRack_Term(const GfRack *rack);
+bool GfRack_IsComplete(GfRack *rack, struct timespec now);
 
-GfRoom
-GfRack_FreeRoom(const GfRack *rack, const GfName *worker, struct timespec now);
-GfRoom
-GfRack_Capacity(const GfRack *rack, const GfName *worker);
-uint64_t
-GfRack_TeamUse(GfRack *rack, const GfName *team, struct timespec now);
-uint64_t
-GfRack_SeenUse(const GfRack *rack, const GfName *team);
-bool
-GfRack_HasTask(const GfRack *rack, const GfName *task);
-bool
-GfRack_HasFlight(const GfRack *rack, uint32_t partition);
+GfRoom GfRack_FreeRoom(const GfRack *rack, const GfName *worker,
+                       struct timespec now);
+GfRoom GfRack_Capacity(const GfRack *rack, const GfName *worker);
+uint64_t GfRack_TeamUse(GfRack *rack, const GfName *team, struct timespec now);
+uint64_t GfRack_SeenUse(const GfRack *rack, const GfName *team);
+bool GfRack_HasTask(const GfRack *rack, const GfName *task);
+bool GfRack_HasFlight(const GfRack *rack, uint32_t partition);
 
-void
-GfRack_StartSent(GfRack *rack, const GfName *worker, const GfTaskSpec *spec);
-void
-GfRack_StartAccepted(GfRack *rack, const GfName *worker, const GfName *task,
-                     int64_t version);
-void
-GfRack_StartRefused(GfRack *rack, const GfName *worker, const GfName *task);
-void
-GfRack_StartUnanswered(GfRack *rack, const GfName *worker);
-bool
-GfRack_NeedsFence(const GfRack *rack, const GfName *worker);
-void
-GfRack_ForEachTask(const GfRack *rack, GfTaskCallback callback, void *ctx);
+void GfRack_StartSent(GfRack *rack, const GfName *worker,
+                      const GfTaskSpec *spec);
+void GfRack_StartAccepted(GfRack *rack, const GfName *worker,
+                          const GfName *task, int64_t version);
+void GfRack_StartRefused(GfRack *rack, const GfName *worker,
+                         const GfName *task);
+void GfRack_StartUnanswered(GfRack *rack, const GfName *worker);
+bool GfRack_NeedsFence(const GfRack *rack, const GfName *worker);
+void GfRack_ForEachTask(const GfRack *rack, GfTaskCallback callback,
+                        void *ctx);
 
 #endif
--- a/include/guavaflow/rack_agent.h
+++ b/include/guavaflow/rack_agent.h
@@ -65,46 +65,30 @@
                                  size_t count);
 typedef void (*GfEventCallback)(void *ctx, const GfTaskEvent *event);
 
-GfRackAgent *
-GfRackAgent_Create(const GfRackEnv *env, const GfName *name,
-                   const GfName *domain);
-void
-GfRackAgent_Destroy(GfRackAgent *agent);
-const GfName *
-GfRackAgent_Name(const GfRackAgent *agent);
-void
-GfRackAgent_SetHost(GfRackAgent *agent, const GfHost *host);
-void
-GfRackAgent_Tick(GfRackAgent *agent, bool wanted);
-void
-GfRackAgent_NoteClean(GfRackAgent *agent, uint64_t lease_sum);
-bool
-GfRackAgent_IsHeld(GfRackAgent *agent);
-bool
-GfRackAgent_HoldsAny(GfRackAgent *agent);
-bool
-GfRackAgent_WasReleasedClean(const GfRackAgent *agent, uint64_t *lease_sum);
-void
-GfRackAgent_View(GfRackAgent *agent, GfRackView *view);
-GfAmount
-GfRackAgent_TeamUse(GfRackAgent *agent, const GfName *team);
+GfRackAgent *GfRackAgent_Create(const GfRackEnv *env, const GfName *name,
+                                const GfName *domain);
+void GfRackAgent_Destroy(GfRackAgent *agent);
+const GfName *GfRackAgent_Name(const GfRackAgent *agent);
+void GfRackAgent_SetHost(GfRackAgent *agent, const GfHost *host);
+void GfRackAgent_Tick(GfRackAgent *agent, bool wanted);
+void GfRackAgent_NoteClean(GfRackAgent *agent, uint64_t lease_sum);
+bool GfRackAgent_IsHeld(GfRackAgent *agent);
+bool GfRackAgent_HoldsAny(GfRackAgent *agent);
+bool GfRackAgent_WasReleasedClean(const GfRackAgent *agent,
+                                  uint64_t *lease_sum);
+void GfRackAgent_View(GfRackAgent *agent, GfRackView *view);
+GfAmount GfRackAgent_TeamUse(GfRackAgent *agent, const GfName *team);
 
-void
-GfRackAgent_Place(GfRackAgent *agent, const GfPlacement *placements,
-                  size_t count, bool gang, GfPlacedCallback callback,
-                  void *arg);
-void
-GfRackAgent_Stop(GfRackAgent *agent, const GfName *task, GfStopMode mode);
-bool
-GfRackAgent_Find(GfRackAgent *agent, uint32_t partition, uint64_t epoch,
-                 uint64_t seq, GfEventCallback callback, void *ctx);
-void
-GfRackAgent_ForEachEnded(GfRackAgent *agent, GfEventCallback callback,
-                         void *ctx);
-void
-GfRackAgent_Ack(GfRackAgent *agent, const GfName *task);
-void
-GfRackAgent_Execute(GfRackAgent *agent, const GfServiceRequest *request,
-                    GfAnswerCallback callback, void *arg);
+void GfRackAgent_Place(GfRackAgent *agent, const GfPlacement *placements,
+                       size_t count, bool gang, GfPlacedCallback callback,
+                       void *arg);
+void GfRackAgent_Stop(GfRackAgent *agent, const GfName *task, GfStopMode mode);
+bool GfRackAgent_Find(GfRackAgent *agent, uint32_t partition, uint64_t epoch,
+                      uint64_t seq, GfEventCallback callback, void *ctx);
+void GfRackAgent_ForEachEnded(GfRackAgent *agent, GfEventCallback callback,
+                              void *ctx);
+void GfRackAgent_Ack(GfRackAgent *agent, const GfName *task);
+void GfRackAgent_Execute(GfRackAgent *agent, const GfServiceRequest *request,
+                         GfAnswerCallback callback, void *arg);
 
 #endif
--- a/include/guavaflow/rpc.h
+++ b/include/guavaflow/rpc.h
@@ -43,26 +43,20 @@
 
 typedef void (*GfRpcCallback)(void *arg, const GfRpcOutcome *outcome);
 
-GfRpcServer *
-GfRpcServer_Create(struct event_base *base, const char *address, uint16_t port,
-                   const GfRpcProgram *program, void *ctx, GfError *error);
-void
-GfRpcServer_StopAccepting(GfRpcServer *server);
-void
-GfRpcServer_Destroy(GfRpcServer *server);
-void
-GfRpcCall_Reply(GfRpcCall *call, void *result);
-
-GfRpcClient *
-GfRpcClient_Create(struct event_base *base, const char *address, uint16_t port,
-                   const GfRpcProgram *program, const GfClock *clock);
-void
-GfRpcClient_Start(GfRpcClient *client, uint32_t procedure, void *args,
-                  size_t result_bytes, int timeout_ms, GfRpcCallback callback,
-                  void *arg);
-uint64_t
-GfRpcClient_Replacements(const GfRpcClient *client);
-void
-GfRpcClient_Destroy(GfRpcClient *client);
+GfRpcServer *GfRpcServer_Create(struct event_base *base, const char *address,
+                                uint16_t port, const GfRpcProgram *program,
+                                void *ctx, GfError *error);
+void GfRpcServer_StopAccepting(GfRpcServer *server);
+void GfRpcServer_Destroy(GfRpcServer *server);
+void GfRpcCall_Reply(GfRpcCall *call, void *result);
+
+GfRpcClient *GfRpcClient_Create(struct event_base *base, const char *address,
+                                uint16_t port, const GfRpcProgram *program,
+                                const GfClock *clock);
+void GfRpcClient_Start(GfRpcClient *client, uint32_t procedure, void *args,
+                       size_t result_bytes, int timeout_ms,
+                       GfRpcCallback callback, void *arg);
+uint64_t GfRpcClient_Replacements(const GfRpcClient *client);
+void GfRpcClient_Destroy(GfRpcClient *client);
 
 #endif
--- a/include/guavaflow/server.h
+++ b/include/guavaflow/server.h
@@ -14,36 +14,23 @@
 
 typedef void (*GfServerHandler)(void *ctx, GfExchange *exchange);
 
-GfServer *
-GfServer_Create(struct event_base *base, const char *address, uint16_t port,
-                size_t max_body_bytes, GfServerHandler handler, void *ctx,
-                GfError *error);
-void
-GfServer_StopAccepting(GfServer *server);
-int
-GfServer_OpenExchanges(const GfServer *server);
-void
-GfServer_Destroy(GfServer *server);
+GfServer *GfServer_Create(struct event_base *base, const char *address,
+                          uint16_t port, size_t max_body_bytes,
+                          GfServerHandler handler, void *ctx, GfError *error);
+void GfServer_StopAccepting(GfServer *server);
+int GfServer_OpenExchanges(const GfServer *server);
+void GfServer_Destroy(GfServer *server);
 
-const char *
-GfExchange_Method(const GfExchange *exchange);
-const char *
-GfExchange_Path(const GfExchange *exchange);
-const char *
-GfExchange_Query(const GfExchange *exchange, const char *name);
-const char *
-GfExchange_Header(const GfExchange *exchange, const char *name);
-GfStr
-GfExchange_Body(const GfExchange *exchange);
-void
-GfExchange_AddHeader(GfExchange *exchange, const char *name,
-                     const char *value);
-void
-GfExchange_Reply(GfExchange *exchange, int status, const char *type,
-                 const char *data, size_t len);
-void
-GfExchange_ReplyJson(GfExchange *exchange, int status, json_t *body);
-void
-GfExchange_Drop(GfExchange *exchange);
+const char *GfExchange_Method(const GfExchange *exchange);
+const char *GfExchange_Path(const GfExchange *exchange);
+const char *GfExchange_Query(const GfExchange *exchange, const char *name);
+const char *GfExchange_Header(const GfExchange *exchange, const char *name);
+GfStr GfExchange_Body(const GfExchange *exchange);
+void GfExchange_AddHeader(GfExchange *exchange, const char *name,
+                          const char *value);
+void GfExchange_Reply(GfExchange *exchange, int status, const char *type,
+                      const char *data, size_t len);
+void GfExchange_ReplyJson(GfExchange *exchange, int status, json_t *body);
+void GfExchange_Drop(GfExchange *exchange);
 
 #endif
--- a/include/guavaflow/settings.h
+++ b/include/guavaflow/settings.h
@@ -35,6 +35,7 @@
     char *failure_domain;
     GfEndpoint caller;
     GfEndpoint peer;
+    GfEndpoint peer_advertised;
     GfEndpoint platform;
     char *first_bundle;
     uint32_t partitions;
@@ -43,12 +44,9 @@
     GfFrontSettings front;
 } GfSettings;
 
-GfSettings *
-GfSettings_Load(const char *path, GfError *error);
-GfSettings *
-GfSettings_Parse(const char *text, size_t len, const char *path,
-                 GfError *error);
-void
-GfSettings_Destroy(GfSettings *settings);
+GfSettings *GfSettings_Load(const char *path, GfError *error);
+GfSettings *GfSettings_Parse(const char *text, size_t len, const char *path,
+                             GfError *error);
+void GfSettings_Destroy(GfSettings *settings);
 
 #endif
--- a/include/guavaflow/store.h
+++ b/include/guavaflow/store.h
@@ -56,35 +56,23 @@
     const GfStoreOps *ops;
 };
 
-GfTxn *
-GfTxn_Create(void);
-void
-GfTxn_Check(GfTxn *txn, const GfName *key, int64_t version);
-void
-GfTxn_Put(GfTxn *txn, const GfName *key, json_t *value);
-void
-GfTxn_Delete(GfTxn *txn, const GfName *key);
-const json_t *
-GfTxn_Body(const GfTxn *txn);
-void
-GfTxn_Destroy(GfTxn *txn);
+GfTxn *GfTxn_Create(void);
+void GfTxn_Check(GfTxn *txn, const GfName *key, int64_t version);
+void GfTxn_Put(GfTxn *txn, const GfName *key, json_t *value);
+void GfTxn_Delete(GfTxn *txn, const GfName *key);
+const json_t *GfTxn_Body(const GfTxn *txn);
+void GfTxn_Destroy(GfTxn *txn);
 
-void
-GfStore_Commit(GfStore *store, const GfTxn *txn, GfCommitCallback callback,
-               void *arg);
-void
-GfStore_Read(GfStore *store, const char *prefix, GfReadCallback callback,
-             void *arg);
-void
-GfStore_PutObject(GfStore *store, const GfName *name, const char *data,
-                  size_t len, GfObjectCallback callback, void *arg);
-void
-GfStore_GetObject(GfStore *store, const GfName *name,
-                  GfObjectCallback callback, void *arg);
-void
-GfStore_Destroy(GfStore *store);
+void GfStore_Commit(GfStore *store, const GfTxn *txn,
+                    GfCommitCallback callback, void *arg);
+void GfStore_Read(GfStore *store, const char *prefix, GfReadCallback callback,
+                  void *arg);
+void GfStore_PutObject(GfStore *store, const GfName *name, const char *data,
+                       size_t len, GfObjectCallback callback, void *arg);
+void GfStore_GetObject(GfStore *store, const GfName *name,
+                       GfObjectCallback callback, void *arg);
+void GfStore_Destroy(GfStore *store);
 
-GfStore *
-GfHttpStore_Create(GfHttp *http, const char *address, uint16_t port);
+GfStore *GfHttpStore_Create(GfHttp *http, const char *address, uint16_t port);
 
 #endif
--- a/include/guavaflow/task.h
+++ b/include/guavaflow/task.h
@@ -54,23 +54,14 @@
     int exit_code;
 } GfTask;
 
-bool
-GfRoom_Fits(const GfRoom *room, const GfRoom *need);
-GfRoom
-GfRoom_Minus(const GfRoom *room, const GfRoom *need);
-const char *
-GfClass_Name(GfClass work_class);
-bool
-GfClass_FromName(const char *name, GfClass *work_class);
-const char *
-GfTaskState_Name(GfTaskState state);
-GfTaskState
-GfTaskState_FromName(const char *name);
-const char *
-GfStopMode_Name(GfStopMode mode);
-bool
-GfTask_Partition(const GfName *id, uint32_t *partition);
-GfName
-GfTask_Job(const GfName *id);
+bool GfRoom_Fits(const GfRoom *room, const GfRoom *need);
+GfRoom GfRoom_Minus(const GfRoom *room, const GfRoom *need);
+const char *GfClass_Name(GfClass work_class);
+bool GfClass_FromName(const char *name, GfClass *work_class);
+const char *GfTaskState_Name(GfTaskState state);
+GfTaskState GfTaskState_FromName(const char *name);
+const char *GfStopMode_Name(GfStopMode mode);
+bool GfTask_Partition(const GfName *id, uint32_t *partition);
+GfName GfTask_Job(const GfName *id);
 
 #endif
--- a/include/guavaflow/wait_queue.h
+++ b/include/guavaflow/wait_queue.h
@@ -12,22 +12,14 @@
  * all teams. */
 typedef uint64_t (*GfShareFunction)(void *ctx, const GfName *team);
 
-GfWaitQueue *
-GfWaitQueue_Create(void);
-void
-GfWaitQueue_Destroy(GfWaitQueue *queue);
-void
-GfWaitQueue_Push(GfWaitQueue *queue, GfJobTask *task);
-void
-GfWaitQueue_Remove(GfWaitQueue *queue, GfJobTask *task);
-size_t
-GfWaitQueue_Count(const GfWaitQueue *queue);
-void
-GfWaitQueue_BeginRound(GfWaitQueue *queue);
-GfJobTask *
-GfWaitQueue_Next(GfWaitQueue *queue, struct timespec now,
-                 GfShareFunction share, void *ctx);
-void
-GfWaitQueue_Block(GfWaitQueue *queue, const GfJobTask *task);
+GfWaitQueue *GfWaitQueue_Create(void);
+void GfWaitQueue_Destroy(GfWaitQueue *queue);
+void GfWaitQueue_Push(GfWaitQueue *queue, GfJobTask *task);
+void GfWaitQueue_Remove(GfWaitQueue *queue, GfJobTask *task);
+size_t GfWaitQueue_Count(const GfWaitQueue *queue);
+void GfWaitQueue_BeginRound(GfWaitQueue *queue);
+GfJobTask *GfWaitQueue_Next(GfWaitQueue *queue, struct timespec now,
+                            GfShareFunction share, void *ctx);
+void GfWaitQueue_Block(GfWaitQueue *queue, const GfJobTask *task);
 
 #endif
--- a/include/guavaflow/yaml.h
+++ b/include/guavaflow/yaml.h
@@ -11,12 +11,9 @@
 #include "guavaflow/error.h"
 #include "guavaflow/name.h"
 
-void *
-GfYaml_Load(const char *text, size_t len, const char *path,
-            const cyaml_schema_value_t *schema, GfError *error);
-void
-GfYaml_Free(const cyaml_schema_value_t *schema, void *value);
-bool
-GfYaml_ReadFile(const char *path, GfStr *text, GfError *error);
+void *GfYaml_Load(const char *text, size_t len, const char *path,
+                  const cyaml_schema_value_t *schema, GfError *error);
+void GfYaml_Free(const cyaml_schema_value_t *schema, void *value);
+bool GfYaml_ReadFile(const char *path, GfStr *text, GfError *error);
 
 #endif
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -27,14 +27,11 @@
 extern CliTarget cli_target;
 extern struct poptOption cli_target_options[];
 
-poptContext
-Cli_Parse(const char *command, int argc, const char **argv,
-          const struct poptOption *options, const char *arguments,
-          int *exit_code);
-int
-Cli_Fail(const GfError *error);
-int
-Cli_Usage(poptContext popt, const char *format, ...)
+poptContext Cli_Parse(const char *command, int argc, const char **argv,
+                      const struct poptOption *options, const char *arguments,
+                      int *exit_code);
+int Cli_Fail(const GfError *error);
+int Cli_Usage(poptContext popt, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
 
 /* An answer to a call, with the caller's reference to its body. */
@@ -43,37 +40,22 @@
     json_t *body;
 } CliReply;
 
-bool
-Cli_Call(const char *method, const char *path, const char *body,
-         const char *const *headers, CliReply *reply, GfError *error);
-int
-Cli_Show(const CliReply *reply);
-bool
-Cli_WantsJson(void);
-
-int
-CmdEntry_Run(int argc, const char **argv);
-int
-CmdCheckConfig_Run(int argc, const char **argv);
-int
-CmdRequest_Run(int argc, const char **argv);
-int
-CmdSubmit_Run(int argc, const char **argv);
-int
-CmdStatus_Run(int argc, const char **argv);
-int
-CmdCancel_Run(int argc, const char **argv);
-int
-CmdBundle_Run(int argc, const char **argv);
-int
-CmdDomain_Run(int argc, const char **argv);
-int
-CmdMember_Run(int argc, const char **argv);
-int
-CmdAudit_Run(int argc, const char **argv);
-int
-CmdKey_Run(int argc, const char **argv);
-int
-CmdLoad_Run(int argc, const char **argv);
+bool Cli_Call(const char *method, const char *path, const char *body,
+              const char *const *headers, CliReply *reply, GfError *error);
+int Cli_Show(const CliReply *reply);
+bool Cli_WantsJson(void);
+
+int CmdEntry_Run(int argc, const char **argv);
+int CmdCheckConfig_Run(int argc, const char **argv);
+int CmdRequest_Run(int argc, const char **argv);
+int CmdSubmit_Run(int argc, const char **argv);
+int CmdStatus_Run(int argc, const char **argv);
+int CmdCancel_Run(int argc, const char **argv);
+int CmdBundle_Run(int argc, const char **argv);
+int CmdDomain_Run(int argc, const char **argv);
+int CmdMember_Run(int argc, const char **argv);
+int CmdAudit_Run(int argc, const char **argv);
+int CmdKey_Run(int argc, const char **argv);
+int CmdLoad_Run(int argc, const char **argv);
 
 #endif
--- a/src/common/metrics.c
+++ b/src/common/metrics.c
@@ -49,6 +49,7 @@
     {"tasks_waiting", GAUGE, "Tasks that wait for room."},
     {"tasks_running", GAUGE, "Tasks running for jobs owned here."},
     {"services_below_count", GAUGE, "Service jobs below their count."},
+    {"loop_lag_max_ms", GAUGE, "Longest time that the loop was held up."},
 };
 
 static uint64_t values[GF_METRICS];
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -58,6 +58,8 @@
                         ENDPOINT_FIELDS),
     CYAML_FIELD_MAPPING("peer", CYAML_FLAG_DEFAULT, GfSettings, peer,
                         ENDPOINT_FIELDS),
+    CYAML_FIELD_MAPPING("peer_advertised", CYAML_FLAG_OPTIONAL, GfSettings,
+                        peer_advertised, ENDPOINT_FIELDS),
     CYAML_FIELD_MAPPING("platform", CYAML_FLAG_DEFAULT, GfSettings, platform,
                         ENDPOINT_FIELDS),
     CYAML_FIELD_STRING_PTR("first_bundle",
@@ -196,6 +198,10 @@
         !check_lease(path, &s->lease, error)) {
         return false;
     }
+    if (s->peer_advertised.address != NULL &&
+        !check_endpoint(path, "peer_advertised", &s->peer_advertised, error)) {
+        return false;
+    }
     if (s->caller.port == s->peer.port &&
         strcmp(s->caller.address, s->peer.address) == 0) {
         return GfError_Set(error, GF_BAD_CONFIG,
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -16,6 +16,7 @@
 #define FAST_MS 10
 #define BEAT_MS 500
 #define SLOW_MS 1000
+#define LAG_WARN_MS 300
 #define CONTACT_MS 1600
 #define FORGET_MS 60000
 #define CONTROL_CONFIRM_MS 3000
@@ -230,6 +231,23 @@
     }
 }
 
+/* Notes when the loop was held up: by a pause of the process, or by work that
+ * takes too long on it. */
+static void
+watch_lag(GfEntry *entry, struct timespec now)
+{
+    int64_t lag = GfTime_DiffMs(now, entry->last_fast) - FAST_MS;
+    if (entry->last_fast.tv_sec != 0 && lag > LAG_WARN_MS) {
+        GfLog(GF_LOG_WARNING, PART, "The loop was held up for %lld ms.",
+              (long long)lag);
+    }
+    if (entry->last_fast.tv_sec != 0 && lag > 0 &&
+        (uint64_t)lag > GfMetrics_Get(GF_METRIC_LOOP_LAG_MAX_MS)) {
+        GfMetrics_Set(GF_METRIC_LOOP_LAG_MAX_MS, (uint64_t)lag);
+    }
+    entry->last_fast = now;
+}
+
 /* Moves everything on that has short deadlines. */
 static void
 on_fast(evutil_socket_t fd, short what, void *arg)
@@ -238,6 +256,7 @@
     (void)what;
     GfEntry *entry = arg;
     struct timespec now = Entry_Now(entry);
+    watch_lag(entry, now);
     for (size_t i = 0; i < entry->rack_count; i++) {
         GfRackAgent_Tick(entry->racks[i], wants_rack(entry, i, now));
     }
--- a/src/entry/entry_private.h
+++ b/src/entry/entry_private.h
@@ -80,6 +80,7 @@
     struct event *slow_timer;
     struct timespec store_heard;
     struct timespec started;
+    struct timespec last_fast;
     bool reading_control;
     struct timespec control_asked;
     bool bootstrapping;
@@ -93,80 +94,55 @@
 
 extern const GfRpcProgram ENTRY_PEER_PROGRAM;
 
-struct timespec
-Entry_Now(const GfEntry *entry);
-uint32_t
-Entry_Random(GfEntry *entry);
-bool
-Entry_HasStore(const GfEntry *entry);
-GfRackAgent *
-Entry_FindRack(const GfEntry *entry, const GfName *name);
-bool
-Entry_IsSelf(const GfEntry *entry, const GfName *member);
-
-void
-EntryPeers_Create(GfEntry *entry);
-void
-EntryPeers_Destroy(GfEntry *entry);
-void
-EntryPeers_SendBeats(GfEntry *entry);
-void
-EntryPeers_TakeBeat(GfEntry *entry, const gfx_beat *beat);
-bool
-EntryPeers_Call(GfEntry *entry, const GfName *member, uint32_t procedure,
-                void *args, size_t result_bytes, int timeout_ms,
-                GfRpcCallback callback, void *arg);
-
-void
-EntryControl_Poll(GfEntry *entry);
-void
-EntryControl_FetchFrom(GfEntry *entry, const GfName *member);
-void
-EntryControl_Commit(GfEntry *entry, json_t *next, json_t *audit,
-                    GfAnswerCallback callback, void *arg);
-json_t *
-EntryControl_Missing(GfEntry *entry, uint64_t version);
-
-void
-EntryPartitions_Create(GfEntry *entry);
-void
-EntryPartitions_Destroy(GfEntry *entry);
-void
-EntryPartitions_Poll(GfEntry *entry);
-void
-EntryPartitions_Tick(GfEntry *entry);
-bool
-EntryPartitions_Owner(const GfEntry *entry, uint32_t partition, GfName *owner);
-void
-EntryPartitions_NoteOwner(GfEntry *entry, uint32_t partition, uint64_t epoch,
-                          const GfName *owner);
-bool
-EntryPartitions_MayPlace(const GfEntry *entry, uint32_t partition);
-bool
-EntryPartitions_AreReleased(const GfEntry *entry);
-uint32_t
-EntryPartitions_Of(const GfEntry *entry, const GfName *id);
+struct timespec Entry_Now(const GfEntry *entry);
+uint32_t Entry_Random(GfEntry *entry);
+bool Entry_HasStore(const GfEntry *entry);
+GfRackAgent *Entry_FindRack(const GfEntry *entry, const GfName *name);
+bool Entry_IsSelf(const GfEntry *entry, const GfName *member);
+
+void EntryPeers_Create(GfEntry *entry);
+void EntryPeers_Destroy(GfEntry *entry);
+void EntryPeers_SendBeats(GfEntry *entry);
+void EntryPeers_TakeBeat(GfEntry *entry, const gfx_beat *beat);
+bool EntryPeers_Call(GfEntry *entry, const GfName *member, uint32_t procedure,
+                     void *args, size_t result_bytes, int timeout_ms,
+                     GfRpcCallback callback, void *arg);
+
+void EntryControl_Poll(GfEntry *entry);
+void EntryControl_FetchFrom(GfEntry *entry, const GfName *member);
+void EntryControl_Commit(GfEntry *entry, json_t *next, json_t *audit,
+                         GfAnswerCallback callback, void *arg);
+json_t *EntryControl_Missing(GfEntry *entry, uint64_t version);
+
+void EntryPartitions_Create(GfEntry *entry);
+void EntryPartitions_Destroy(GfEntry *entry);
+void EntryPartitions_Poll(GfEntry *entry);
+void EntryPartitions_Tick(GfEntry *entry);
+bool EntryPartitions_Owner(const GfEntry *entry, uint32_t partition,
+                           GfName *owner);
+void EntryPartitions_NoteOwner(GfEntry *entry, uint32_t partition,
+                               uint64_t epoch, const GfName *owner);
+bool EntryPartitions_MayPlace(const GfEntry *entry, uint32_t partition);
+bool EntryPartitions_AreReleased(const GfEntry *entry);
+uint32_t EntryPartitions_Of(const GfEntry *entry, const GfName *id);
 
 extern const GfKeeperOps ENTRY_KEEPER_OPS;
-void
-EntryJobs_Find(GfEntry *entry);
-void
-EntryJobs_SendEvents(GfEntry *entry);
-void
-EntryJobs_HandleJob(GfEntry *entry, const gfx_job_call *call,
-                    GfAnswerCallback callback, void *arg);
+void EntryJobs_Find(GfEntry *entry);
+void EntryJobs_SendEvents(GfEntry *entry);
+void EntryJobs_HandleJob(GfEntry *entry, const gfx_job_call *call,
+                         GfAnswerCallback callback, void *arg);
 
 typedef enum {
     ENTRY_JOB_SUBMIT,
     ENTRY_JOB_STATUS,
     ENTRY_JOB_CANCEL
 } EntryJobVerb;
-void
-EntryJobs_Submit(GfEntry *entry, const GfName *team, const GfName *key,
-                 const GfStr *body, GfAnswerCallback callback, void *arg);
-void
-EntryJobs_Ask(GfEntry *entry, EntryJobVerb verb, const GfName *job,
-              const GfName *team, GfAnswerCallback callback, void *arg);
+void EntryJobs_Submit(GfEntry *entry, const GfName *team, const GfName *key,
+                      const GfStr *body, int32_t time_ms,
+                      GfAnswerCallback callback, void *arg);
+void EntryJobs_Ask(GfEntry *entry, EntryJobVerb verb, const GfName *job,
+                   const GfName *team, int32_t time_ms,
+                   GfAnswerCallback callback, void *arg);
 
 /* A request to a service on its way through this entry. key is empty unless
  * the request must not run twice. */
@@ -180,29 +156,20 @@
     GfStr body;
 } EntryRequest;
 
-void
-EntryRequests_Serve(GfEntry *entry, const EntryRequest *request,
-                    GfAnswerCallback callback, void *arg);
-void
-EntryRequests_Route(GfEntry *entry, const EntryRequest *request,
-                    GfAnswerCallback callback, void *arg);
-void
-EntryIdem_Run(GfEntry *entry, const EntryRequest *request,
-              GfAnswerCallback callback, void *arg);
-void
-EntryIdem_Lost(GfEntry *entry, uint32_t partition);
-void
-EntryIdem_Destroy(GfEntry *entry);
-
-void
-EntryFront_Handle(void *ctx, GfExchange *exchange);
-void
-EntryAdmin_Handle(GfEntry *entry, GfExchange *exchange,
-                  const GfName *operator_name);
-
-GfAnswer
-EntryXdr_ToAnswer(const gfx_answer *xdr);
-void
-EntryXdr_FromAnswer(const GfAnswer *answer, gfx_answer *xdr);
+void EntryRequests_Serve(GfEntry *entry, const EntryRequest *request,
+                         GfAnswerCallback callback, void *arg);
+void EntryRequests_Route(GfEntry *entry, const EntryRequest *request,
+                         GfAnswerCallback callback, void *arg);
+void EntryIdem_Run(GfEntry *entry, const EntryRequest *request,
+                   GfAnswerCallback callback, void *arg);
+void EntryIdem_Lost(GfEntry *entry, uint32_t partition);
+void EntryIdem_Destroy(GfEntry *entry);
+
+void EntryFront_Handle(void *ctx, GfExchange *exchange);
+void EntryAdmin_Handle(GfEntry *entry, GfExchange *exchange,
+                       const GfName *operator_name);
+
+GfAnswer EntryXdr_ToAnswer(const gfx_answer *xdr);
+void EntryXdr_FromAnswer(const GfAnswer *answer, gfx_answer *xdr);
 
 #endif
--- a/src/entry/partitions.c
+++ b/src/entry/partitions.c
@@ -10,8 +10,8 @@
 #define PART "partitions"
 #define GROUP_MS 15
 #define COMPACT_SEGMENTS 256
-#define ALIVE_MS 6000
-#define ALIVE_MARGIN_MS 1000
+#define ALIVE_MS 5000
+#define ALIVE_MARGIN_MS 500
 #define UNOWNED_MS 4000
 #define OWNER_HEARD_MS 3000
 #define IDEM_KEEP_MS (24LL * 3600 * 1000)
@@ -236,12 +236,14 @@
         return;
     }
     const GfSettings *s = entry->settings;
+    const GfEndpoint *peer =
+        s->peer_advertised.address != NULL ? &s->peer_advertised : &s->peer;
     GfName key = row_key(&entry->member);
     GfTxn *txn = GfTxn_Create();
     GfTxn_Check(txn, &key, entry->own_row_version);
     GfTxn_Put(txn, &key,
-              json_pack("{s:s,s:i,s:i,s:s,s:I}", "address", s->peer.address,
-                        "port", (int)s->peer.port, "caller_port",
+              json_pack("{s:s,s:i,s:i,s:s,s:I}", "address", peer->address,
+                        "port", (int)peer->port, "caller_port",
                         (int)s->caller.port, "domain", s->failure_domain,
                         "incarnation", (json_int_t)(entry->incarnation >> 2)));
     entry->own_row_busy = true;
@@ -425,14 +427,13 @@
         p->suspect = false;
     }
     const EntryMemberRow *row = row_of(entry, &owner, incarnation);
-    if (row != NULL &&
-        GfTime_DiffMs(now, row->seen_at) < ALIVE_MS + ALIVE_MARGIN_MS) {
-        p->suspect = false;
-        return;
-    }
-    if (!p->suspect) {
+    if (row != NULL) {
+        p->suspect_since = row->seen_at;
         p->suspect = true;
+    }
+    else if (!p->suspect) {
         p->suspect_since = now;
+        p->suspect = true;
     }
     int64_t waited = GfTime_DiffMs(now, p->suspect_since);
     bool given_back = owner.len == 0;
--- a/src/entry/requests.c
+++ b/src/entry/requests.c
@@ -27,8 +27,7 @@
     struct event *timer;
 } Route;
 
-static void
-route_next(Route *r);
+static void route_next(Route *r);
 
 /* Copies a request with its body. */
 static EntryRequest
@@ -256,8 +255,7 @@
     struct event *timer;
 } Keyed;
 
-static void
-ask_owner(Keyed *k);
+static void ask_owner(Keyed *k);
 
 /* Answers the request and frees it. */
 static void
--- a/src/front/filters.c
+++ b/src/front/filters.c
@@ -260,15 +260,15 @@
         break;
     case ROUTE_JOB_SUBMIT:
         EntryJobs_Submit(entry, &call->team, &call->key, &call->body,
-                         Front_Answer, call);
+                         call->time_ms, Front_Answer, call);
         break;
     case ROUTE_JOB_STATUS:
         EntryJobs_Ask(entry, ENTRY_JOB_STATUS, &call->subject, &call->team,
-                      Front_Answer, call);
+                      call->time_ms, Front_Answer, call);
         break;
     case ROUTE_JOB_CANCEL:
         EntryJobs_Ask(entry, ENTRY_JOB_CANCEL, &call->subject, &call->team,
-                      Front_Answer, call);
+                      call->time_ms, Front_Answer, call);
         break;
     case ROUTE_ADMIN:
         EntryAdmin_Handle(entry, call->exchange, &call->operator_name);
--- a/src/front/front_private.h
+++ b/src/front/front_private.h
@@ -39,25 +39,17 @@
     FilterResult (*run)(FrontCall *call);
 } Filter;
 
-FilterResult
-FrontFilter_Identify(FrontCall *call);
-FilterResult
-FrontFilter_Admit(FrontCall *call);
-FilterResult
-FrontFilter_Authenticate(FrontCall *call);
-FilterResult
-FrontFilter_ReadHeaders(FrontCall *call);
-FilterResult
-FrontFilter_ReadBody(FrontCall *call);
-FilterResult
-FrontFilter_Dispatch(FrontCall *call);
-
-FilterResult
-Front_Refuse(FrontCall *call, GfErrorKind kind, const char *format, ...)
+FilterResult FrontFilter_Identify(FrontCall *call);
+FilterResult FrontFilter_Admit(FrontCall *call);
+FilterResult FrontFilter_Authenticate(FrontCall *call);
+FilterResult FrontFilter_ReadHeaders(FrontCall *call);
+FilterResult FrontFilter_ReadBody(FrontCall *call);
+FilterResult FrontFilter_Dispatch(FrontCall *call);
+
+FilterResult Front_Refuse(FrontCall *call, GfErrorKind kind,
+                          const char *format, ...)
     __attribute__((format(printf, 3, 4)));
-void
-Front_Answer(void *arg, const GfAnswer *answer);
-void
-Front_FreeCall(FrontCall *call);
+void Front_Answer(void *arg, const GfAnswer *answer);
+void Front_FreeCall(FrontCall *call);
 
 #endif
--- a/src/job/keeper.c
+++ b/src/job/keeper.c
@@ -16,6 +16,7 @@
 #define MAX_PARTITIONS 256
 #define REFUSED_RETRY_MS 50
 #define FAILED_RETRY_MS 200
+#define LIMIT_RETRY_MS 300
 #define SHARE_SCALE 1024
 #define ATTEMPTS_PER_EPOCH 4096
 
@@ -510,6 +511,12 @@
         note_running(keeper, t, &placement->rack, &placed->worker);
     }
     else if (placed->ran == GF_RAN_NO) {
+        if (placed->kind == GF_LIMIT_REACHED) {
+            struct timespec now = GfClock_Now(keeper->clock);
+            GfFleet_BlockTeam(keeper->fleet, &placement->rack,
+                              &placement->spec.team,
+                              GfTime_AddMs(now, LIMIT_RETRY_MS));
+        }
         requeue(keeper, t, REFUSED_RETRY_MS);
     }
     else {
@@ -826,7 +833,8 @@
     GfJob *job = t->job;
     uint32_t count = job->spec.gang ? job->spec.count : 1;
     const GfRackView *view =
-        GfFleet_PickForTask(k->fleet, k->control, &job->spec.need, count);
+        GfFleet_PickForTask(k->fleet, k->control, &job->spec.team,
+                            &job->spec.need, count, GfClock_Now(k->clock));
     if (view == NULL || !k->ops->may_place(k->ctx, job->partition) ||
         (job->spec.gang && !gang_waits(job))) {
         GfWaitQueue_Block(k->queue, t);
--- a/src/lease/rack.c
+++ b/src/lease/rack.c
@@ -30,6 +30,7 @@
     GfName boot;
     int64_t version;
     struct timespec received_at;
+    struct timespec given_up_at;
     bool known;
     bool tainted;
     Known *tasks;
@@ -308,6 +309,10 @@
         is_stale(w, grant, sent_at)) {
         return false;
     }
+    if (!GfTime_Before(w->given_up_at, sent_at)) {
+        /* The lease was given up after this call had been sent. */
+        return false;
+    }
     struct timespec until =
         GfTime_AddMs(sent_at, grant->ttl_ms - rack->config.margin_ms);
     if (!GfTime_Before(now, until)) {
@@ -345,6 +350,7 @@
     Worker *w = find_worker(rack, worker);
     if (w != NULL) {
         w->until = (struct timespec){0};
+        w->given_up_at = now;
     }
     update_term(rack, now);
 }
--- a/src/limit/allot.c
+++ b/src/limit/allot.c
@@ -5,8 +5,6 @@
 
 #include <uthash.h>
 
-#define POOL_DIVISOR 4
-
 typedef struct {
     GfName team;
     GfAmount amount;
@@ -205,25 +203,24 @@
     }
 }
 
-/* Returns how much one dimension yields: what is wanted, or a part of the
- * pool if that is more, but never more than the pool. */
+/* Returns how much one dimension yields. */
 static uint64_t
-take(uint64_t pool, uint64_t wanted, size_t rack_count)
+take(uint64_t pool, uint64_t wanted, uint64_t least, size_t rack_count)
 {
-    if (wanted == 0) {
-        return 0;
-    }
-    uint64_t chunk = pool / (POOL_DIVISOR * (rack_count + 1));
-    uint64_t amount = wanted > chunk ? wanted : chunk;
+    uint64_t part = pool / (rack_count > 0 ? rack_count : 1);
+    uint64_t bound = part > least ? part : least;
+    uint64_t amount = wanted < bound ? wanted : bound;
     return amount < pool ? amount : pool;
 }
 
 /* Returns how much a rack takes from the pool when it lacks the wanted
- * amount. */
+ * amount: at most one rack's part of the pool, so that racks which ask at the
+ * same time all get something, but at least what its next task needs. */
 GfAmount
-GfPool_Take(GfAmount pool, GfAmount wanted, size_t rack_count)
+GfPool_Take(GfAmount pool, GfAmount wanted, GfAmount least, size_t rack_count)
 {
-    return (GfAmount){.mcores = take(pool.mcores, wanted.mcores, rack_count),
-                      .requests =
-                          take(pool.requests, wanted.requests, rack_count)};
+    return (GfAmount){
+        .mcores = take(pool.mcores, wanted.mcores, least.mcores, rack_count),
+        .requests =
+            take(pool.requests, wanted.requests, least.requests, rack_count)};
 }
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -14,6 +14,7 @@
 #include "guavaflow/clock.h"
 
 #define ENDPOINT_BYTES 80
+#define GRACE_MS 20
 #define MAX_IDLE_PER_ENDPOINT 64
 #define MAX_HEADER_BYTES 16384
 #define MAX_BODY_BYTES (8 * 1024 * 1024)
@@ -38,6 +39,7 @@
     GfHttpCallback callback;
     void *arg;
     struct event *timer;
+    bool in_grace;
     struct Pending *next;
     struct Pending *prev;
 } Pending;
@@ -208,6 +210,13 @@
     (void)fd;
     (void)what;
     Pending *p = arg;
+    if (!p->in_grace) {
+        /* After a pause of this process the answer may wait to be read. */
+        p->in_grace = true;
+        struct timeval grace = GfTime_Interval(GRACE_MS);
+        evtimer_add(p->timer, &grace);
+        return;
+    }
     GfHttpResult result = {.kind = GF_TIMEOUT, .sent = true};
     Connection *c = p->connection;
     GfHttpCallback callback = p->callback;
--- a/src/rpc/record.h
+++ b/src/rpc/record.h
@@ -6,9 +6,8 @@
 
 typedef enum { RECORD_WHOLE, RECORD_PARTIAL, RECORD_BAD } RecordState;
 
-RecordState
-Record_Read(struct evbuffer *in, size_t max_bytes, char **data, size_t *len);
-void
-Record_Write(struct evbuffer *out, const char *data, size_t len);
+RecordState Record_Read(struct evbuffer *in, size_t max_bytes, char **data,
+                        size_t *len);
+void Record_Write(struct evbuffer *out, const char *data, size_t len);
 
 #endif
--- a/src/rpc/rpc_client.c
+++ b/src/rpc/rpc_client.c
@@ -16,6 +16,7 @@
 #define ADDRESS_BYTES 64
 #define CALL_HEADER_BYTES 512
 #define RECONNECT_MS 100
+#define GRACE_MS 20
 
 typedef struct Pending {
     GfRpcClient *client;
@@ -24,6 +25,7 @@
     size_t result_bytes;
     struct timespec started;
     struct event *timer;
+    bool in_grace;
     GfRpcCallback callback;
     void *arg;
     UT_hash_handle hh;
@@ -193,6 +195,13 @@
     (void)what;
     Pending *p = arg;
     GfRpcClient *client = p->client;
+    if (!p->in_grace) {
+        /* After a pause of this process the answer may wait to be read. */
+        p->in_grace = true;
+        struct timeval grace = GfTime_Interval(GRACE_MS);
+        evtimer_add(p->timer, &grace);
+        return;
+    }
     GfRpcOutcome outcome = {.kind = GF_TIMEOUT, .sent = true};
     bool silent = GfTime_Before(client->last_read, p->started);
     complete(p, &outcome);
--- a/src/sched/fleet.c
+++ b/src/sched/fleet.c
@@ -5,9 +5,19 @@
 
 #include <uthash.h>
 
+#define MAX_BLOCKS 8
+
+/* A team that a rack had no allotment for. */
+typedef struct {
+    GfName team;
+    struct timespec until;
+} Block;
+
 typedef struct {
     GfRackView view;
     GfName domain;
+    Block blocks[MAX_BLOCKS];
+    size_t next_block;
 } Rack;
 
 typedef struct {
@@ -181,19 +191,55 @@
     return r->view.open && !GfControl_DomainIsOut(control, &r->domain);
 }
 
-/* Picks a rack for tasks of one need: of two usable racks with room, drawn at
- * random, the one with more free processors (the power of two choices,
- * Mitzenmacher 2001). Returns NULL if none has room. */
+/* Notes that a rack refused a team for its allotment. The rack is passed over
+ * for the team until it can have got more. */
+void
+GfFleet_BlockTeam(GfFleet *fleet, const GfName *rack, const GfName *team,
+                  struct timespec until)
+{
+    Rack *r = find(fleet, rack);
+    if (r == NULL) {
+        return;
+    }
+    size_t at = 0;
+    while (at < MAX_BLOCKS && !GfName_Equal(&r->blocks[at].team, team)) {
+        at++;
+    }
+    if (at == MAX_BLOCKS) {
+        at = r->next_block;
+        r->next_block = (r->next_block + 1) % MAX_BLOCKS;
+    }
+    r->blocks[at] = (Block){.team = *team, .until = until};
+}
+
+/* Tells whether a rack is passed over for a team. */
+static bool
+is_blocked(const Rack *r, const GfName *team, struct timespec now)
+{
+    for (size_t i = 0; i < MAX_BLOCKS; i++) {
+        if (GfTime_Before(now, r->blocks[i].until) &&
+            GfName_Equal(&r->blocks[i].team, team)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Picks a rack for tasks of one team and need: of two usable racks with room,
+ * drawn at random, the one with more free processors (the power of two
+ * choices, Mitzenmacher 2001). Returns NULL if none has room. */
 const GfRackView *
 GfFleet_PickForTask(GfFleet *fleet, const GfControl *control,
-                    const GfRoom *need, uint32_t count)
+                    const GfName *team, const GfRoom *need, uint32_t count,
+                    struct timespec now)
 {
     const Rack *picks[2] = {NULL, NULL};
     uint32_t seen = 0;
     for (size_t i = 0; i < fleet->count; i++) {
         const Rack *r = &fleet->racks[i];
         if (!is_usable(r, control) || !GfRoom_Fits(&r->view.widest, need) ||
-            r->view.free_mcores < need->mcores * count) {
+            r->view.free_mcores < need->mcores * count ||
+            is_blocked(r, team, now)) {
             continue;
         }
         seen++;
--- a/src/sched/rack_agent.c
+++ b/src/sched/rack_agent.c
@@ -411,16 +411,18 @@
 yield_minority(GfRackAgent *agent, struct timespec now)
 {
     const GfLeaseSettings *lease = &agent->env->settings->lease;
-    int64_t waited = GfTime_DiffMs(now, agent->no_term_since);
-    if (!agent->refused || waited < lease->ttl_ms ||
-        GfRack_HeldCount(agent->rack, now) == 0) {
+    if (!agent->refused || GfRack_HeldCount(agent->rack, now) == 0) {
+        agent->minority_since = now;
+        return;
+    }
+    if (GfTime_DiffMs(now, agent->minority_since) < lease->ttl_ms) {
         return;
     }
     release_all(agent);
     agent->refused = false;
-    agent->no_term_since = now;
+    agent->minority_since = now;
     agent->back_off_until =
-        GfTime_AddMs(now, RackAgent_Random(agent) % (lease->ttl_ms * 2));
+        GfTime_AddMs(now, RackAgent_Random(agent) % lease->ttl_ms);
 }
 
 /* Sums the ids of the workers' leases. */
@@ -442,14 +444,11 @@
 watch_term(GfRackAgent *agent, struct timespec now)
 {
     if (!GfRack_InTerm(agent->rack, now)) {
-        if (agent->no_term_since.tv_sec == 0) {
-            agent->no_term_since = now;
-        }
         if (agent->term != 0) {
             GfLog(GF_LOG_INFO, PART, "The term on rack %s has ended.",
                   agent->name.data);
             agent->term = 0;
-            agent->no_term_since = now;
+            agent->minority_since = now;
             RackRequests_Fail(agent, GF_LEASE_LOST);
         }
         return;
--- a/src/sched/rack_agent_private.h
+++ b/src/sched/rack_agent_private.h
@@ -56,10 +56,12 @@
     UT_hash_handle hh;
 } RackTeamLoad;
 
-/* A team's lack of allotment, and the most it used lately. */
+/* What a team lacks: in all, and for the last thing that was refused; and the
+ * most that it used lately. */
 typedef struct {
     GfName team;
     GfAmount lacking;
+    GfAmount least;
     GfAmount peak;
     UT_hash_handle hh;
 } RackDemand;
@@ -105,7 +107,7 @@
     bool refused;
     uint64_t term;
     struct timespec term_started;
-    struct timespec no_term_since;
+    struct timespec minority_since;
     struct timespec back_off_until;
     struct timespec next_drain;
     RackStart *starts;
@@ -121,43 +123,26 @@
     uint32_t random;
 };
 
-bool
-RackAgent_IsCleanTakeover(const GfRackAgent *agent);
-struct timespec
-RackAgent_Now(const GfRackAgent *agent);
-uint32_t
-RackAgent_Random(GfRackAgent *agent);
-RackWorker *
-RackAgent_FindWorker(GfRackAgent *agent, const GfName *name);
-bool
-RackAgent_MayStart(GfRackAgent *agent, GfErrorKind *why);
-void
-RackAgent_CallLease(RackWorker *worker, bool fence);
-
-void
-RackTasks_OnFlight(void *ctx, const GfName *worker, const GfTaskSpec *spec,
-                   bool seen);
-void
-RackTasks_Drain(GfRackAgent *agent);
-
-void
-RackRequests_Tick(GfRackAgent *agent);
-void
-RackRequests_Fail(GfRackAgent *agent, GfErrorKind kind);
-void
-RackRequests_View(GfRackAgent *agent, GfRackView *view);
-uint32_t
-RackRequests_TeamLoad(const GfRackAgent *agent, const GfName *team);
-void
-RackRequests_SetTarget(GfRackAgent *agent, const GfHost *host);
-
-void
-RackAllot_Init(GfRackAgent *agent);
-void
-RackAllot_Clear(GfRackAgent *agent);
-void
-RackAllot_Tick(GfRackAgent *agent);
-bool
-RackAllot_Admits(GfRackAgent *agent, const GfName *team, GfAmount need);
+bool RackAgent_IsCleanTakeover(const GfRackAgent *agent);
+struct timespec RackAgent_Now(const GfRackAgent *agent);
+uint32_t RackAgent_Random(GfRackAgent *agent);
+RackWorker *RackAgent_FindWorker(GfRackAgent *agent, const GfName *name);
+bool RackAgent_MayStart(GfRackAgent *agent, GfErrorKind *why);
+void RackAgent_CallLease(RackWorker *worker, bool fence);
+
+void RackTasks_OnFlight(void *ctx, const GfName *worker,
+                        const GfTaskSpec *spec, bool seen);
+void RackTasks_Drain(GfRackAgent *agent);
+
+void RackRequests_Tick(GfRackAgent *agent);
+void RackRequests_Fail(GfRackAgent *agent, GfErrorKind kind);
+void RackRequests_View(GfRackAgent *agent, GfRackView *view);
+uint32_t RackRequests_TeamLoad(const GfRackAgent *agent, const GfName *team);
+void RackRequests_SetTarget(GfRackAgent *agent, const GfHost *host);
+
+void RackAllot_Init(GfRackAgent *agent);
+void RackAllot_Clear(GfRackAgent *agent);
+void RackAllot_Tick(GfRackAgent *agent);
+bool RackAllot_Admits(GfRackAgent *agent, const GfName *team, GfAmount need);
 
 #endif
--- a/src/sched/rack_allot.c
+++ b/src/sched/rack_allot.c
@@ -105,9 +105,11 @@
     }
     if (mcores > 0) {
         d->lacking.mcores += need.mcores;
+        d->least.mcores = mcores;
     }
     if (requests > 0 && d->lacking.requests <= agent->queued) {
         d->lacking.requests += need.requests;
+        d->least.requests = requests;
     }
     return false;
 }
@@ -252,7 +254,8 @@
     RackDemand *d = get_demand(a, team);
     GfAmount have = GfParts_Get(a->next_parts, team, control);
     GfAmount pool = GfParts_Get(a->pool, team, control);
-    GfAmount take = GfPool_Take(pool, d->lacking, *agent->env->rack_count);
+    GfAmount take =
+        GfPool_Take(pool, d->lacking, d->least, *agent->env->rack_count);
     GfAmount give = {0};
     if (giving) {
         GfAmount use = {.mcores = GfRack_TeamUse(agent->rack, team, now),
--- /dev/null
+++ b/tests/fault/cluster.h
@@ -0,0 +1,87 @@
+/* A small cluster of separate processes on loopback, a load that records each
+ * answer, and a checker that judges by the stand-ins' history. */
+#ifndef GUAVAFLOW_TESTS_CLUSTER_H
+#define GUAVAFLOW_TESTS_CLUSTER_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define CLUSTER_MAX_ENTRIES 6
+#define CLUSTER_DESK_KEY "gfk_desk_0123456789abcdef"
+#define CLUSTER_NESTING_KEY "gfk_nesting_0123456789abcdef"
+#define CLUSTER_OPS_KEY "gfk_ops_0123456789abcdef"
+
+typedef struct {
+    uint16_t base_port;
+    int entries;
+    int racks;
+    int workers_per_rack;
+    int targets_per_rack;
+    int desk_cores;
+    int nesting_cores;
+    int desk_requests;
+    bool relays;
+} ClusterConfig;
+
+typedef struct Cluster Cluster;
+
+/* One call of the load and its answer. kind is empty until it is answered. */
+typedef struct {
+    char tag[64];
+    char key[64];
+    int entry;
+    int64_t sent_at;
+    int64_t answered_at;
+    int status;
+    char kind[32];
+    char ran[16];
+    char echo[64];
+    char request[64];
+} ClusterCall;
+
+Cluster *Cluster_Start(const ClusterConfig *config);
+void Cluster_Stop(Cluster *cluster);
+void Cluster_StartEntry(Cluster *cluster, int entry);
+void Cluster_SignalEntry(Cluster *cluster, int entry, int sig);
+bool Cluster_EntryHasExited(Cluster *cluster, int entry);
+int64_t Cluster_NowMs(void);
+
+void Cluster_Run(Cluster *cluster, int ms);
+bool Cluster_RunUntil(Cluster *cluster, bool (*done)(Cluster *, void *),
+                      void *arg, int limit_ms);
+bool Cluster_WaitServing(Cluster *cluster, int limit_ms);
+void Cluster_SetLoad(Cluster *cluster, int requests_per_s, int keyed_per_s,
+                     int work_ms);
+void Cluster_SetEntryInLoad(Cluster *cluster, int entry, bool in);
+const ClusterCall *Cluster_Calls(const Cluster *cluster, size_t *count);
+
+json_t *Cluster_Call(Cluster *cluster, uint16_t port, const char *method,
+                     const char *path, const char *key, json_t *body,
+                     int *status);
+uint16_t Cluster_CallerPort(const Cluster *cluster, int entry);
+uint16_t Cluster_PeerPort(const Cluster *cluster, int entry);
+uint16_t Cluster_PlatformPort(const Cluster *cluster);
+uint16_t Cluster_WorkersPort(const Cluster *cluster, int rack);
+uint16_t Cluster_TargetsPort(const Cluster *cluster, int rack);
+uint16_t Cluster_PlatformRelay(const Cluster *cluster, int entry);
+uint16_t Cluster_PeerRelay(const Cluster *cluster, int entry);
+void Cluster_Fault(Cluster *cluster, uint16_t port, const char *mode,
+                   const char *path, int slow_ms);
+void Cluster_Cut(Cluster *cluster, uint16_t relay_control, bool forward,
+                 bool back);
+char *Cluster_Submit(Cluster *cluster, int entry, const char *key,
+                     json_t *job);
+json_t *Cluster_JobStates(Cluster *cluster, int entry, const char *key,
+                          const char *job);
+json_t *Cluster_Metrics(Cluster *cluster, int entry);
+json_t *Cluster_Change(Cluster *cluster, int entry, const char *path,
+                       json_t *body);
+char *Cluster_Bundle(Cluster *cluster, int version, const char *desk_key,
+                     int desk_cores, int nesting_cores);
+json_t *Cluster_ProposeBody(Cluster *cluster, const char *bundle);
+
+json_t *Cluster_History(Cluster *cluster);
+int Cluster_CountBreaches(Cluster *cluster);
+
+#endif
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -13,19 +13,12 @@
     FAKE_HOLD
 } FakeMode;
 
-FakeStore *
-FakeStore_Create(void);
-GfStore *
-FakeStore_Base(FakeStore *fake);
-void
-FakeStore_SetMode(FakeStore *fake, FakeMode mode);
-size_t
-FakeStore_Held(const FakeStore *fake);
-void
-FakeStore_Deliver(FakeStore *fake, size_t index, FakeMode mode);
-size_t
-FakeStore_Commits(const FakeStore *fake);
-json_t *
-FakeStore_Row(FakeStore *fake, const char *key, int64_t *version);
+FakeStore *FakeStore_Create(void);
+GfStore *FakeStore_Base(FakeStore *fake);
+void FakeStore_SetMode(FakeStore *fake, FakeMode mode);
+size_t FakeStore_Held(const FakeStore *fake);
+void FakeStore_Deliver(FakeStore *fake, size_t index, FakeMode mode);
+size_t FakeStore_Commits(const FakeStore *fake);
+json_t *FakeStore_Row(FakeStore *fake, const char *key, int64_t *version);
 
 #endif
--- a/tests/support/suite.h
+++ b/tests/support/suite.h
@@ -9,8 +9,7 @@
     void (*run)(void);
 } SuiteTest;
 
-int
-Suite_Run(const char *name, const SuiteTest *tests, size_t count);
+int Suite_Run(const char *name, const SuiteTest *tests, size_t count);
 
 #define SUITE_MAIN(name, tests)                                               \
     int main(void)                                                            \
--- a/tests/unit/rack.c
+++ b/tests/unit/rack.c
@@ -145,11 +145,30 @@
     GfRack_Destroy(rack);
 }
 
+/* The answer to a renewal that was sent before the lease was given up does
+ * not bring the lease back. */
+static void
+test_given_up(void)
+{
+    GfRack *rack = make_rack();
+    grant(rack, 0, 1, 1, NULL, 0, clock_.time);
+    struct timespec sent = clock_.time;
+    GfManualClock_Advance(&clock_, 100);
+    GfRack_GivenUp(rack, &workers[0], clock_.time);
+    CU_ASSERT_FALSE(grant(rack, 0, 1, 2, NULL, 0, sent));
+    CU_ASSERT_FALSE(GfRack_Holds(rack, &workers[0], clock_.time));
+    GfManualClock_Advance(&clock_, 1);
+    CU_ASSERT_TRUE(grant(rack, 0, 2, 2, NULL, 0, clock_.time));
+    CU_ASSERT_TRUE(GfRack_Holds(rack, &workers[0], clock_.time));
+    GfRack_Destroy(rack);
+}
+
 static const SuiteTest TESTS[] = {
     {"term", test_term},
     {"lease counts from send", test_lease_counts_from_send},
     {"reserve", test_reserve},
     {"flights", test_flights},
-    {"stale", test_stale}};
+    {"stale", test_stale},
+    {"given up", test_given_up}};
 
 SUITE_MAIN("rack", TESTS)
