--- a/include/guavaflow/http.h
+++ b/include/guavaflow/http.h
@@ -10,14 +10,18 @@
 #include "guavaflow/error.h"
 #include "guavaflow/name.h"
 
+#define GF_HTTP_ID_HEADER "X-Request-Id"
+
 typedef struct GfHttp GfHttp;
 
 /* The outcome of a call. kind is GF_OK when a whole answer arrived, whatever
- * its status. sent is false only if no byte of the call left this process. */
+ * its status. sent is false only if no byte of the call left this process.
+ * request_id is the answer's X-Request-Id, or NULL. */
 typedef struct {
     GfErrorKind kind;
     bool sent;
     int status;
+    const char *request_id;
     const char *body;
     size_t body_len;
 } GfHttpResult;
--- a/include/guavaflow/task.h
+++ b/include/guavaflow/task.h
@@ -52,6 +52,7 @@
     GfTaskSpec spec;
     GfTaskState state;
     int exit_code;
+    int64_t started_ms;
 } GfTask;
 
 bool GfRoom_Fits(const GfRoom *room, const GfRoom *need);
--- a/src/job/keeper.c
+++ b/src/job/keeper.c
@@ -560,8 +560,8 @@
     bool spent = t->failures >= k->config.max_failures && !endless;
     if (!job->repeatable || spent) {
         finish_task(k, t,
-                    event->state == GF_TASK_FAILED ? GF_JOB_FAILED
-                                                   : GF_JOB_UNKNOWN);
+                    event->state == GF_TASK_LOST ? GF_JOB_UNKNOWN
+                                                 : GF_JOB_FAILED);
         return;
     }
     requeue(k, t, event->state == GF_TASK_FAILED ? FAILED_RETRY_MS : 0);
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -193,8 +193,9 @@
     result.status = evhttp_request_get_response_code(req);
     result.body_len = evbuffer_get_length(in);
     result.body = (const char *)evbuffer_pullup(in, -1);
-    const char *token = evhttp_find_header(
-        evhttp_request_get_input_headers(req), "Connection");
+    struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
+    result.request_id = evhttp_find_header(headers, GF_HTTP_ID_HEADER);
+    const char *token = evhttp_find_header(headers, "Connection");
     bool reuse = token == NULL || evutil_ascii_strcasecmp(token, "close") != 0;
     GfStr copy = GfStr_Copy(result.body, result.body_len);
     result.body = copy.data;
--- a/src/sched/rack_agent.c
+++ b/src/sched/rack_agent.c
@@ -173,6 +173,7 @@
         json_string_value(json_object_get(json, "state")));
     task->exit_code =
         (int)json_integer_value(json_object_get(json, "exit_code"));
+    task->started_ms = json_integer_value(json_object_get(spec, "started"));
     GfTaskSpec *s = &task->spec;
     s->need.mcores =
         (uint32_t)json_integer_value(json_object_get(spec, "mcores"));
@@ -517,6 +518,7 @@
     }
     RackAllot_Tick(agent);
     RackTasks_Drain(agent);
+    RackTasks_EnforceLimits(agent);
     RackRequests_Tick(agent);
 }
 
--- a/src/sched/rack_agent_private.h
+++ b/src/sched/rack_agent_private.h
@@ -110,6 +110,7 @@
     struct timespec minority_since;
     struct timespec back_off_until;
     struct timespec next_drain;
+    struct timespec next_enforcement;
     RackStart *starts;
     struct {
         uint64_t epoch;
@@ -133,6 +134,7 @@
 void RackTasks_OnFlight(void *ctx, const GfName *worker,
                         const GfTaskSpec *spec, bool seen);
 void RackTasks_Drain(GfRackAgent *agent);
+void RackTasks_EnforceLimits(GfRackAgent *agent);
 
 void RackRequests_Tick(GfRackAgent *agent);
 void RackRequests_Fail(GfRackAgent *agent, GfErrorKind kind);
@@ -143,6 +145,8 @@
 void RackAllot_Init(GfRackAgent *agent);
 void RackAllot_Clear(GfRackAgent *agent);
 void RackAllot_Tick(GfRackAgent *agent);
+bool RackAllot_IsKnown(const GfRackAgent *agent);
+uint64_t RackAllot_Excess(GfRackAgent *agent, const GfName *team);
 bool RackAllot_Admits(GfRackAgent *agent, const GfName *team, GfAmount need);
 
 #endif
--- a/src/sched/rack_allot.c
+++ b/src/sched/rack_allot.c
@@ -114,6 +114,24 @@
     return false;
 }
 
+/* Tells whether the rack's allotments of the running term are known. */
+bool
+RackAllot_IsKnown(const GfRackAgent *agent)
+{
+    return agent->allot.term == GfRack_Term(agent->rack) &&
+           !agent->allot.frozen;
+}
+
+/* Returns by how many millicores a team's running tasks exceed the rack's
+ * allotment. That happens only when the team's limit was lowered. */
+uint64_t
+RackAllot_Excess(GfRackAgent *agent, const GfName *team)
+{
+    GfAmount have = GfParts_Get(agent->allot.parts, team, agent->env->control);
+    uint64_t use = GfRack_SeenUse(agent->rack, team);
+    return use > have.mcores ? use - have.mcores : 0;
+}
+
 /* Sets the allotments to what each team was found running, for as long as
  * the rack's row cannot be read. */
 static void
--- a/src/sched/rack_requests.c
+++ b/src/sched/rack_requests.c
@@ -13,7 +13,6 @@
 #define STATUS_ERROR 500
 #define DOWN_MS 500
 #define MAX_DOWN_MS 8000
-#define ID_HEADER "X-Request-Id"
 
 /* A request that waits for a slot or runs on one. */
 struct RackRequest {
@@ -219,14 +218,6 @@
                                   ms < MAX_DOWN_MS ? ms : MAX_DOWN_MS);
 }
 
-/* Tells whether a target's answer is the one to this request. */
-static bool
-is_own_answer(const RackRequest *r, const json_t *echo)
-{
-    const char *text = json_string_value(echo);
-    return text != NULL && strcmp(text, r->request.id.data) == 0;
-}
-
 /* Makes the caller's answer of a target's. An answer that is not whole or
  * belongs to another request says nothing about this one. */
 static GfAnswer
@@ -241,10 +232,8 @@
                              "target %s gave no whole answer",
                              r->instance.data);
     }
-    json_t *body = GfHttp_ParseJson(result);
-    bool own = is_own_answer(r, json_object_get(body, "echo"));
-    json_decref(body);
-    if (!own) {
+    if (result->request_id == NULL ||
+        strcmp(result->request_id, r->request.id.data) != 0) {
         return GfAnswer_Make(GF_PROTOCOL, GF_RAN_UNKNOWN,
                              "target %s answered another request",
                              r->instance.data);
@@ -293,7 +282,7 @@
     get_load(agent, &r->request.team)->requests++;
     int64_t left = GfTime_DiffMs(r->deadline, now);
     uint32_t limit = request_limit(agent, &r->request.service);
-    GfHttpHeader headers[] = {{ID_HEADER, r->request.id.data},
+    GfHttpHeader headers[] = {{GF_HTTP_ID_HEADER, r->request.id.data},
                               {"X-Team", r->request.team.data},
                               {"Content-Type", "application/json"}};
     GfHttpCall call = {.address = in->address,
--- a/src/sched/rack_tasks.c
+++ b/src/sched/rack_tasks.c
@@ -11,6 +11,7 @@
 #define STATUS_CONFLICT 409
 #define DRAIN_INTERVAL_MS 200
 #define DRAIN_BATCH 16
+#define ENFORCE_INTERVAL_MS 500
 #define MIN_STARTS_TO_JUDGE 5
 #define ASIDE_MS 30000
 
@@ -561,3 +562,63 @@
     Drain drain = {.agent = agent};
     GfRack_ForEachTask(agent->rack, drain_task, &drain);
 }
+
+typedef struct {
+    GfName team;
+    const GfTask *newest;
+    GfName worker;
+    int64_t before_ms;
+} Newest;
+
+/* Notes a team's running task that was started last, of those started before
+ * the given time. */
+static void
+find_newest(void *ctx, const GfName *worker, const GfTask *task)
+{
+    Newest *n = ctx;
+    if (task->state == GF_TASK_RUNNING &&
+        GfName_Equal(&task->spec.team, &n->team) &&
+        task->started_ms < n->before_ms &&
+        (n->newest == NULL || task->started_ms > n->newest->started_ms)) {
+        n->newest = task;
+        n->worker = *worker;
+    }
+}
+
+/* Stops the newest tasks of a team until the rest is within the allotment.
+ * What is repeatable is checkpointed and waits for room. */
+static void
+stop_excess(GfRackAgent *agent, const GfName *team)
+{
+    uint64_t excess = RackAllot_Excess(agent, team);
+    Newest n = {.team = *team, .before_ms = INT64_MAX};
+    while (excess > 0) {
+        n.newest = NULL;
+        GfRack_ForEachTask(agent->rack, find_newest, &n);
+        if (n.newest == NULL) {
+            return;
+        }
+        send_stop(agent, &n.worker, &n.newest->spec.id,
+                  n.newest->spec.repeatable ? GF_STOP_CHECKPOINT
+                                            : GF_STOP_KILL);
+        uint64_t freed = n.newest->spec.need.mcores;
+        excess = excess > freed ? excess - freed : 0;
+        n.before_ms = n.newest->started_ms;
+    }
+}
+
+/* Stops work above allotments that a lowered limit has scaled down. */
+void
+RackTasks_EnforceLimits(GfRackAgent *agent)
+{
+    struct timespec now = RackAgent_Now(agent);
+    const GfBundle *bundle = GfControl_Bundle(agent->env->control);
+    if (agent->term == 0 || GfTime_Before(now, agent->next_enforcement) ||
+        bundle == NULL || !RackAllot_IsKnown(agent)) {
+        return;
+    }
+    agent->next_enforcement = GfTime_AddMs(now, ENFORCE_INTERVAL_MS);
+    for (size_t i = 0; i < GfBundle_TeamCount(bundle); i++) {
+        stop_excess(agent, &GfBundle_TeamAt(bundle, i)->name);
+    }
+}
--- a/tests/fault/cluster.c
+++ b/tests/fault/cluster.c
@@ -187,13 +187,12 @@
     event_base_loopbreak(s->base);
 }
 
-/* Makes a call and waits for it; the load goes on meanwhile. Takes the
- * body's reference. */
-json_t *
-Cluster_Call(Cluster *c, uint16_t port, const char *method, const char *path,
-             const char *key, json_t *body, int *status)
+/* Starts a call whose answer is waited for. Takes the body's reference. */
+static void
+start_call(Cluster *c, uint16_t port, const char *method, const char *path,
+           const char *key, json_t *body, Sync *s)
 {
-    Sync s = {.base = c->base};
+    s->base = c->base;
     char *text = body == NULL ? NULL : json_dumps(body, JSON_COMPACT);
     char bearer[160];
     GfHttpHeader headers[2] = {{"Content-Type", "application/json"}};
@@ -209,18 +208,47 @@
                        .body = text,
                        .body_len = text == NULL ? 0 : strlen(text),
                        .timeout_ms = CALL_TIMEOUT_MS};
-    GfHttp_Start(c->http, &call, on_sync, &s);
+    GfHttp_Start(c->http, &call, on_sync, s);
+    free(text);
+    json_decref(body);
+}
+
+/* Makes a call and waits for it; the load goes on meanwhile. Takes the
+ * body's reference. */
+json_t *
+Cluster_Call(Cluster *c, uint16_t port, const char *method, const char *path,
+             const char *key, json_t *body, int *status)
+{
+    Sync s = {0};
+    start_call(c, port, method, path, key, body, &s);
     while (!s.done) {
         event_base_dispatch(c->base);
     }
-    free(text);
-    json_decref(body);
     if (status != NULL) {
         *status = s.status;
     }
     return s.body;
 }
 
+/* Makes two operators' changes at the same time through two entries. Takes
+ * the bodies' references. */
+void
+Cluster_Race(Cluster *c, const char *path, json_t *first_body,
+             json_t *second_body, json_t **first, json_t **second)
+{
+    Sync a = {0};
+    Sync b = {0};
+    start_call(c, Cluster_CallerPort(c, 1), "POST", path, CLUSTER_OPS_KEY,
+               first_body, &a);
+    start_call(c, Cluster_CallerPort(c, 2), "POST", path, CLUSTER_OPS_KEY,
+               second_body, &b);
+    while (!a.done || !b.done) {
+        event_base_dispatch(c->base);
+    }
+    *first = a.body;
+    *second = b.body;
+}
+
 /* Writes the text of a bundle. */
 char *
 Cluster_Bundle(Cluster *c, int version, const char *desk_key, int desk_cores,
--- a/tests/fault/cluster.h
+++ b/tests/fault/cluster.h
@@ -59,6 +59,8 @@
 json_t *Cluster_Call(Cluster *cluster, uint16_t port, const char *method,
                      const char *path, const char *key, json_t *body,
                      int *status);
+void Cluster_Race(Cluster *cluster, const char *path, json_t *first_body,
+                  json_t *second_body, json_t **first, json_t **second);
 uint16_t Cluster_CallerPort(const Cluster *cluster, int entry);
 uint16_t Cluster_PeerPort(const Cluster *cluster, int entry);
 uint16_t Cluster_PlatformPort(const Cluster *cluster);
