--- a/include/guavaflow/job.h
+++ b/include/guavaflow/job.h
@@ -47,6 +47,7 @@
     bool durable;
     bool queued;
     uint64_t seq;
+    uint64_t mark;
     GfName rack;
     GfName worker;
     struct timespec next_try;
--- a/include/guavaflow/wait_queue.h
+++ b/include/guavaflow/wait_queue.h
@@ -8,18 +8,21 @@
 
 typedef struct GfWaitQueue GfWaitQueue;
 
-/* Returns how much a team has of its share, in any unit that is the same for
- * all teams. */
-typedef uint64_t (*GfShareFunction)(void *ctx, const GfName *team);
+/* Returns how much a team has of its share, or, if need is not NULL, how much
+ * of it that need is; in any unit that is the same for all teams. */
+typedef uint64_t (*GfShareFunction)(void *ctx, const GfName *team,
+                                    const GfRoom *need);
 
 GfWaitQueue *GfWaitQueue_Create(void);
 void GfWaitQueue_Destroy(GfWaitQueue *queue);
 void GfWaitQueue_Push(GfWaitQueue *queue, GfJobTask *task);
 void GfWaitQueue_Remove(GfWaitQueue *queue, GfJobTask *task);
 size_t GfWaitQueue_Count(const GfWaitQueue *queue);
-void GfWaitQueue_BeginRound(GfWaitQueue *queue);
-GfJobTask *GfWaitQueue_Next(GfWaitQueue *queue, struct timespec now,
-                            GfShareFunction share, void *ctx);
+void GfWaitQueue_BeginRound(GfWaitQueue *queue, GfShareFunction share,
+                            void *ctx);
+void GfWaitQueue_Charge(GfWaitQueue *queue, const GfJobTask *task,
+                        GfShareFunction share, void *ctx);
+GfJobTask *GfWaitQueue_Next(GfWaitQueue *queue, struct timespec now);
 void GfWaitQueue_Block(GfWaitQueue *queue, const GfJobTask *task);
 
 #endif
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -18,6 +18,7 @@
     {"key", "make keys", CmdKey_Run},
     {"member", "list entries and racks", CmdMember_Run},
     {"audit", "show and verify the audit trail", CmdAudit_Run},
+    {"load", "generate load and measure it", CmdLoad_Run},
 };
 
 #define COMMAND_COUNT (sizeof(COMMANDS) / sizeof(COMMANDS[0]))
--- a/src/control/bundle.c
+++ b/src/control/bundle.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include <sodium.h>
+#include <uthash.h>
 
 #include "guavaflow/yaml.h"
 
@@ -63,10 +64,26 @@
     unsigned services_count;
 } YamlBundle;
 
+/* A team or a service by its name, or a team by the hash of a key. */
+typedef struct {
+    GfName name;
+    unsigned index;
+    UT_hash_handle hh;
+} NameIndex;
+
+typedef struct {
+    const char *hash;
+    unsigned team;
+    UT_hash_handle hh;
+} KeyIndex;
+
 struct GfBundle {
     YamlBundle *yaml;
     GfTeam *teams;
     GfService *services;
+    NameIndex *team_index;
+    NameIndex *service_index;
+    KeyIndex *key_index;
 };
 
 static const cyaml_schema_value_t TEXT = {
@@ -150,6 +167,47 @@
                        path, what, index, text);
 }
 
+/* Adds a name to an index; returns false if it is there already. */
+static bool
+index_name(NameIndex **table, const GfName *name, unsigned index)
+{
+    NameIndex *entry;
+    HASH_FIND(hh, *table, name, sizeof(*name), entry);
+    if (entry != NULL) {
+        return false;
+    }
+    entry = calloc(1, sizeof(*entry));
+    if (entry == NULL) {
+        abort();
+    }
+    entry->name = *name;
+    entry->index = index;
+    HASH_ADD(hh, *table, name, sizeof(entry->name), entry);
+    return true;
+}
+
+/* Frees an index of names. */
+static void
+free_names(NameIndex **table)
+{
+    NameIndex *entry;
+    NameIndex *tmp;
+    HASH_ITER(hh, *table, entry, tmp)
+    {
+        HASH_DEL(*table, entry);
+        free(entry);
+    }
+}
+
+/* Finds a key's hash in the index, or returns NULL. */
+static KeyIndex *
+find_key(const GfBundle *b, const char *hash)
+{
+    KeyIndex *entry;
+    HASH_FIND(hh, b->key_index, hash, GF_KEY_HASH_HEX, entry);
+    return entry;
+}
+
 /* Checks one team and takes it over. */
 static bool
 take_team(GfBundle *b, unsigned i, const char *path, GfError *error)
@@ -177,12 +235,10 @@
                 path, i, k, GF_KEY_HASH_HEX);
         }
     }
-    for (unsigned k = 0; k < i; k++) {
-        if (GfName_Equal(&b->teams[k].name, &team->name)) {
-            return GfError_Set(error, GF_BAD_CONFIG,
-                               "%s: teams[%u].name %s stands twice", path, i,
-                               yaml->name);
-        }
+    if (!index_name(&b->team_index, &team->name, i)) {
+        return GfError_Set(error, GF_BAD_CONFIG,
+                           "%s: teams[%u].name %s stands twice", path, i,
+                           yaml->name);
     }
     return true;
 }
@@ -208,27 +264,39 @@
                            path, i, service->request_limit_ms,
                            MAX_REQUEST_LIMIT_MS);
     }
+    if (!index_name(&b->service_index, &service->name, i)) {
+        return GfError_Set(error, GF_BAD_CONFIG,
+                           "%s: services[%u].name %s stands twice", path, i,
+                           yaml->name);
+    }
     return true;
 }
 
-/* Checks that no key belongs to two teams. */
+/* Checks that no key belongs to two teams and makes the keys' index. */
 static bool
-check_keys(const GfBundle *b, const char *path, GfError *error)
+check_keys(GfBundle *b, const char *path, GfError *error)
 {
     for (unsigned i = 0; i < b->yaml->teams_count; i++) {
         const YamlTeam *team = &b->yaml->teams[i];
         for (unsigned k = 0; k < team->keys_count; k++) {
-            for (unsigned j = i + 1; j < b->yaml->teams_count; j++) {
-                const YamlTeam *other = &b->yaml->teams[j];
-                for (unsigned m = 0; m < other->keys_count; m++) {
-                    if (strcmp(team->keys[k], other->keys[m]) == 0) {
-                        return GfError_Set(
-                            error, GF_BAD_CONFIG,
-                            "%s: teams[%u].keys[%u] is also a key of %s", path,
-                            j, m, team->name);
-                    }
-                }
+            KeyIndex *entry = find_key(b, team->keys[k]);
+            if (entry != NULL && entry->team != i) {
+                return GfError_Set(
+                    error, GF_BAD_CONFIG,
+                    "%s: teams[%u].keys[%u] is also a key of %s", path, i, k,
+                    b->yaml->teams[entry->team].name);
+            }
+            if (entry != NULL) {
+                continue;
+            }
+            entry = calloc(1, sizeof(*entry));
+            if (entry == NULL) {
+                abort();
             }
+            entry->hash = team->keys[k];
+            entry->team = i;
+            HASH_ADD_KEYPTR(hh, b->key_index, entry->hash, GF_KEY_HASH_HEX,
+                            entry);
         }
     }
     return true;
@@ -334,6 +402,15 @@
 GfBundle_Destroy(GfBundle *bundle)
 {
     if (bundle != NULL) {
+        free_names(&bundle->team_index);
+        free_names(&bundle->service_index);
+        KeyIndex *entry;
+        KeyIndex *tmp;
+        HASH_ITER(hh, bundle->key_index, entry, tmp)
+        {
+            HASH_DEL(bundle->key_index, entry);
+            free(entry);
+        }
         GfYaml_Free(&SCHEMA, bundle->yaml);
         free(bundle->teams);
         free(bundle->services);
@@ -374,12 +451,9 @@
 const GfTeam *
 GfBundle_FindTeam(const GfBundle *bundle, const GfName *name)
 {
-    for (size_t i = 0; i < GfBundle_TeamCount(bundle); i++) {
-        if (GfName_Equal(&bundle->teams[i].name, name)) {
-            return &bundle->teams[i];
-        }
-    }
-    return NULL;
+    NameIndex *entry;
+    HASH_FIND(hh, bundle->team_index, name, sizeof(*name), entry);
+    return entry == NULL ? NULL : &bundle->teams[entry->index];
 }
 
 /* Finds the team that a caller's key belongs to, or returns NULL. */
@@ -388,15 +462,8 @@
 {
     char hex[GF_KEY_HASH_HEX + 1];
     GfKey_Hash(key, strlen(key), hex);
-    for (unsigned i = 0; i < bundle->yaml->teams_count; i++) {
-        for (unsigned k = 0; k < bundle->yaml->teams[i].keys_count; k++) {
-            if (sodium_memcmp(bundle->yaml->teams[i].keys[k], hex,
-                              GF_KEY_HASH_HEX) == 0) {
-                return &bundle->teams[i];
-            }
-        }
-    }
-    return NULL;
+    KeyIndex *entry = find_key(bundle, hex);
+    return entry == NULL ? NULL : &bundle->teams[entry->team];
 }
 
 /* Finds the operator whom a key belongs to, or returns NULL. */
@@ -451,12 +518,9 @@
 const GfService *
 GfBundle_FindService(const GfBundle *bundle, const GfName *name)
 {
-    for (size_t i = 0; i < GfBundle_ServiceCount(bundle); i++) {
-        if (GfName_Equal(&bundle->services[i].name, name)) {
-            return &bundle->services[i];
-        }
-    }
-    return NULL;
+    NameIndex *entry;
+    HASH_FIND(hh, bundle->service_index, name, sizeof(*name), entry);
+    return entry == NULL ? NULL : &bundle->services[entry->index];
 }
 
 /* Returns the number of members who can sign. */
--- a/src/entry/control_sync.c
+++ b/src/entry/control_sync.c
@@ -11,6 +11,7 @@
 
 #define PART "control"
 #define HEAD_KEY "control/head"
+#define AT_KEY "control/at"
 #define POOL_KEY "allot-pool"
 #define FETCH_TIMEOUT_MS 1500
 
@@ -44,6 +45,16 @@
     }
 }
 
+/* Writes the small row that holds only a document's version. */
+static void
+put_at(GfTxn *txn, const json_t *document)
+{
+    GfName key = GfName_Format("%s", AT_KEY);
+    GfTxn_Put(
+        txn, &key,
+        json_pack("{s:O}", "version", json_object_get(document, "version")));
+}
+
 /* Writes the first bundle and the pool of its limits into an empty store. */
 static void
 bootstrap(GfEntry *entry)
@@ -75,6 +86,7 @@
     GfTxn_Check(txn, &head_key, 0);
     GfTxn_Check(txn, &pool_key, 0);
     GfTxn_Put(txn, &head_key, document);
+    put_at(txn, document);
     GfTxn_Put(txn, &pool_key, GfParts_Save(pool));
     entry->bootstrapping = true;
     GfStore_Commit(entry->store, txn, on_bootstrapped, entry);
@@ -83,9 +95,26 @@
     GfControl_Destroy(after);
 }
 
-/* Takes what the store says of the control state. */
+/* Takes the control state that the store holds. */
 static void
 on_head(void *arg, GfErrorKind kind, const GfRow *rows, size_t count)
+{
+    GfEntry *entry = arg;
+    entry->reading_control = false;
+    if (kind != GF_OK || count == 0) {
+        GfMetrics_Add(GF_METRIC_STORE_FAILURES, 1);
+        return;
+    }
+    take(entry, rows[0].value);
+    json_t *version = json_object_get(rows[0].value, "version");
+    GfControl_Confirm(entry->control, (uint64_t)json_integer_value(version),
+                      entry->control_asked);
+}
+
+/* Takes the version that the store holds: it confirms the one in force, or
+ * says that there is a newer one to read. */
+static void
+on_at(void *arg, GfErrorKind kind, const GfRow *rows, size_t count)
 {
     GfEntry *entry = arg;
     entry->reading_control = false;
@@ -98,13 +127,16 @@
         bootstrap(entry);
         return;
     }
-    take(entry, rows[0].value);
-    json_t *version = json_object_get(rows[0].value, "version");
-    GfControl_Confirm(entry->control, (uint64_t)json_integer_value(version),
-                      entry->control_asked);
+    json_t *value = json_object_get(rows[0].value, "version");
+    uint64_t version = (uint64_t)json_integer_value(value);
+    GfControl_Confirm(entry->control, version, entry->control_asked);
+    if (version > GfControl_Version(entry->control)) {
+        entry->reading_control = true;
+        GfStore_Read(entry->store, HEAD_KEY, on_head, entry);
+    }
 }
 
-/* Asks the store for the control state. */
+/* Asks the store for the version of the control state. */
 void
 EntryControl_Poll(GfEntry *entry)
 {
@@ -113,7 +145,7 @@
     }
     entry->reading_control = true;
     entry->control_asked = Entry_Now(entry);
-    GfStore_Read(entry->store, HEAD_KEY, on_head, entry);
+    GfStore_Read(entry->store, AT_KEY, on_at, entry);
 }
 
 /* Takes the control state that a peer sent. */
@@ -259,6 +291,7 @@
         GfTxn_Check(txn, &head->key, head->version);
         GfTxn_Check(txn, &pool_row->key, pool_row->version);
         GfTxn_Put(txn, &head->key, json_incref(c->next));
+        put_at(txn, c->next);
         GfTxn_Put(txn, &pool_row->key, GfParts_Save(pool));
         GfName audit_key = GfName_Format("audit/%012" PRId64, (int64_t)next);
         GfTxn_Check(txn, &audit_key, 0);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -92,6 +92,13 @@
     }
     entry->keep_until = keep;
     keep[entry->rack_count] = (struct timespec){0};
+    bool *wanted =
+        realloc(entry->wanted, (entry->rack_count + 1) * sizeof(*wanted));
+    if (wanted == NULL) {
+        abort();
+    }
+    entry->wanted = wanted;
+    wanted[entry->rack_count] = false;
     GfRackAgent *agent =
         GfRackAgent_Create(&entry->rack_env, &host->rack, &host->domain);
     entry->racks[entry->rack_count++] = agent;
@@ -258,7 +265,9 @@
     struct timespec now = Entry_Now(entry);
     watch_lag(entry, now);
     for (size_t i = 0; i < entry->rack_count; i++) {
-        GfRackAgent_Tick(entry->racks[i], wants_rack(entry, i, now));
+        if (entry->wanted[i] || GfRackAgent_HoldsAny(entry->racks[i])) {
+            GfRackAgent_Tick(entry->racks[i], entry->wanted[i]);
+        }
     }
     update_own_views(entry);
     EntryPartitions_Tick(entry);
@@ -268,6 +277,16 @@
     }
 }
 
+/* Looks which racks this entry should schedule. */
+static void
+update_wanted(GfEntry *entry)
+{
+    struct timespec now = Entry_Now(entry);
+    for (size_t i = 0; i < entry->rack_count; i++) {
+        entry->wanted[i] = wants_rack(entry, i, now);
+    }
+}
+
 /* Sends heartbeats and what travels with them. */
 static void
 on_beat(evutil_socket_t fd, short what, void *arg)
@@ -283,6 +302,7 @@
             GfFleet_ClearUse(entry->fleet, &m->name);
         }
     }
+    update_wanted(entry);
     EntryPeers_SendBeats(entry);
     EntryJobs_SendEvents(entry);
     EntryJobs_Find(entry);
@@ -450,6 +470,7 @@
     entry->stopping = true;
     entry->stop_began = Entry_Now(entry);
     GfMembers_SetSelfLeaving(entry->members);
+    update_wanted(entry);
     EntryPeers_SendBeats(entry);
 }
 
@@ -481,6 +502,7 @@
     }
     free(entry->racks);
     free(entry->keep_until);
+    free(entry->wanted);
     EntryIdem_Destroy(entry);
     EntryPartitions_Destroy(entry);
     GfKeeper_Destroy(entry->keeper);
--- a/src/entry/entry_private.h
+++ b/src/entry/entry_private.h
@@ -65,6 +65,7 @@
     GfRackEnv rack_env;
     GfRackAgent **racks;
     struct timespec *keep_until;
+    bool *wanted;
     size_t rack_count;
     EntryPartition partitions[ENTRY_MAX_PARTITIONS];
     EntryMemberRow *rows;
--- a/src/entry/partitions.c
+++ b/src/entry/partitions.c
@@ -478,12 +478,19 @@
     }
 }
 
-/* Reads members and heads from the store and renews this entry's row. */
+/* Reads the members from the store and renews this entry's row; reads the
+ * heads as well while some partition has no owner. */
 void
 EntryPartitions_Poll(GfEntry *entry)
 {
     GfStore_Read(entry->store, "member/", on_rows, entry);
-    GfStore_Read(entry->store, "part/", on_heads, entry);
+    GfName owner;
+    for (uint32_t i = 0; i < entry->settings->partitions; i++) {
+        if (!EntryPartitions_Owner(entry, i, &owner)) {
+            GfStore_Read(entry->store, "part/", on_heads, entry);
+            return;
+        }
+    }
 }
 
 /* Gives a partition to the entry that should own it, once that entry is in
--- a/src/job/keeper.c
+++ b/src/job/keeper.c
@@ -51,6 +51,7 @@
     GfWaitQueue *queue;
     Partition partitions[MAX_PARTITIONS];
     size_t states[GF_JOB_STATES];
+    uint64_t mark;
 };
 
 typedef struct {
@@ -619,17 +620,18 @@
     return p->open && (*urgent || keeper->states[GF_JOB_RUNNING] > 0);
 }
 
-/* Tells whether an event list names the task's current attempt. */
-static bool
-is_listed(const GfJobTask *t, const GfTaskEvent *events, size_t count)
+/* Marks the tasks whose current attempt an answer lists. */
+static void
+mark_listed(GfKeeper *k, const GfTaskEvent *events, size_t count)
 {
-    GfName id = GfJobTask_Id(t);
+    k->mark++;
     for (size_t i = 0; i < count; i++) {
-        if (GfName_Equal(&events[i].task, &id)) {
-            return true;
+        uint32_t attempt = 0;
+        GfJobTask *t = find_task(k, &events[i].task, &attempt);
+        if (t != NULL && attempt == t->attempt) {
+            t->mark = k->mark;
         }
     }
-    return false;
 }
 
 /* Settles a task that is on no rack it could be on. Whether one that is not
@@ -683,6 +685,7 @@
     if (!complete) {
         return;
     }
+    mark_listed(keeper, events, count);
     bool all = p->recovering && note_settled(keeper, p, rack);
     Entry *e;
     Entry *tmp;
@@ -697,7 +700,7 @@
             bool lost = t->state == GF_JOB_RUNNING && here;
             bool open =
                 t->state == GF_JOB_DOUBT && (t->rack.len > 0 ? here : all);
-            if ((lost || open) && !is_listed(t, events, count)) {
+            if ((lost || open) && t->mark != keeper->mark) {
                 settle_absent(keeper, t);
             }
         }
@@ -707,14 +710,17 @@
     }
 }
 
-/* Returns how much a team has of its share, for the order of the queues. */
+/* Returns how much of its share a team has, or a need is, for the order of
+ * the queues: dominant resource fairness (Ghodsi and others 2011), with
+ * processors as the resource that counts. */
 static uint64_t
-share_of(void *ctx, const GfName *team)
+share_of(void *ctx, const GfName *team, const GfRoom *need)
 {
     GfKeeper *k = ctx;
     const GfTeam *t = GfBundle_FindTeam(GfControl_Bundle(k->control), team);
-    GfAmount use = GfFleet_TeamUse(k->fleet, team);
-    return use.mcores * SHARE_SCALE / (t == NULL ? 1 : t->share);
+    uint64_t mcores =
+        need != NULL ? need->mcores : GfFleet_TeamUse(k->fleet, team).mcores;
+    return mcores * SHARE_SCALE / (t == NULL ? 1 : t->share);
 }
 
 /* Prepares the placement of a task on a rack. */
@@ -793,6 +799,7 @@
         placements[i] = make_placement(k, t, view);
         set_state(k, t, GF_JOB_PLACING);
         GfFleet_Reserve(k->fleet, &view->rack, &job->spec.need);
+        GfWaitQueue_Charge(k->queue, t, share_of, k);
     }
     k->ops->place(k->ctx, &view->holder, placements, job->spec.count, true);
     free(placements);
@@ -846,6 +853,7 @@
     }
     next_attempt(k, t);
     GfFleet_Reserve(k->fleet, &view->rack, &job->spec.need);
+    GfWaitQueue_Charge(k->queue, t, share_of, k);
     if (!job->spec.repeatable) {
         intend(k, t, view);
         return;
@@ -869,9 +877,9 @@
     }
     size_t group_count = 0;
     struct timespec now = GfClock_Now(keeper->clock);
-    GfWaitQueue_BeginRound(keeper->queue);
+    GfWaitQueue_BeginRound(keeper->queue, share_of, keeper);
     for (int i = 0; i < MAX_PER_ROUND; i++) {
-        GfJobTask *t = GfWaitQueue_Next(keeper->queue, now, share_of, keeper);
+        GfJobTask *t = GfWaitQueue_Next(keeper->queue, now);
         if (t == NULL) {
             break;
         }
--- a/src/job/wait_queue.c
+++ b/src/job/wait_queue.c
@@ -16,6 +16,7 @@
     GfRoom blocked[MAX_BLOCKED_NEEDS];
     size_t blocked_count;
     bool exhausted;
+    uint64_t has;
     UT_hash_handle hh;
 } TeamQueue;
 
@@ -106,14 +107,34 @@
     return queue->count;
 }
 
-/* Forgets which needs found no room in the last round. */
+/* Begins a round: forgets which needs found no room in the last one, and asks
+ * once for what each team has of its share. */
 void
-GfWaitQueue_BeginRound(GfWaitQueue *queue)
+GfWaitQueue_BeginRound(GfWaitQueue *queue, GfShareFunction share, void *ctx)
 {
     for (int c = 0; c < GF_CLASSES; c++) {
         for (TeamQueue *q = queue->classes[c]; q != NULL; q = q->hh.next) {
             q->blocked_count = 0;
             q->exhausted = false;
+            if (q->tasks != NULL) {
+                q->has = share(ctx, &q->team, NULL);
+            }
+        }
+    }
+}
+
+/* Counts a task that was placed in this round toward its team's share. */
+void
+GfWaitQueue_Charge(GfWaitQueue *queue, const GfJobTask *task,
+                   GfShareFunction share, void *ctx)
+{
+    const GfJobSpec *job = &task->job->spec;
+    uint64_t part = share(ctx, &job->team, &job->need);
+    for (int c = 0; c < GF_CLASSES; c++) {
+        TeamQueue *q;
+        HASH_FIND(hh, queue->classes[c], &job->team, sizeof(job->team), q);
+        if (q != NULL) {
+            q->has += part;
         }
     }
 }
@@ -154,8 +175,7 @@
 /* Returns the task to place next, or NULL if none can be tried in this
  * round. The task stays in its queue. */
 GfJobTask *
-GfWaitQueue_Next(GfWaitQueue *queue, struct timespec now,
-                 GfShareFunction share, void *ctx)
+GfWaitQueue_Next(GfWaitQueue *queue, struct timespec now)
 {
     for (int c = 0; c < GF_CLASSES; c++) {
         GfJobTask *best = NULL;
@@ -164,8 +184,7 @@
             if (q->tasks == NULL || q->exhausted) {
                 continue;
             }
-            uint64_t has = share(ctx, &q->team);
-            if (best != NULL && has >= least) {
+            if (best != NULL && q->has >= least) {
                 continue;
             }
             GfJobTask *t = first_ready(q, now);
@@ -174,7 +193,7 @@
                 continue;
             }
             best = t;
-            least = has;
+            least = q->has;
         }
         if (best != NULL) {
             return best;
--- a/src/platform/hosts.c
+++ b/src/platform/hosts.c
@@ -11,6 +11,7 @@
 #define CALL_TIMEOUT_MS 2000
 #define ADDRESS_BYTES 64
 #define MAX_PORT 65535
+#define PATH_BYTES 64
 #define STATUS_OK 200
 
 static const char *const KIND_NAMES[GF_HOST_KINDS] = {"worker", "target",
@@ -25,6 +26,7 @@
     GfHostsCallback callback;
     void *ctx;
     bool busy;
+    int64_t version;
 };
 
 /* Creates the reader of the platform's host list. */
@@ -102,6 +104,12 @@
     json_t *body =
         result->status == STATUS_OK ? GfHttp_ParseJson(result) : NULL;
     json_t *list = json_object_get(body, "hosts");
+    json_t *version = json_object_get(body, "version");
+    if (list == NULL && json_is_integer(version) &&
+        json_integer_value(version) == hosts->version) {
+        json_decref(body);
+        return;
+    }
     if (!json_is_array(list)) {
         hosts->callback(hosts->ctx, GF_STORE_UNAVAILABLE, NULL, 0);
         json_decref(body);
@@ -111,6 +119,7 @@
     if (all == NULL) {
         abort();
     }
+    hosts->version = json_integer_value(version);
     size_t count = 0;
     size_t i;
     json_t *item;
@@ -129,7 +138,8 @@
     json_decref(body);
 }
 
-/* Asks for the list, unless an earlier question is still open. */
+/* Asks for the list if it has changed, unless an earlier question is still
+ * open. */
 void
 GfHosts_Poll(GfHosts *hosts)
 {
@@ -137,10 +147,13 @@
         return;
     }
     hosts->busy = true;
+    char path[PATH_BYTES];
+    snprintf(path, sizeof(path), "/v1/hosts?known=%lld",
+             (long long)hosts->version);
     GfHttpCall call = {.address = hosts->address,
                        .port = hosts->port,
                        .method = EVHTTP_REQ_GET,
-                       .path = "/v1/hosts",
+                       .path = path,
                        .timeout_ms = CALL_TIMEOUT_MS};
     GfHttp_Start(hosts->http, &call, on_list, hosts);
 }
--- a/src/sched/fleet.c
+++ b/src/sched/fleet.c
@@ -14,10 +14,12 @@
 } Block;
 
 typedef struct {
+    GfName name;
     GfRackView view;
     GfName domain;
     Block blocks[MAX_BLOCKS];
     size_t next_block;
+    UT_hash_handle hh;
 } Rack;
 
 typedef struct {
@@ -31,11 +33,20 @@
     UT_hash_handle hh;
 } Use;
 
+/* What a team uses over all members. */
+typedef struct {
+    GfName team;
+    GfAmount use;
+    UT_hash_handle hh;
+} Sum;
+
 struct GfFleet {
-    Rack *racks;
+    Rack **racks;
     size_t count;
+    Rack *by_name;
     uint32_t random;
     Use *uses;
+    Sum *sums;
 };
 
 /* Creates an empty view; the seed decides its random choices. */
@@ -64,6 +75,17 @@
         HASH_DEL(fleet->uses, u);
         free(u);
     }
+    Sum *sum;
+    Sum *sum_tmp;
+    HASH_ITER(hh, fleet->sums, sum, sum_tmp)
+    {
+        HASH_DEL(fleet->sums, sum);
+        free(sum);
+    }
+    HASH_CLEAR(hh, fleet->by_name);
+    for (size_t i = 0; i < fleet->count; i++) {
+        free(fleet->racks[i]);
+    }
     free(fleet->racks);
     free(fleet);
 }
@@ -84,12 +106,9 @@
 static Rack *
 find(const GfFleet *fleet, const GfName *rack)
 {
-    for (size_t i = 0; i < fleet->count; i++) {
-        if (GfName_Equal(&fleet->racks[i].view.rack, rack)) {
-            return &fleet->racks[i];
-        }
-    }
-    return NULL;
+    Rack *r;
+    HASH_FIND(hh, fleet->by_name, rack, sizeof(*rack), r);
+    return r;
 }
 
 /* Adds a rack of the host list; it has no holder yet. */
@@ -99,14 +118,16 @@
     Rack *r = find(fleet, rack);
     if (r == NULL) {
         size_t bytes = (fleet->count + 1) * sizeof(*fleet->racks);
-        Rack *grown = realloc(fleet->racks, bytes);
-        if (grown == NULL) {
+        Rack **grown = realloc(fleet->racks, bytes);
+        r = calloc(1, sizeof(*r));
+        if (grown == NULL || r == NULL) {
             abort();
         }
         fleet->racks = grown;
-        r = &fleet->racks[fleet->count++];
-        memset(r, 0, sizeof(*r));
+        fleet->racks[fleet->count++] = r;
+        r->name = *rack;
         r->view.rack = *rack;
+        HASH_ADD(hh, fleet->by_name, name, sizeof(r->name), r);
     }
     r->domain = *domain;
 }
@@ -132,8 +153,8 @@
 GfFleet_DropHolder(GfFleet *fleet, const GfName *holder)
 {
     for (size_t i = 0; i < fleet->count; i++) {
-        if (GfName_Equal(&fleet->racks[i].view.holder, holder)) {
-            fleet->racks[i].view.open = false;
+        if (GfName_Equal(&fleet->racks[i]->view.holder, holder)) {
+            fleet->racks[i]->view.open = false;
         }
     }
 }
@@ -145,7 +166,7 @@
                     struct timespec since)
 {
     for (size_t i = 0; i < fleet->count; i++) {
-        GfRackView *v = &fleet->racks[i].view;
+        GfRackView *v = &fleet->racks[i]->view;
         if (GfName_Equal(&v->holder, holder) &&
             GfTime_Before(v->stated_at, since)) {
             v->open = false;
@@ -165,7 +186,7 @@
 GfFleet_At(const GfFleet *fleet, size_t index)
 {
     assert(index < fleet->count);
-    return &fleet->racks[index].view;
+    return &fleet->racks[index]->view;
 }
 
 /* Finds a rack's view, or returns NULL. */
@@ -184,6 +205,18 @@
     return r == NULL ? NULL : &r->domain;
 }
 
+/* Returns the greatest common divisor (Euclid). */
+static size_t
+greatest_divisor(size_t a, size_t b)
+{
+    while (b != 0) {
+        size_t rest = a % b;
+        a = b;
+        b = rest;
+    }
+    return a;
+}
+
 /* Tells whether work may go to a rack at all. */
 static bool
 is_usable(const Rack *r, const GfControl *control)
@@ -225,40 +258,47 @@
     return false;
 }
 
-/* Picks a rack for tasks of one team and need: of two usable racks with room,
- * drawn at random, the one with more free processors (the power of two
- * choices, Mitzenmacher 2001). Returns NULL if none has room. */
+/* Tells whether a rack has room for tasks of a team. */
+static bool
+has_room(const Rack *r, const GfControl *control, const GfName *team,
+         const GfRoom *need, uint32_t count, struct timespec now)
+{
+    return GfRoom_Fits(&r->view.widest, need) &&
+           r->view.free_mcores >= (uint64_t)need->mcores * count &&
+           is_usable(r, control) && !is_blocked(r, team, now);
+}
+
+/* Picks a rack for tasks of one team and need: of two racks with room, found
+ * from a random place on, the one with more free processors (the power of two
+ * choices, Mitzenmacher 2001). While most racks have room, few are looked at,
+ * however many there are. Returns NULL if none has room. */
 const GfRackView *
 GfFleet_PickForTask(GfFleet *fleet, const GfControl *control,
                     const GfName *team, const GfRoom *need, uint32_t count,
                     struct timespec now)
 {
-    const Rack *picks[2] = {NULL, NULL};
-    uint32_t seen = 0;
+    const Rack *first = NULL;
+    if (fleet->count == 0) {
+        return NULL;
+    }
+    size_t start = next_random(fleet) % fleet->count;
+    size_t stride = 1 + next_random(fleet) % fleet->count;
+    while (greatest_divisor(stride, fleet->count) != 1) {
+        stride++;
+    }
     for (size_t i = 0; i < fleet->count; i++) {
-        const Rack *r = &fleet->racks[i];
-        if (!is_usable(r, control) || !GfRoom_Fits(&r->view.widest, need) ||
-            r->view.free_mcores < need->mcores * count ||
-            is_blocked(r, team, now)) {
+        const Rack *r = fleet->racks[(start + i * stride) % fleet->count];
+        if (!has_room(r, control, team, need, count, now)) {
             continue;
         }
-        seen++;
-        /* Reservoir sampling of two racks. */
-        if (seen <= 2) {
-            picks[seen - 1] = r;
-        }
-        else {
-            uint32_t at = next_random(fleet) % seen;
-            if (at < 2) {
-                picks[at] = r;
-            }
+        if (first != NULL) {
+            return first->view.free_mcores >= r->view.free_mcores
+                       ? &first->view
+                       : &r->view;
         }
+        first = r;
     }
-    if (picks[1] == NULL) {
-        return picks[0] == NULL ? NULL : &picks[0]->view;
-    }
-    bool first = picks[0]->view.free_mcores >= picks[1]->view.free_mcores;
-    return first ? &picks[0]->view : &picks[1]->view;
+    return first == NULL ? NULL : &first->view;
 }
 
 /* Finds what a rack states about a service, or NULL. */
@@ -303,7 +343,7 @@
     int64_t rates[2] = {0, 0};
     uint32_t seen = 0;
     for (size_t i = 0; i < fleet->count; i++) {
-        const Rack *r = &fleet->racks[i];
+        const Rack *r = fleet->racks[i];
         const GfServiceRoom *room = service_room(&r->view, service);
         if (room == NULL || !is_usable(r, control) ||
             was_tried(&r->view.rack, tried, tries)) {
@@ -363,7 +403,7 @@
 {
     bool all_known = fleet->count > 0;
     for (size_t i = 0; i < fleet->count; i++) {
-        const GfRackView *v = &fleet->racks[i].view;
+        const GfRackView *v = &fleet->racks[i]->view;
         if (GfRoom_Fits(&v->largest, need)) {
             return true;
         }
@@ -378,11 +418,29 @@
 {
     size_t count = 0;
     for (size_t i = 0; i < fleet->count; i++) {
-        count += !fleet->racks[i].view.open;
+        count += !fleet->racks[i]->view.open;
     }
     return count;
 }
 
+/* Adds to a team's sum, or takes from it. */
+static void
+change_sum(GfFleet *fleet, const GfName *team, GfAmount old, GfAmount new)
+{
+    Sum *sum;
+    HASH_FIND(hh, fleet->sums, team, sizeof(*team), sum);
+    if (sum == NULL) {
+        sum = calloc(1, sizeof(*sum));
+        if (sum == NULL) {
+            abort();
+        }
+        sum->team = *team;
+        HASH_ADD(hh, fleet->sums, team, sizeof(sum->team), sum);
+    }
+    sum->use.mcores = sum->use.mcores - old.mcores + new.mcores;
+    sum->use.requests = sum->use.requests - old.requests + new.requests;
+}
+
 /* Sets what a member states that a team uses on its racks. */
 void
 GfFleet_SetUse(GfFleet *fleet, const GfName *member, const GfName *team,
@@ -402,6 +460,7 @@
         u->key = key;
         HASH_ADD(hh, fleet->uses, key, sizeof(key), u);
     }
+    change_sum(fleet, team, u->use, use);
     u->use = use;
 }
 
@@ -414,6 +473,7 @@
     HASH_ITER(hh, fleet->uses, u, tmp)
     {
         if (GfName_Equal(&u->key.member, member)) {
+            change_sum(fleet, &u->key.team, u->use, (GfAmount){0});
             HASH_DEL(fleet->uses, u);
             free(u);
         }
@@ -424,12 +484,7 @@
 GfAmount
 GfFleet_TeamUse(const GfFleet *fleet, const GfName *team)
 {
-    GfAmount sum = {0};
-    for (const Use *u = fleet->uses; u != NULL; u = u->hh.next) {
-        if (GfName_Equal(&u->key.team, team)) {
-            sum.mcores += u->use.mcores;
-            sum.requests += u->use.requests;
-        }
-    }
-    return sum;
+    Sum *sum;
+    HASH_FIND(hh, fleet->sums, team, sizeof(*team), sum);
+    return sum == NULL ? (GfAmount){0} : sum->use;
 }
--- /dev/null
+++ b/tests/bench/slopes.c
@@ -0,0 +1,491 @@
+/* Measures how processor time, memory and bytes grow with the size of what an
+ * entry keeps, on the product's own code, and prints the points with the line
+ * that fits them (least squares). Used for docs/CAPACITY.md. */
+#include <malloc.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#include "../../src/rpc/peer_xdr.h"
+#include "fake_store.h"
+#include "guavaflow/allot.h"
+#include "guavaflow/keeper.h"
+#include "guavaflow/log.h"
+
+#define MAX_POINTS 8
+#define HASH "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+#define US_PER_S 1e6
+#define NS_PER_US 1e3
+
+typedef struct {
+    const char *name;
+    const char *x_unit;
+    const char *y_unit;
+    double x[MAX_POINTS];
+    double y[MAX_POINTS];
+    int count;
+} Series;
+
+static GfManualClock clock_;
+
+/* Returns the processor time of this process in microseconds. */
+static double
+cpu_us(void)
+{
+    struct timespec t;
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
+    return (double)t.tv_sec * US_PER_S + (double)t.tv_nsec / NS_PER_US;
+}
+
+/* Returns the bytes that are allocated. */
+static double
+heap_bytes(void)
+{
+    struct mallinfo2 info = mallinfo2();
+    return (double)info.uordblks + (double)info.hblkhd;
+}
+
+static void
+add_point(Series *s, double x, double y)
+{
+    s->x[s->count] = x;
+    s->y[s->count] = y;
+    s->count++;
+}
+
+/* Prints a series and its line. */
+static void
+print_series(const Series *s)
+{
+    double n = s->count;
+    double sx = 0;
+    double sy = 0;
+    double sxx = 0;
+    double sxy = 0;
+    printf("%-34s", s->name);
+    for (int i = 0; i < s->count; i++) {
+        printf(" %g:%.4g", s->x[i], s->y[i]);
+        sx += s->x[i];
+        sy += s->y[i];
+        sxx += s->x[i] * s->x[i];
+        sxy += s->x[i] * s->y[i];
+    }
+    double slope = (n * sxy - sx * sy) / (n * sxx - sx * sx);
+    printf(" | %.4g %s per %s, %.4g at none\n", slope, s->y_unit, s->x_unit,
+           (sy - slope * sx) / n);
+}
+
+/* Makes a task of a job in partition 0. */
+static GfTask
+make_task(int n)
+{
+    GfTask task = {.state = GF_TASK_RUNNING};
+    task.spec.id = GfName_Format("j000-%016x.0.1", n);
+    task.spec.team = GfName_Format("team%d", n % 7);
+    task.spec.need = (GfRoom){.mcores = 100, .memory_mb = 10};
+    return task;
+}
+
+/* Processor time of one full and of one unchanged lease renewal, by tasks on
+ * the worker; memory of a worker's record by its tasks. */
+static void
+measure_renewals(void)
+{
+    enum { ROUNDS = 300 };
+    static const int SIZES[] = {1, 5, 20, 50, 100, 200};
+    Series full = {
+        .name = "renewal with inventory", .x_unit = "task", .y_unit = "us"};
+    Series same = {
+        .name = "renewal unchanged", .x_unit = "task", .y_unit = "us"};
+    Series memory = {
+        .name = "rack memory", .x_unit = "task", .y_unit = "bytes"};
+    for (size_t i = 0; i < 6; i++) {
+        int size = SIZES[i];
+        double before = heap_bytes();
+        GfRackConfig config = {.name = GfName_Format("r"),
+                               .rules = GF_RACK_ALL_RULES};
+        GfRack *rack = GfRack_Create(&config);
+        GfName worker = GfName_Format("w");
+        GfRack_AddWorker(rack, &worker, clock_.time);
+        GfTask *tasks = calloc((size_t)size, sizeof(*tasks));
+        for (int k = 0; k < size; k++) {
+            tasks[k] = make_task(k);
+        }
+        double own = heap_bytes();
+        GfLeaseGrant grant = {.lease = 1,
+                              .ttl_ms = 4000,
+                              .boot = GfName_Format("b"),
+                              .capacity = {.mcores = 64000},
+                              .tasks = tasks,
+                              .task_count = (size_t)size};
+        double start = cpu_us();
+        for (int k = 0; k < ROUNDS; k++) {
+            GfManualClock_Advance(&clock_, 1);
+            grant.version++;
+            GfRack_Granted(rack, &worker, &grant, clock_.time, clock_.time,
+                           NULL, NULL);
+        }
+        add_point(&full, size, (cpu_us() - start) / ROUNDS);
+        add_point(&memory, size, heap_bytes() - own);
+        grant.unchanged = true;
+        start = cpu_us();
+        for (int k = 0; k < ROUNDS; k++) {
+            GfManualClock_Advance(&clock_, 1);
+            GfRack_Granted(rack, &worker, &grant, clock_.time, clock_.time,
+                           NULL, NULL);
+        }
+        add_point(&same, size, (cpu_us() - start) / ROUNDS);
+        free(tasks);
+        GfRack_Destroy(rack);
+        (void)before;
+    }
+    print_series(&full);
+    print_series(&same);
+    print_series(&memory);
+}
+
+/* Writes a bundle of so many teams. */
+static GfStr
+make_bundle(int version, int teams)
+{
+    size_t room = 512 + (size_t)teams * 256;
+    char *text = malloc(room);
+    int len = snprintf(text, room,
+                       "version: %d\nquorum: 1\nmembers: [{name: a, key: " HASH
+                       "}]\nservices: [{name: s}]\nteams:\n",
+                       version);
+    for (int i = 0; i < teams; i++) {
+        len += snprintf(text + len, room - (size_t)len,
+                        "- {name: team%d, share: 1, limit_cores: 100000, "
+                        "limit_requests: 100, keys: [%08x%s]}\n",
+                        i, (unsigned)i, HASH + 8);
+    }
+    return (GfStr){.len = (size_t)len, .data = text};
+}
+
+/* Processor time to take a bundle, its bytes, and the bytes of an allotment
+ * row, by teams. */
+static void
+measure_teams(void)
+{
+    static const int SIZES[] = {6, 50, 200, 650};
+    Series take = {.name = "take a bundle", .x_unit = "team", .y_unit = "us"};
+    Series bytes = {.name = "bundle", .x_unit = "team", .y_unit = "bytes"};
+    Series row = {
+        .name = "allotment row", .x_unit = "team", .y_unit = "bytes"};
+    for (size_t i = 0; i < 4; i++) {
+        GfStr text = make_bundle(1, SIZES[i]);
+        json_t *document = GfControl_FirstDocument(text.data, NULL);
+        GfControl *control = GfControl_Create(3000);
+        double start = cpu_us();
+        GfControl_Take(control, document, clock_.time, NULL);
+        add_point(&take, SIZES[i], cpu_us() - start);
+        add_point(&bytes, SIZES[i], (double)text.len);
+        GfParts *pool = GfParts_Create();
+        GfPool_Adjust(pool, NULL, control);
+        json_t *saved = GfParts_Save(pool);
+        add_point(&row, SIZES[i],
+                  (double)json_dumpb(saved, NULL, 0, JSON_COMPACT));
+        json_decref(saved);
+        GfParts_Destroy(pool);
+        GfControl_Destroy(control);
+        json_decref(document);
+        GfStr_Clear(&text);
+    }
+    print_series(&take);
+    print_series(&bytes);
+    print_series(&row);
+}
+
+/* Bytes of a heartbeat and time to encode it, by racks held. */
+static void
+measure_beats(void)
+{
+    static const int SIZES[] = {3, 30, 300, 1000};
+    Series bytes = {.name = "heartbeat", .x_unit = "rack", .y_unit = "bytes"};
+    Series encode = {
+        .name = "encode a heartbeat", .x_unit = "rack", .y_unit = "us"};
+    for (size_t i = 0; i < 4; i++) {
+        gfx_beat beat;
+        memset(&beat, 0, sizeof(beat));
+        beat.member = "entry-000";
+        beat.racks.racks_len = (u_int)SIZES[i];
+        beat.racks.racks_val = calloc((size_t)SIZES[i], sizeof(gfx_rack));
+        gfx_service_room room = {.service = "quotes", .free_slots = 5};
+        for (int k = 0; k < SIZES[i]; k++) {
+            beat.racks.racks_val[k].rack = "region-1/rack-0000";
+            beat.racks.racks_val[k].services.services_len = 1;
+            beat.racks.racks_val[k].services.services_val = &room;
+        }
+        double start = cpu_us();
+        u_long size = 0;
+        for (int k = 0; k < 50; k++) {
+            size = xdr_sizeof((xdrproc_t)xdr_gfx_beat, &beat);
+            char *data = malloc(size);
+            XDR out;
+            xdrmem_create(&out, data, (u_int)size, XDR_ENCODE);
+            xdr_gfx_beat(&out, &beat);
+            xdr_destroy(&out);
+            free(data);
+        }
+        add_point(&encode, SIZES[i], (cpu_us() - start) / 50);
+        add_point(&bytes, SIZES[i], (double)size);
+        free(beat.racks.racks_val);
+    }
+    print_series(&bytes);
+    print_series(&encode);
+}
+
+/* A keeper whose placements succeed, in a fleet of a given size. */
+typedef struct {
+    GfFleet *fleet;
+    GfControl *control;
+    GfKeeper *keeper;
+    GfPlacement *placements;
+    size_t count;
+    size_t room;
+} Bench;
+
+static void
+on_place(void *ctx, const GfName *holder, const GfPlacement *placements,
+         size_t count, bool gang)
+{
+    (void)holder;
+    (void)gang;
+    Bench *b = ctx;
+    if (b->count + count > b->room) {
+        b->room = (b->count + count) * 2;
+        b->placements =
+            realloc(b->placements, b->room * sizeof(*b->placements));
+    }
+    memcpy(&b->placements[b->count], placements, count * sizeof(*placements));
+    b->count += count;
+}
+
+static void
+on_stop(void *ctx, const GfName *rack, const GfName *task, GfStopMode mode)
+{
+    (void)ctx;
+    (void)rack;
+    (void)task;
+    (void)mode;
+}
+
+static void
+on_append(void *ctx, uint32_t partition, json_t *record,
+          GfAppendCallback callback, void *arg)
+{
+    (void)ctx;
+    (void)partition;
+    json_decref(record);
+    if (callback != NULL) {
+        callback(arg, GF_OK);
+    }
+}
+
+static bool
+on_may_place(void *ctx, uint32_t partition)
+{
+    (void)ctx;
+    (void)partition;
+    return true;
+}
+
+static const GfKeeperOps OPS = {.place = on_place,
+                                .stop = on_stop,
+                                .append = on_append,
+                                .may_place = on_may_place};
+
+static void
+on_answer(void *arg, const GfAnswer *answer)
+{
+    (void)arg;
+    (void)answer;
+}
+
+/* Makes a keeper in a fleet of racks with a bundle of teams. */
+static void
+create_bench(Bench *b, int racks, int teams)
+{
+    memset(b, 0, sizeof(*b));
+    b->fleet = GfFleet_Create(1);
+    b->control = GfControl_Create(3000);
+    GfStr text = make_bundle(1, teams);
+    json_t *document = GfControl_FirstDocument(text.data, NULL);
+    GfControl_Take(b->control, document, clock_.time, NULL);
+    json_decref(document);
+    GfStr_Clear(&text);
+    GfName domain = GfName_Format("fd");
+    for (int i = 0; i < racks; i++) {
+        GfRackView view;
+        memset(&view, 0, sizeof(view));
+        view.rack = GfName_Format("rack%d", i);
+        view.holder = GfName_Format("entry%d", i % 9);
+        view.open = true;
+        view.free_mcores = 2000000000;
+        view.widest = (GfRoom){.mcores = 64000, .memory_mb = 128000};
+        view.largest = view.widest;
+        GfFleet_AddRack(b->fleet, &view.rack, &domain);
+        GfFleet_Update(b->fleet, &view);
+    }
+    GfKeeperConfig config = {
+        .partitions = 1, .max_failures = 3, .max_waiting = 1000000};
+    b->keeper =
+        GfKeeper_Create(&config, b->fleet, b->control, &clock_.clock, &OPS, b);
+    GfKeeper_Open(b->keeper, 0, 1);
+}
+
+static void
+destroy_bench(Bench *b)
+{
+    GfKeeper_Destroy(b->keeper);
+    GfControl_Destroy(b->control);
+    GfFleet_Destroy(b->fleet);
+    free(b->placements);
+}
+
+/* Submits so many tasks, spread over the teams. */
+static void
+submit(Bench *b, int tasks, int teams)
+{
+    int per_job = tasks / teams > 0 ? tasks / teams : 1;
+    while (per_job > GF_JOB_MAX_TASKS) {
+        per_job /= 2;
+    }
+    for (int i = 0; i * per_job < tasks; i++) {
+        GfJobSpec spec = {.id = GfJob_MakeId(0, (uint64_t)i + 1),
+                          .team = GfName_Format("team%d", i % teams),
+                          .work_class = GF_CLASS_BATCH,
+                          .need = {.mcores = 100, .memory_mb = 10},
+                          .count = (uint32_t)per_job,
+                          .run_ms = 1000,
+                          .repeatable = true};
+        GfKeeper_Submit(b->keeper, &spec, on_answer, NULL);
+    }
+}
+
+/* Lets the keeper decide so many rounds; returns microseconds a decision. */
+static double
+decide(Bench *b, int rounds)
+{
+    double start = cpu_us();
+    size_t before = b->count;
+    for (int i = 0; i < rounds; i++) {
+        GfKeeper_Tick(b->keeper);
+    }
+    size_t decisions = b->count - before;
+    return decisions == 0 ? 0 : (cpu_us() - start) / (double)decisions;
+}
+
+/* Time of one placement decision by racks, teams and waiting tasks; memory of
+ * a waiting task. */
+static void
+measure_decisions(void)
+{
+    static const int RACKS[] = {9, 100, 1000, 4800};
+    static const int TEAMS[] = {6, 50, 200, 650};
+    static const int TASKS[] = {1000, 4000, 16000, 64000};
+    Series by_racks = {.name = "decision", .x_unit = "rack", .y_unit = "us"};
+    Series by_teams = {.name = "decision", .x_unit = "team", .y_unit = "us"};
+    Series by_tasks = {
+        .name = "decision", .x_unit = "waiting task", .y_unit = "us"};
+    Series memory = {
+        .name = "keeper memory", .x_unit = "waiting task", .y_unit = "bytes"};
+    Bench b;
+    for (size_t i = 0; i < 4; i++) {
+        create_bench(&b, RACKS[i], 6);
+        submit(&b, 6000, 6);
+        add_point(&by_racks, RACKS[i], decide(&b, 10));
+        destroy_bench(&b);
+        create_bench(&b, 100, TEAMS[i]);
+        submit(&b, 13000, TEAMS[i]);
+        add_point(&by_teams, TEAMS[i], decide(&b, 10));
+        destroy_bench(&b);
+        create_bench(&b, 100, 6);
+        double before = heap_bytes();
+        submit(&b, TASKS[i], 6);
+        add_point(&memory, TASKS[i], heap_bytes() - before);
+        add_point(&by_tasks, TASKS[i], decide(&b, 3));
+        destroy_bench(&b);
+    }
+    print_series(&by_racks);
+    print_series(&by_teams);
+    print_series(&by_tasks);
+    print_series(&memory);
+}
+
+/* Time to settle a question about a partition, by running tasks. */
+static void
+measure_find(void)
+{
+    static const int TASKS[] = {250, 500, 1000, 2000};
+    Series find = {.name = "settle a question, all listed",
+                   .x_unit = "running task",
+                   .y_unit = "us"};
+    for (size_t i = 0; i < 4; i++) {
+        Bench b;
+        create_bench(&b, 1, 6);
+        submit(&b, TASKS[i], 6);
+        decide(&b, 10);
+        GfTaskEvent *events = calloc(b.count, sizeof(*events));
+        for (size_t k = 0; k < b.count; k++) {
+            GfPlaced placed = {.ran = GF_RAN_YES};
+            GfKeeper_Placed(b.keeper, &b.placements[k], &placed);
+            events[k].task = b.placements[k].spec.id;
+            events[k].rack = b.placements[k].rack;
+        }
+        double start = cpu_us();
+        GfKeeper_Found(b.keeper, 0, 1000000, &b.placements[0].rack, true,
+                       events, b.count);
+        add_point(&find, TASKS[i], cpu_us() - start);
+        free(events);
+        destroy_bench(&b);
+    }
+    print_series(&find);
+}
+
+/* Bytes that the journal writes for a task's end, in one group of a size. */
+static void
+measure_journal(void)
+{
+    static const int SIZES[] = {1, 10, 100, 1000};
+    Series bytes = {
+        .name = "journal segment", .x_unit = "task end", .y_unit = "bytes"};
+    for (size_t i = 0; i < 4; i++) {
+        GfJobSpec spec = {.id = GfJob_MakeId(0, 1), .count = 1000};
+        GfJob *job = GfJob_Create(&spec);
+        json_t *segment = json_array();
+        for (int k = 0; k < SIZES[i]; k++) {
+            job->tasks[k].state = GF_JOB_DONE;
+            job->tasks[k].rack = GfName_Format("rack-0000");
+            json_array_append_new(segment, GfJobTask_Record(&job->tasks[k]));
+        }
+        add_point(&bytes, SIZES[i],
+                  (double)json_dumpb(segment, NULL, 0, JSON_COMPACT));
+        json_decref(segment);
+        GfJob_Destroy(job);
+    }
+    print_series(&bytes);
+}
+
+int
+main(void)
+{
+    if (sodium_init() < 0) {
+        return 1;
+    }
+    GfLog_SetLevel(GF_LOG_ERROR);
+    GfManualClock_Init(&clock_, 100000);
+    printf("size of a task's record: keeper %zu, rack %zu bytes\n",
+           sizeof(GfJobTask), sizeof(GfTask));
+    measure_renewals();
+    measure_teams();
+    measure_beats();
+    measure_decisions();
+    measure_find();
+    measure_journal();
+    return 0;
+}
--- a/tests/fault/entry_death.c
+++ b/tests/fault/entry_death.c
@@ -2,6 +2,7 @@
 
 #define TAKEOVER_LIMIT_MS 6000
 #define BATCHES 6
+#define TASKS 350
 
 /* Returns the rack that an entry holds, or -1. */
 static int
@@ -33,6 +34,8 @@
 test_kill(void)
 {
     ClusterConfig config = scenario_config(21000);
+    /* More than two racks can run, so that each rack has work to start. */
+    config.nesting_cores = 80;
     Cluster *c = Cluster_Start(&config);
     CU_ASSERT_TRUE(Cluster_WaitServing(c, 20000));
     int victim = 1;
@@ -50,7 +53,7 @@
     char *batches[BATCHES];
     for (int i = 0; i < BATCHES; i++) {
         batches[i] = Cluster_Submit(c, other, CLUSTER_NESTING_KEY,
-                                    json_pack("{s:i,s:i,s:i}", "count", 90,
+                                    json_pack("{s:i,s:i,s:i}", "count", TASKS,
                                               "mcores", 1000, "run_ms", 800));
         CU_ASSERT_PTR_NOT_NULL_FATAL(batches[i]);
     }
@@ -69,7 +72,7 @@
     Cluster_SetLoad(c, 0, 0, 0);
     for (int i = 0; i < BATCHES; i++) {
         CU_ASSERT_TRUE(scenario_wait(c, other, CLUSTER_NESTING_KEY, batches[i],
-                                     "done", 90, 40000));
+                                     "done", TASKS, 40000));
         free(batches[i]);
     }
     CU_ASSERT_TRUE(scenario_wait(c, other, CLUSTER_DESK_KEY, service,
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -23,6 +23,8 @@
     json_t *hosts;
     json_t *shown_hosts;
     int64_t hosts_changed_at;
+    int64_t hosts_version;
+    int64_t shown_version;
     int64_t hosts_lag_ms;
     int writes_per_s;
     int64_t window;
@@ -165,15 +167,22 @@
     return row == NULL ? 404 : 200;
 }
 
-/* Returns the host list as it was before the lag. */
+/* Returns the host list as it was before the lag, or only its version if the
+ * caller knows that one. */
 static int
-hosts(Platform *p, json_t **reply)
+hosts(Platform *p, GfExchange *exchange, json_t **reply)
 {
-    if (Standin_NowMs() - p->hosts_changed_at >= p->hosts_lag_ms) {
+    if (Standin_NowMs() - p->hosts_changed_at >= p->hosts_lag_ms &&
+        p->shown_version != p->hosts_version) {
         json_decref(p->shown_hosts);
         p->shown_hosts = json_deep_copy(p->hosts);
+        p->shown_version = p->hosts_version;
+    }
+    const char *known = GfExchange_Query(exchange, "known");
+    *reply = json_pack("{s:I}", "version", (json_int_t)p->shown_version);
+    if (known == NULL || atoll(known) != p->shown_version) {
+        json_object_set(*reply, "hosts", p->shown_hosts);
     }
-    *reply = json_pack("{s:O}", "hosts", p->shown_hosts);
     return 200;
 }
 
@@ -202,6 +211,7 @@
         Standin_Record(p->history, "host", json_deep_copy(change));
     }
     p->hosts_changed_at = Standin_NowMs();
+    p->hosts_version++;
     *reply = json_object();
     return 200;
 }
@@ -222,7 +232,7 @@
         return object(p, exchange, reply);
     }
     if (strcmp(path, "/v1/hosts") == 0) {
-        return hosts(p, reply);
+        return hosts(p, exchange, reply);
     }
     if (strcmp(path, "/test/hosts") == 0) {
         return change_hosts(p, body, reply);
@@ -246,6 +256,8 @@
         return 2;
     }
     static Platform p;
+    p.hosts_version = 1;
+    p.shown_version = 1;
     p.hosts = json_array();
     p.shown_hosts = json_array();
     p.history = json_array();
--- a/tests/unit/http.c
+++ b/tests/unit/http.c
@@ -18,6 +18,7 @@
     GfHttp *http;
     const char *answer;
     bool close_after;
+    struct bufferevent *open[8];
     int connections;
     int done;
     GfHttpResult result;
@@ -40,6 +41,9 @@
         shutdown(bufferevent_getfd(bev), SHUT_RD);
         bufferevent_flush(bev, EV_WRITE, BEV_FINISHED);
         evbuffer_write(bufferevent_get_output(bev), bufferevent_getfd(bev));
+        for (int i = 0; i < s->connections; i++) {
+            s->open[i] = s->open[i] == bev ? NULL : s->open[i];
+        }
         bufferevent_free(bev);
     }
 }
@@ -51,9 +55,9 @@
     (void)address;
     (void)len;
     Server *s = arg;
-    s->connections++;
     struct bufferevent *bev = bufferevent_socket_new(
         evconnlistener_get_base(listener), fd, BEV_OPT_CLOSE_ON_FREE);
+    s->open[s->connections++ % 8] = bev;
     bufferevent_setcb(bev, on_server_read, NULL, NULL, s);
     bufferevent_enable(bev, EV_READ | EV_WRITE);
 }
@@ -78,6 +82,11 @@
 static void
 close_server(Server *s)
 {
+    for (int i = 0; i < 8; i++) {
+        if (s->open[i] != NULL) {
+            bufferevent_free(s->open[i]);
+        }
+    }
     if (s->listener != NULL) {
         evconnlistener_free(s->listener);
     }
