Split large files, add tests of five modules, mend the favoured team

Cause: keeper, jobs and the rack's scheduler held several jobs each; five modules had no test of their own. Found: the new test of the wait queue shows that the team favoured when the fleet is full was held back as well, as soon as it placed tasks in a round. Change: the favoured team is never held; a timeout retires the idle connections of its endpoint; picking a worker is a module of its own with baselines in its test; bounds stand in tests/support/bounds.h; scenarios for two failures together and for two processes of one name. Both new tests failed before.

--- a/include/guavaflow/fleet.h
+++ b/include/guavaflow/fleet.h
@@ -55,6 +55,7 @@
 void GfFleet_ReserveSlot(GfFleet *fleet, const GfName *rack,
                          const GfName *service);
 bool GfFleet_CanEverFit(const GfFleet *fleet, const GfRoom *need);
+uint64_t GfFleet_Looks(const GfFleet *fleet);
 size_t GfFleet_WithoutHolder(const GfFleet *fleet);
 void GfFleet_SetUse(GfFleet *fleet, const GfName *member, const GfName *team,
                     GfAmount use, uint32_t waiting);
--- a/src/entry/partitions.c
+++ b/src/entry/partitions.c
@@ -304,7 +304,7 @@
     if (entry->own_row_busy) {
         return;
     }
-    if (!own && entry->alive_until.tv_sec != 0) {
+    if (!own && entry->alive_until.tv_sec != 0 && !entry->stopping) {
         GfLog(GF_LOG_ERROR, PART,
               "Another process has taken the name %s; this one stops.",
               entry->member.data);
--- a/src/job/wait_queue.c
+++ b/src/job/wait_queue.c
@@ -209,8 +209,9 @@
         GfJobTask *best = NULL;
         uint64_t least = UINT64_MAX;
         for (TeamQueue *q = queue->classes[c]; q != NULL; q = q->hh.next) {
-            bool held =
-                queue->hold && c != GF_CLASS_URGENT && q->has > queue->level;
+            bool held = queue->hold && c != GF_CLASS_URGENT &&
+                        q->has > queue->level &&
+                        !GfName_Equal(&q->team, &queue->favoured);
             if (q->tasks == NULL || q->exhausted || held) {
                 continue;
             }
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -203,6 +203,21 @@
     GfStr_Clear(&copy);
 }
 
+/* Gives up the idle connections of an endpoint. When one connection is silent
+ * those opened before may be as well; new calls open new ones. */
+static void
+retire_idle(GfHttp *http, Endpoint *e)
+{
+    Connection *c;
+    Connection *tmp;
+    DL_FOREACH_SAFE(e->idle, c, tmp)
+    {
+        DL_DELETE(e->idle, c);
+        retire(http, c);
+    }
+    e->idle_count = 0;
+}
+
 /* Ends a call whose time is up. The connection is not used again, so a late
  * answer can meet no other call. */
 static void
@@ -223,6 +238,7 @@
     GfHttpCallback callback = p->callback;
     void *callback_arg = p->arg;
     GfHttp *http = p->http;
+    retire_idle(http, p->endpoint);
     DL_DELETE(http->pending, p);
     event_free(p->timer);
     /* Freeing the connection frees the request without calling back. */
--- a/src/sched/fleet.c
+++ b/src/sched/fleet.c
@@ -50,6 +50,7 @@
     size_t count;
     Rack *by_name;
     uint32_t random;
+    uint64_t looks;
     Use *uses;
     Sum *sums;
 };
@@ -293,6 +294,7 @@
     }
     for (size_t i = 0; i < fleet->count; i++) {
         const Rack *r = fleet->racks[(start + i * stride) % fleet->count];
+        fleet->looks++;
         if (!has_room(r, control, team, need, count, now)) {
             continue;
         }
@@ -417,6 +419,13 @@
     return !all_known;
 }
 
+/* Returns how many racks placement decisions have looked at. */
+uint64_t
+GfFleet_Looks(const GfFleet *fleet)
+{
+    return fleet->looks;
+}
+
 /* Counts the racks that no entry schedules. */
 size_t
 GfFleet_WithoutHolder(const GfFleet *fleet)
--- a/src/sched/rack_agent_private.h
+++ b/src/sched/rack_agent_private.h
@@ -7,6 +7,7 @@
 #include "guavaflow/rack_agent.h"
 
 #define RACK_MAX_FENCES 256
+#define RACK_MAX_WORKERS 256
 
 /* A task whose end is durable; the worker is to be told. */
 typedef struct RackAck {
@@ -136,7 +137,10 @@
 uint32_t RackAgent_Random(GfRackAgent *agent);
 RackWorker *RackAgent_FindWorker(GfRackAgent *agent, const GfName *name);
 bool RackAgent_MayStart(GfRackAgent *agent, GfErrorKind *why);
-void RackAgent_CallLease(RackWorker *worker, bool fence);
+
+void RackLeases_CallWorker(RackWorker *worker, bool fence);
+void RackLeases_Call(GfRackAgent *agent, struct timespec now);
+void RackLeases_ReleaseAll(GfRackAgent *agent);
 
 void RackTasks_OnFlight(void *ctx, const GfName *worker,
                         const GfTaskSpec *spec, bool seen);
--- a/src/sched/rack_tasks.c
+++ b/src/sched/rack_tasks.c
@@ -4,6 +4,7 @@
 
 #include "guavaflow/log.h"
 #include "guavaflow/metrics.h"
+#include "guavaflow/pick.h"
 #include "rack_agent_private.h"
 
 #define PART "rack"
@@ -120,7 +121,7 @@
         GfRack_StartUnanswered(agent->rack, &call->worker);
         RackWorker *w = RackAgent_FindWorker(agent, &call->worker);
         if (w != NULL && !w->fencing) {
-            RackAgent_CallLease(w, true);
+            RackLeases_CallWorker(w, true);
         }
     }
     json_decref(body);
@@ -149,39 +150,22 @@
     return w->state == GF_HOST_LIVE && !GfTime_Before(now, w->aside_until);
 }
 
-/* Rates the room that is left: accelerators left idle by a task that needs
- * none weigh most, so that they stay with tasks that need them. */
-static uint64_t
-leftover(const GfRoom *room, const GfRoom *need)
-{
-    uint64_t idle =
-        need->accelerators == 0 ? (uint64_t)room->accelerators << 40 : 0;
-    return idle + (room->mcores - need->mcores);
-}
-
-/* Picks the worker on which the task leaves the least room (best fit,
- * Johnson 1973), or NULL if it fits on none. */
+/* Picks the worker for a task among those that take tasks, or returns NULL if
+ * it fits on none. */
 static RackWorker *
 pick_worker(GfRackAgent *agent, const GfRoom *need, struct timespec now)
 {
-    RackWorker *best = NULL;
-    uint64_t least = UINT64_MAX;
-    for (size_t i = 0; i < agent->worker_count; i++) {
-        RackWorker *w = agent->workers[i];
-        if (!takes_tasks(w, now)) {
-            continue;
-        }
-        GfRoom room = GfRack_FreeRoom(agent->rack, &w->name, now);
-        if (!GfRoom_Fits(&room, need)) {
-            continue;
-        }
-        uint64_t left = leftover(&room, need);
-        if (left < least) {
-            least = left;
-            best = w;
-        }
+    GfRoom rooms[RACK_MAX_WORKERS];
+    size_t count = agent->worker_count < RACK_MAX_WORKERS ? agent->worker_count
+                                                          : RACK_MAX_WORKERS;
+    for (size_t i = 0; i < count; i++) {
+        const RackWorker *w = agent->workers[i];
+        rooms[i] = takes_tasks(w, now)
+                       ? GfRack_FreeRoom(agent->rack, &w->name, now)
+                       : (GfRoom){0};
     }
-    return best;
+    size_t picked = GfPick_BestFit(rooms, count, need);
+    return picked == GF_PICK_NONE ? NULL : agent->workers[picked];
 }
 
 /* Tells whether a placement comes from the owner of its partition and for
--- a/tests/fault/cluster.c
+++ b/tests/fault/cluster.c
@@ -294,34 +294,53 @@
     fclose(file);
 }
 
-/* Starts an entry with the identity of its number. */
-void
-Cluster_StartEntry(Cluster *c, int entry)
+/* Starts an entry of the given name on the given ports. */
+static pid_t
+start_entry(Cluster *c, const char *file, int entry, uint16_t caller,
+            uint16_t peer, uint16_t advertised)
 {
     char name[32];
     char path[128];
     uint16_t platform = c->config.relays ? Cluster_PlatformRelay(c, entry) - 10
                                          : Cluster_PlatformPort(c);
-    GfStr text =
-        GfStr_Format("member: entry%d\nregion: r1\nfailure_domain: fd%d\n"
-                     "caller: {address: " ADDRESS ", port: %u}\n"
-                     "peer: {address: " ADDRESS ", port: %u}\n"
-                     "peer_advertised: {address: " ADDRESS ", port: %u}\n"
-                     "platform: {address: " ADDRESS ", port: %u}\n"
-                     "first_bundle: %s/bundle.yaml\n",
-                     entry, entry % 3, Cluster_CallerPort(c, entry),
-                     Cluster_PeerPort(c, entry),
-                     c->config.relays ? Cluster_PeerRelay(c, entry) - 10
-                                      : Cluster_PeerPort(c, entry),
-                     platform, c->dir);
-    snprintf(name, sizeof(name), "entry%d.yaml", entry);
+    GfStr text = GfStr_Format(
+        "member: entry%d\nregion: r1\nfailure_domain: fd%d\n"
+        "caller: {address: " ADDRESS ", port: %u}\n"
+        "peer: {address: " ADDRESS ", port: %u}\n"
+        "peer_advertised: {address: " ADDRESS ", port: %u}\n"
+        "platform: {address: " ADDRESS ", port: %u}\n"
+        "first_bundle: %s/bundle.yaml\n",
+        entry, entry % 3, caller, peer, advertised, platform, c->dir);
+    snprintf(name, sizeof(name), "%s.yaml", file);
     write_file(c, name, text.data);
     GfStr_Clear(&text);
     snprintf(path, sizeof(path), "%s/%s", c->dir, name);
     char *argv[] = {(char *)GUAVAFLOW_PROGRAM, "entry", "--config", path,
                     NULL};
-    snprintf(name, sizeof(name), "entry%d", entry);
-    c->entries[entry] = start(c, name, argv);
+    return start(c, file, argv);
+}
+
+/* Starts an entry with the identity of its number. */
+void
+Cluster_StartEntry(Cluster *c, int entry)
+{
+    char file[16];
+    snprintf(file, sizeof(file), "entry%d", entry);
+    c->entries[entry] = start_entry(
+        c, file, entry, Cluster_CallerPort(c, entry),
+        Cluster_PeerPort(c, entry),
+        c->config.relays ? (uint16_t)(Cluster_PeerRelay(c, entry) - 10)
+                         : Cluster_PeerPort(c, entry));
+}
+
+/* Starts a second process with an entry's name, on ports of its own. */
+void
+Cluster_StartTwin(Cluster *c, int entry)
+{
+    uint16_t caller = (uint16_t)(c->config.base_port + 30 + entry);
+    uint16_t peer = (uint16_t)(c->config.base_port + 40 + entry);
+    c->others[c->other_count++] =
+        start_entry(c, "twin", entry, caller, peer, peer);
 }
 
 /* Sends a signal to an entry. */
--- a/tests/fault/cluster.h
+++ b/tests/fault/cluster.h
@@ -43,6 +43,7 @@
 Cluster *Cluster_Start(const ClusterConfig *config);
 void Cluster_Stop(Cluster *cluster);
 void Cluster_StartEntry(Cluster *cluster, int entry);
+void Cluster_StartTwin(Cluster *cluster, int entry);
 void Cluster_SignalEntry(Cluster *cluster, int entry, int sig);
 bool Cluster_EntryHasExited(Cluster *cluster, int entry);
 int64_t Cluster_NowMs(void);
--- a/tests/unit/http.c
+++ b/tests/unit/http.c
@@ -188,9 +188,38 @@
     close_server(&s);
 }
 
+/* After a timeout the connections that were idle are not trusted either. */
+static void
+test_silent_pool(void)
+{
+    Server s;
+    open_server(&s, true);
+    s.answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    GfHttpCall call = {.address = "127.0.0.1",
+                       .port = PORT,
+                       .method = EVHTTP_REQ_GET,
+                       .path = "/",
+                       .timeout_ms = 1000};
+    GfHttp_Start(s.http, &call, on_result, &s);
+    get(&s, 1000);
+    while (s.done < 2) {
+        event_base_loop(s.base, EVLOOP_ONCE);
+    }
+    CU_ASSERT_EQUAL(s.connections, 2);
+    s.answer = NULL;
+    get(&s, 150);
+    CU_ASSERT_EQUAL(s.result.kind, GF_TIMEOUT);
+    s.answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    get(&s, 1000);
+    CU_ASSERT_EQUAL(s.result.kind, GF_OK);
+    CU_ASSERT_EQUAL(s.connections, 3);
+    close_server(&s);
+}
+
 static const SuiteTest TESTS[] = {{"whole", test_whole},
                                   {"refused", test_refused},
                                   {"cut", test_cut},
-                                  {"timeout", test_timeout}};
+                                  {"timeout", test_timeout},
+                                  {"silent pool", test_silent_pool}};
 
 SUITE_MAIN("http", TESTS)
--- /dev/null
+++ b/tests/unit/keeper.c
@@ -0,0 +1,307 @@
+#include "guavaflow/keeper.h"
+
+#include <string.h>
+
+#include "suite.h"
+
+#define HASH "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+#define MAX_PLACED 32
+
+static GfManualClock clock_;
+
+/* A keeper with one rack, and what it asked for. */
+typedef struct {
+    GfFleet *fleet;
+    GfControl *control;
+    GfKeeper *keeper;
+    GfPlacement placed[MAX_PLACED];
+    size_t count;
+    int stops;
+    json_t *records;
+    bool may_place;
+    GfAnswer answer;
+} World;
+
+static void
+on_place(void *ctx, const GfName *holder, const GfPlacement *placements,
+         size_t count, bool gang)
+{
+    (void)holder;
+    (void)gang;
+    World *w = ctx;
+    for (size_t i = 0; i < count && w->count < MAX_PLACED; i++) {
+        w->placed[w->count++] = placements[i];
+    }
+}
+
+static void
+on_stop(void *ctx, const GfName *rack, const GfName *task, GfStopMode mode)
+{
+    (void)rack;
+    (void)task;
+    (void)mode;
+    ((World *)ctx)->stops++;
+}
+
+static void
+on_append(void *ctx, uint32_t partition, json_t *record,
+          GfAppendCallback callback, void *arg)
+{
+    (void)partition;
+    json_array_append_new(((World *)ctx)->records, record);
+    if (callback != NULL) {
+        callback(arg, GF_OK);
+    }
+}
+
+static bool
+on_may_place(void *ctx, uint32_t partition)
+{
+    (void)partition;
+    return ((World *)ctx)->may_place;
+}
+
+static const GfKeeperOps OPS = {.place = on_place,
+                                .stop = on_stop,
+                                .append = on_append,
+                                .may_place = on_may_place};
+
+static void
+on_answer(void *arg, const GfAnswer *answer)
+{
+    World *w = arg;
+    w->answer = *answer;
+    w->answer.body = (GfStr){0};
+}
+
+static void
+open_world(World *w)
+{
+    memset(w, 0, sizeof(*w));
+    GfManualClock_Init(&clock_, 100000);
+    w->may_place = true;
+    w->records = json_array();
+    w->fleet = GfFleet_Create(1);
+    w->control = GfControl_Create(1000);
+    json_t *document = GfControl_FirstDocument(
+        "version: 1\nquorum: 1\nmembers: [{name: a, key: " HASH "}]\n"
+        "teams: [{name: t, share: 1, limit_cores: 99, limit_requests: 1}]\n"
+        "services: []\n",
+        NULL);
+    GfControl_Take(w->control, document, clock_.time, NULL);
+    json_decref(document);
+    GfRackView view;
+    memset(&view, 0, sizeof(view));
+    view.rack = GfName_Format("rack0");
+    view.holder = GfName_Format("entry1");
+    view.open = true;
+    view.free_mcores = 8000;
+    view.widest = (GfRoom){.mcores = 8000, .memory_mb = 8000};
+    view.largest = view.widest;
+    GfName domain = GfName_Format("fd");
+    GfFleet_AddRack(w->fleet, &view.rack, &domain);
+    GfFleet_Update(w->fleet, &view);
+    GfKeeperConfig config = {
+        .partitions = 1, .max_failures = 2, .max_waiting = 100};
+    w->keeper =
+        GfKeeper_Create(&config, w->fleet, w->control, &clock_.clock, &OPS, w);
+    GfKeeper_Open(w->keeper, 0, 1);
+}
+
+static void
+close_world(World *w)
+{
+    GfKeeper_Destroy(w->keeper);
+    GfFleet_Destroy(w->fleet);
+    GfControl_Destroy(w->control);
+    json_decref(w->records);
+}
+
+static GfJobSpec
+spec(uint32_t count, bool repeatable)
+{
+    return (GfJobSpec){.id = GfJob_MakeId(0, 7),
+                       .team = GfName_Format("t"),
+                       .work_class = GF_CLASS_BATCH,
+                       .need = {.mcores = 1000, .memory_mb = 1},
+                       .count = count,
+                       .run_ms = 10,
+                       .repeatable = repeatable};
+}
+
+/* Answers the last placement. */
+static void
+placed(World *w, GfErrorKind kind, GfRan ran)
+{
+    GfPlaced p = {.kind = kind, .ran = ran, .worker = GfName_Format("w")};
+    GfKeeper_Placed(w->keeper, &w->placed[w->count - 1], &p);
+}
+
+/* Reports a state of the last placement's task. */
+static bool
+event(World *w, GfTaskState state)
+{
+    GfTaskEvent e = {.task = w->placed[w->count - 1].spec.id,
+                     .rack = GfName_Format("rack0"),
+                     .worker = GfName_Format("w"),
+                     .state = state};
+    return GfKeeper_Event(w->keeper, &e);
+}
+
+/* A task is placed, runs, ends; its end is forgotten only once durable. */
+static void
+test_end(void)
+{
+    World w;
+    open_world(&w);
+    GfJobSpec s = spec(1, true);
+    GfKeeper_Submit(w.keeper, &s, on_answer, &w);
+    CU_ASSERT_EQUAL(w.answer.kind, GF_OK);
+    GfKeeper_Tick(w.keeper);
+    CU_ASSERT_EQUAL(w.count, 1);
+    placed(&w, GF_OK, GF_RAN_YES);
+    CU_ASSERT_EQUAL(GfKeeper_CountState(w.keeper, GF_JOB_RUNNING), 1);
+    CU_ASSERT_FALSE(event(&w, GF_TASK_ENDED));
+    CU_ASSERT_TRUE(event(&w, GF_TASK_ENDED));
+    CU_ASSERT_EQUAL(GfKeeper_CountState(w.keeper, GF_JOB_DONE), 1);
+    /* The same job again is the same job. */
+    GfKeeper_Submit(w.keeper, &s, on_answer, &w);
+    CU_ASSERT_EQUAL(w.answer.kind, GF_OK);
+    GfKeeper_Tick(w.keeper);
+    CU_ASSERT_EQUAL(w.count, 1);
+    close_world(&w);
+}
+
+/* A task in doubt is not started again before a complete answer, asked after
+ * it was placed, does not list it. */
+static void
+test_doubt(void)
+{
+    World w;
+    open_world(&w);
+    GfName rack = GfName_Format("rack0");
+    GfJobSpec s = spec(1, true);
+    GfKeeper_Submit(w.keeper, &s, on_answer, &w);
+    GfKeeper_Tick(w.keeper);
+    uint64_t seq = w.placed[0].seq;
+    placed(&w, GF_OUTCOME_UNKNOWN, GF_RAN_UNKNOWN);
+    GfManualClock_Advance(&clock_, 10000);
+    GfKeeper_Tick(w.keeper);
+    CU_ASSERT_EQUAL(w.count, 1);
+    GfKeeper_Found(w.keeper, 0, seq - 1, &rack, true, NULL, 0);
+    GfKeeper_Found(w.keeper, 0, seq, &rack, false, NULL, 0);
+    GfKeeper_Tick(w.keeper);
+    CU_ASSERT_EQUAL(w.count, 1);
+    GfKeeper_Found(w.keeper, 0, seq, &rack, true, NULL, 0);
+    GfKeeper_Tick(w.keeper);
+    CU_ASSERT_EQUAL(w.count, 2);
+    CU_ASSERT_FALSE(GfName_Equal(&w.placed[0].spec.id, &w.placed[1].spec.id));
+    close_world(&w);
+}
+
+/* Work that must not repeat is placed only after its intent is recorded, and
+ * not again once its outcome is in doubt. */
+static void
+test_not_repeatable(void)
+{
+    World w;
+    open_world(&w);
+    GfName rack = GfName_Format("rack0");
+    GfJobSpec s = spec(1, false);
+    GfKeeper_Submit(w.keeper, &s, on_answer, &w);
+    GfKeeper_Tick(w.keeper);
+    CU_ASSERT_EQUAL(w.count, 1);
+    CU_ASSERT_EQUAL(json_array_size(w.records), 2);
+    placed(&w, GF_OUTCOME_UNKNOWN, GF_RAN_UNKNOWN);
+    GfKeeper_Found(w.keeper, 0, w.placed[0].seq, &rack, true, NULL, 0);
+    GfKeeper_Tick(w.keeper);
+    CU_ASSERT_EQUAL(w.count, 1);
+    CU_ASSERT_EQUAL(GfKeeper_CountState(w.keeper, GF_JOB_UNKNOWN), 1);
+    close_world(&w);
+}
+
+/* A successor rebuilds the jobs from the records: what ended stays ended, and
+ * what may run anywhere waits for every rack. */
+static void
+test_recovery(void)
+{
+    World w;
+    open_world(&w);
+    GfName rack = GfName_Format("rack0");
+    GfJobSpec s = spec(2, true);
+    GfKeeper_Submit(w.keeper, &s, on_answer, &w);
+    GfKeeper_Tick(w.keeper);
+    CU_ASSERT_EQUAL(w.count, 2);
+    placed(&w, GF_OK, GF_RAN_YES);
+    event(&w, GF_TASK_ENDED);
+    json_t *records = json_copy(w.records);
+    GfKeeper_Close(w.keeper, 0);
+    size_t i;
+    json_t *record;
+    json_array_foreach(records, i, record)
+    {
+        GfKeeper_Replay(w.keeper, record);
+    }
+    json_decref(records);
+    GfKeeper_Open(w.keeper, 0, 2);
+    CU_ASSERT_EQUAL(GfKeeper_CountState(w.keeper, GF_JOB_DONE), 1);
+    CU_ASSERT_EQUAL(GfKeeper_CountState(w.keeper, GF_JOB_DOUBT), 1);
+    GfKeeper_Tick(w.keeper);
+    CU_ASSERT_EQUAL(w.count, 2);
+    GfKeeper_Found(w.keeper, 0, 0, &rack, true, NULL, 0);
+    w.may_place = false;
+    GfKeeper_Tick(w.keeper);
+    CU_ASSERT_EQUAL(w.count, 2);
+    w.may_place = true;
+    GfKeeper_Tick(w.keeper);
+    CU_ASSERT_EQUAL(w.count, 3);
+    CU_ASSERT_EQUAL(w.placed[2].epoch, 2);
+    close_world(&w);
+}
+
+/* A cancelled job starts nothing more and stops what runs; one that fails too
+ * often, or fits nowhere, is told so. */
+static void
+test_cancel_and_fail(void)
+{
+    World w;
+    open_world(&w);
+    GfName team = GfName_Format("t");
+    GfName other = GfName_Format("u");
+    GfJobSpec s = spec(2, true);
+    GfKeeper_Submit(w.keeper, &s, on_answer, &w);
+    GfKeeper_Tick(w.keeper);
+    placed(&w, GF_OK, GF_RAN_YES);
+    GfAnswer answer = GfKeeper_Cancel(w.keeper, &s.id, &other);
+    CU_ASSERT_EQUAL(answer.kind, GF_NOT_FOUND);
+    answer = GfKeeper_Cancel(w.keeper, &s.id, &team);
+    CU_ASSERT_EQUAL(answer.kind, GF_OK);
+    GfAnswer_Clear(&answer);
+    CU_ASSERT_EQUAL(w.stops, 1);
+    event(&w, GF_TASK_STOPPED);
+    CU_ASSERT_EQUAL(GfKeeper_CountState(w.keeper, GF_JOB_CANCELLED), 1);
+    GfJobSpec failing = spec(1, true);
+    failing.id = GfJob_MakeId(0, 8);
+    GfKeeper_Submit(w.keeper, &failing, on_answer, &w);
+    for (int i = 0; i < 2; i++) {
+        GfManualClock_Advance(&clock_, 1000);
+        GfKeeper_Tick(w.keeper);
+        placed(&w, GF_OK, GF_RAN_YES);
+        event(&w, GF_TASK_FAILED);
+    }
+    CU_ASSERT_EQUAL(GfKeeper_CountState(w.keeper, GF_JOB_FAILED), 1);
+    GfJobSpec huge = spec(1, true);
+    huge.id = GfJob_MakeId(0, 9);
+    huge.need.mcores = 9000;
+    GfKeeper_Submit(w.keeper, &huge, on_answer, &w);
+    CU_ASSERT_EQUAL(w.answer.kind, GF_NEVER_FITS);
+    close_world(&w);
+}
+
+static const SuiteTest TESTS[] = {{"end", test_end},
+                                  {"doubt", test_doubt},
+                                  {"not repeatable", test_not_repeatable},
+                                  {"recovery", test_recovery},
+                                  {"cancel and fail", test_cancel_and_fail}};
+
+SUITE_MAIN("keeper", TESTS)
--- /dev/null
+++ b/tests/unit/member.c
@@ -0,0 +1,105 @@
+#include "guavaflow/member.h"
+
+#include "suite.h"
+
+#define CONTACT_MS 1000
+#define FORGET_MS 5000
+#define SUBJECTS 3000
+
+static GfManualClock clock_;
+
+/* Makes the membership of entry0 that lists others but has heard none. */
+static GfMembers *
+make_members(int others)
+{
+    GfManualClock_Init(&clock_, 100000);
+    GfMemberConfig config = {.contact_ms = CONTACT_MS, .forget_ms = FORGET_MS};
+    GfName self = GfName_Format("entry0");
+    GfMembers *m = GfMembers_Create(&self, &config);
+    for (int i = 1; i <= others; i++) {
+        GfName name = GfName_Format("entry%d", i);
+        GfMembers_List(m, &name, "127.0.0.1", (uint16_t)(100 + i), 1,
+                       clock_.time);
+    }
+    return m;
+}
+
+static void
+hear(GfMembers *m, int entry)
+{
+    GfName name = GfName_Format("entry%d", entry);
+    GfMembers_Contact(m, &name, 1, 1, clock_.time);
+}
+
+/* Counts the subjects that an entry owns. */
+static int
+owned(GfMembers *m, int entry)
+{
+    GfName name = GfName_Format("entry%d", entry);
+    int count = 0;
+    for (int i = 0; i < SUBJECTS; i++) {
+        GfName subject = GfName_Format("rack%d", i);
+        GfName owner;
+        CU_ASSERT_TRUE(GfMembers_Owner(m, &subject, clock_.time, &owner));
+        count += GfName_Equal(&owner, &name);
+    }
+    return count;
+}
+
+/* Being listed is no sign of life; direct contact is, for a while. */
+static void
+test_contact(void)
+{
+    GfMembers *m = make_members(2);
+    CU_ASSERT_EQUAL(owned(m, 0), SUBJECTS);
+    hear(m, 1);
+    CU_ASSERT_TRUE(owned(m, 1) > 0);
+    CU_ASSERT_EQUAL(owned(m, 2), 0);
+    GfManualClock_Advance(&clock_, CONTACT_MS);
+    CU_ASSERT_EQUAL(owned(m, 0), SUBJECTS);
+    GfMembers_Destroy(m);
+}
+
+/* Subjects are spread evenly, and those of a member that leaves move alone. */
+static void
+test_owner(void)
+{
+    GfMembers *m = make_members(2);
+    hear(m, 1);
+    hear(m, 2);
+    int before[3];
+    for (int i = 0; i < 3; i++) {
+        before[i] = owned(m, i);
+        CU_ASSERT_TRUE(before[i] > SUBJECTS / 3 * 8 / 10);
+        CU_ASSERT_TRUE(before[i] < SUBJECTS / 3 * 12 / 10);
+    }
+    GfName leaver = GfName_Format("entry2");
+    GfMembers_SetState(m, &leaver, true, true);
+    CU_ASSERT_EQUAL(owned(m, 2), 0);
+    CU_ASSERT_TRUE(owned(m, 0) >= before[0]);
+    CU_ASSERT_TRUE(owned(m, 1) >= before[1]);
+    GfMembers_SetSelfLeaving(m);
+    CU_ASSERT_EQUAL(owned(m, 1), SUBJECTS);
+    GfMembers_Destroy(m);
+}
+
+/* A member is forgotten only when it is neither listed nor heard. */
+static void
+test_forget(void)
+{
+    GfMembers *m = make_members(1);
+    GfManualClock_Advance(&clock_, FORGET_MS - 1);
+    hear(m, 1);
+    GfManualClock_Advance(&clock_, FORGET_MS - 1);
+    GfMembers_Forget(m, clock_.time);
+    CU_ASSERT_EQUAL(GfMembers_Count(m), 1);
+    GfManualClock_Advance(&clock_, 1);
+    GfMembers_Forget(m, clock_.time);
+    CU_ASSERT_EQUAL(GfMembers_Count(m), 0);
+    GfMembers_Destroy(m);
+}
+
+static const SuiteTest TESTS[] = {
+    {"contact", test_contact}, {"owner", test_owner}, {"forget", test_forget}};
+
+SUITE_MAIN("member", TESTS)
--- /dev/null
+++ b/tests/unit/pick.c
@@ -0,0 +1,164 @@
+#include "guavaflow/pick.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "bounds.h"
+#include "suite.h"
+
+#define RACKS 8
+#define PER_RACK 6
+#define WORKERS (RACKS * PER_RACK)
+#define MAX_TASKS 4000
+#define SEEDS 20
+#define PERCENT 100.0
+
+/* Baseline: the first room that fits. */
+static size_t
+first_fit(const GfRoom *rooms, size_t count, const GfRoom *need)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (GfRoom_Fits(&rooms[i], need)) {
+            return i;
+        }
+    }
+    return GF_PICK_NONE;
+}
+
+/* Baseline: any room that fits. */
+static size_t
+random_fit(const GfRoom *rooms, size_t count, const GfRoom *need)
+{
+    size_t start = (size_t)rand() % count;
+    for (size_t i = 0; i < count; i++) {
+        size_t at = (start + i) % count;
+        if (GfRoom_Fits(&rooms[at], need)) {
+            return at;
+        }
+    }
+    return GF_PICK_NONE;
+}
+
+/* Orders needs from large to small. */
+static int
+by_size(const void *a, const void *b)
+{
+    const GfRoom *x = a;
+    const GfRoom *y = b;
+    return (x->mcores < y->mcores) - (x->mcores > y->mcores);
+}
+
+static void
+make_workers(GfRoom *rooms)
+{
+    for (int i = 0; i < WORKERS; i++) {
+        rooms[i] = (GfRoom){.mcores = 64000,
+                            .memory_mb = 131072,
+                            .accelerators = i % 6 == 0 ? 4 : 0};
+    }
+}
+
+/* Makes tasks that need about a tenth more than the workers have. */
+static size_t
+make_tasks(GfRoom *tasks)
+{
+    static const uint32_t SIZES[] = {500,  1000,  2000, 4000,
+                                     8000, 16000, 24000};
+    size_t count = 0;
+    uint64_t sum = 0;
+    while (sum < (uint64_t)WORKERS * 64000 * 11 / 10 && count < MAX_TASKS) {
+        GfRoom *t = &tasks[count++];
+        t->mcores = SIZES[rand() % 7];
+        t->memory_mb = t->mcores * (1 + (uint32_t)rand() % 2);
+        t->accelerators = rand() % 12 == 0 ? 1 + (uint32_t)rand() % 2 : 0;
+        sum += t->mcores;
+    }
+    return count;
+}
+
+/* Places tasks in order, in one rack of two at random as the product does, or
+ * on all workers as the offline baseline does; returns millicores placed. */
+static uint64_t
+place(const GfRoom *tasks, size_t count, GfPickFunction pick, bool by_rack,
+      uint32_t *accelerated)
+{
+    GfRoom rooms[WORKERS];
+    make_workers(rooms);
+    uint64_t placed = 0;
+    for (size_t i = 0; i < count; i++) {
+        size_t at = GF_PICK_NONE;
+        if (by_rack) {
+            size_t start = (size_t)rand() % RACKS;
+            for (size_t r = 0; r < RACKS && at == GF_PICK_NONE; r++) {
+                size_t rack = (start + r) % RACKS;
+                size_t in = pick(&rooms[rack * PER_RACK], PER_RACK, &tasks[i]);
+                at = in == GF_PICK_NONE ? in : rack * PER_RACK + in;
+            }
+        }
+        else {
+            at = pick(rooms, WORKERS, &tasks[i]);
+        }
+        if (at != GF_PICK_NONE) {
+            rooms[at] = GfRoom_Minus(&rooms[at], &tasks[i]);
+            placed += tasks[i].mcores;
+            *accelerated += tasks[i].accelerators > 0;
+        }
+    }
+    return placed;
+}
+
+/* Best fit within a rack places nearly what an offline best-fit-decreasing
+ * over all workers places, and more work that needs accelerators than the
+ * baselines do. */
+static void
+test_packing(void)
+{
+    static GfRoom tasks[MAX_TASKS];
+    static GfRoom sorted[MAX_TASKS];
+    uint64_t sums[4] = {0};
+    uint32_t accelerated[4] = {0};
+    for (unsigned seed = 1; seed <= SEEDS; seed++) {
+        srand(seed);
+        size_t count = make_tasks(tasks);
+        memcpy(sorted, tasks, sizeof(sorted));
+        qsort(sorted, count, sizeof(*sorted), by_size);
+        sums[0] += place(tasks, count, GfPick_BestFit, true, &accelerated[0]);
+        sums[1] += place(tasks, count, first_fit, true, &accelerated[1]);
+        sums[2] += place(tasks, count, random_fit, true, &accelerated[2]);
+        sums[3] +=
+            place(sorted, count, GfPick_BestFit, false, &accelerated[3]);
+    }
+    double share = PERCENT * (double)sums[0] / (double)sums[3];
+    printf("placed, in percent of offline best-fit-decreasing: best fit %.2f, "
+           "first fit %.2f, random %.2f\n",
+           share, PERCENT * (double)sums[1] / (double)sums[3],
+           PERCENT * (double)sums[2] / (double)sums[3]);
+    printf("accelerated tasks placed: best fit %u, first fit %u, random %u, "
+           "offline %u\n",
+           accelerated[0], accelerated[1], accelerated[2], accelerated[3]);
+    CU_ASSERT_TRUE(share >= BOUND_PACKING_PERCENT);
+    CU_ASSERT_TRUE(accelerated[0] > accelerated[1]);
+    CU_ASSERT_TRUE(accelerated[0] > accelerated[2]);
+}
+
+/* The tightest room is taken, accelerators are kept, and nothing is taken
+ * that does not fit. */
+static void
+test_choice(void)
+{
+    GfRoom rooms[] = {{4000, 1000, 1}, {8000, 1000, 0}, {3000, 1000, 0}};
+    GfRoom need = {.mcores = 3000, .memory_mb = 10};
+    CU_ASSERT_EQUAL(GfPick_BestFit(rooms, 3, &need), 2);
+    need.mcores = 4000;
+    CU_ASSERT_EQUAL(GfPick_BestFit(rooms, 3, &need), 1);
+    need.accelerators = 1;
+    CU_ASSERT_EQUAL(GfPick_BestFit(rooms, 3, &need), 0);
+    need.mcores = 9000;
+    CU_ASSERT_EQUAL(GfPick_BestFit(rooms, 3, &need), GF_PICK_NONE);
+    CU_ASSERT_EQUAL(GfPick_BestFit(NULL, 0, &need), GF_PICK_NONE);
+}
+
+static const SuiteTest TESTS[] = {{"packing", test_packing},
+                                  {"choice", test_choice}};
+
+SUITE_MAIN("pick", TESTS)
