--- a/Makefile
+++ b/Makefile
@@ -34,5 +34,8 @@
 format:
 	git ls-files -co --exclude-standard '*.c' '*.h' | grep -v peer_xdr | xargs clang-format -i
 
+bench: build
+	scripts/bench $(BUILD)
+
 clean:
-	rm -rf $(BUILD) $(CHECK) $(FUZZ)
+	rm -rf $(BUILD) $(CHECK) $(FUZZ) build-lint
--- a/include/guavaflow/rpc.h
+++ b/include/guavaflow/rpc.h
@@ -43,6 +43,9 @@
 
 typedef void (*GfRpcCallback)(void *arg, const GfRpcOutcome *outcome);
 
+const GfRpcProcedure *GfRpcProgram_Find(const GfRpcProgram *program,
+                                        uint32_t number);
+
 GfRpcServer *GfRpcServer_Create(struct event_base *base, const char *address,
                                 uint16_t port, const GfRpcProgram *program,
                                 void *ctx, GfError *error);
--- a/src/cli/cmd_bundle.c
+++ b/src/cli/cmd_bundle.c
@@ -256,7 +256,41 @@
     return 0;
 }
 
-/* Works on bundles: check, diff, sign, propose, status. */
+/* Lists the bundles that were put in force, from the audit trail. */
+static int
+history(void)
+{
+    CliReply reply;
+    GfError error;
+    if (!Cli_Call("GET", "/v1/admin/audit", NULL, NULL, &reply, &error)) {
+        return Cli_Fail(&error);
+    }
+    json_t *records = json_object_get(reply.body, "records");
+    if (records == NULL || Cli_WantsJson()) {
+        return Cli_Show(&reply);
+    }
+    size_t i;
+    json_t *record;
+    json_array_foreach(records, i, record)
+    {
+        const char *hash =
+            json_string_value(json_object_get(record, "bundle_hash"));
+        if (hash == NULL) {
+            continue;
+        }
+        char *signers =
+            json_dumps(json_object_get(record, "signers"), JSON_COMPACT);
+        printf(
+            "control version %lld by %s, signed by %s, bundle %.16s\n",
+            (long long)json_integer_value(json_object_get(record, "version")),
+            json_string_value(json_object_get(record, "who")), signers, hash);
+        free(signers);
+    }
+    json_decref(reply.body);
+    return 0;
+}
+
+/* Works on bundles: check, diff, sign, propose, status, history. */
 int
 CmdBundle_Run(int argc, const char **argv)
 {
@@ -264,7 +298,7 @@
     poptContext popt =
         Cli_Parse("bundle", argc, argv, options,
                   "check FILE | diff OLD NEW | sign FILE | propose FILE | "
-                  "status",
+                  "status | history",
                   &code);
     if (popt == NULL) {
         return code;
@@ -291,6 +325,9 @@
     else if (strcmp(verb, "status") == 0) {
         code = status();
     }
+    else if (strcmp(verb, "history") == 0) {
+        code = history();
+    }
     else {
         return Cli_Usage(popt, "'%s' lacks an argument or is unknown", verb);
     }
--- a/src/rpc/rpc_client.c
+++ b/src/rpc/rpc_client.c
@@ -278,18 +278,6 @@
     return good;
 }
 
-/* Finds a procedure by its number. */
-static const GfRpcProcedure *
-find_procedure(const GfRpcProgram *program, uint32_t number)
-{
-    for (size_t i = 0; i < program->procedure_count; i++) {
-        if (program->procedures[i].number == number) {
-            return &program->procedures[i];
-        }
-    }
-    return NULL;
-}
-
 /* Starts a call. The callback runs exactly once; at once if the peer cannot
  * be reached. */
 void
@@ -309,7 +297,7 @@
     }
     p->client = client;
     p->xid = client->next_xid++;
-    p->procedure = find_procedure(client->program, procedure);
+    p->procedure = GfRpcProgram_Find(client->program, procedure);
     assert(p->procedure != NULL);
     p->result_bytes = result_bytes;
     p->started = GfClock_Now(client->clock);
--- a/src/rpc/rpc_server.c
+++ b/src/rpc/rpc_server.c
@@ -120,18 +120,6 @@
     write_reply(c, &reply, NULL, NULL);
 }
 
-/* Finds a procedure by its number. */
-static const GfRpcProcedure *
-find_procedure(const GfRpcProgram *program, uint32_t number)
-{
-    for (size_t i = 0; i < program->procedure_count; i++) {
-        if (program->procedures[i].number == number) {
-            return &program->procedures[i];
-        }
-    }
-    return NULL;
-}
-
 /* Decodes the arguments and hands the call to its procedure. */
 static void
 dispatch(Connection *c, XDR *in, const GfRpcProcedure *procedure, uint32_t xid)
@@ -173,7 +161,7 @@
     if (good) {
         const GfRpcProgram *program = c->server->program;
         const GfRpcProcedure *procedure =
-            find_procedure(program, msg.rm_call.cb_proc);
+            GfRpcProgram_Find(program, msg.rm_call.cb_proc);
         if (msg.rm_call.cb_prog != program->program ||
             msg.rm_call.cb_vers != program->version) {
             refuse(c, msg.rm_xid, PROG_UNAVAIL);
