--- a/src/sched/rack_allot.c
+++ b/src/sched/rack_allot.c
@@ -11,7 +11,6 @@
 #define RETRY_MS 500
 #define MOVE_INTERVAL_MS 250
 #define CUSHION_FACTOR 2
-#define REQUEST_QUANTUM 8
 #define RETURN_INTERVAL_MS 2000
 #define POOL_KEY "allot-pool"
 
@@ -278,14 +277,8 @@
     RackDemand *d = get_demand(a, team);
     GfAmount have = GfParts_Get(a->next_parts, team, control);
     GfAmount pool = GfParts_Get(a->pool, team, control);
-    GfAmount wanted = {.mcores = d->lacking.mcores};
-    if (d->lacking.requests > 0) {
-        /* Requests come in bursts: ask for more than lacks right now. */
-        wanted.requests = d->lacking.requests * CUSHION_FACTOR +
-                          have.requests / 2 + REQUEST_QUANTUM;
-    }
     GfAmount take =
-        GfPool_Take(pool, wanted, d->least, *agent->env->rack_count);
+        GfPool_Take(pool, d->lacking, d->least, *agent->env->rack_count);
     GfAmount give = {0};
     if (giving) {
         GfAmount use = {.mcores = GfRack_TeamUse(agent->rack, team, now),
