Log calls whose body is over the limit

Cause: such a call's connection was closed without a log line. Change: the announced length is looked at when the headers are in.

--- a/src/net/server.c
+++ b/src/net/server.c
@@ -8,6 +8,7 @@
 
 #include "guavaflow/log.h"
 
+#define PART "http"
 #define LISTEN_BACKLOG 512
 #define IDLE_TIMEOUT_S 75
 #define WRITE_TIMEOUT_S 30
@@ -16,6 +17,7 @@
     evhtp_t *http;
     GfServerHandler handler;
     void *ctx;
+    size_t max_body_bytes;
     int open;
     bool stopping;
 };
@@ -192,6 +194,31 @@
     server->handler(server->ctx, exchange);
 }
 
+/* Logs a call that announces a body over the limit; the library closes its
+ * connection. */
+static evhtp_res
+on_headers(evhtp_request_t *request, evhtp_headers_t *headers, void *arg)
+{
+    (void)request;
+    const GfServer *server = arg;
+    const char *length = evhtp_header_find(headers, "Content-Length");
+    if (length != NULL &&
+        strtoull(length, NULL, 10) > server->max_body_bytes) {
+        GfLog(GF_LOG_WARNING, PART, "A call has a body over %zu bytes.",
+              server->max_body_bytes);
+    }
+    return EVHTP_RES_OK;
+}
+
+/* Watches the headers of a new connection's calls. */
+static evhtp_res
+on_accept(evhtp_connection_t *connection, void *arg)
+{
+    evhtp_connection_set_hook(connection, evhtp_hook_on_headers,
+                              (evhtp_hook)on_headers, arg);
+    return EVHTP_RES_OK;
+}
+
 /* Opens a listening server. Fails with GF_BAD_CONFIG if the address cannot
  * be bound. Bodies over max_body_bytes end the connection. */
 GfServer *
@@ -209,6 +236,8 @@
     server->http = evhtp_new(base, NULL);
     evhtp_set_gencb(server->http, on_request, server);
     evhtp_set_max_body_size(server->http, max_body_bytes);
+    evhtp_set_post_accept_cb(server->http, on_accept, server);
+    server->max_body_bytes = max_body_bytes;
     struct timeval idle = {.tv_sec = IDLE_TIMEOUT_S};
     struct timeval write = {.tv_sec = WRITE_TIMEOUT_S};
     evhtp_set_timeouts(server->http, &idle, &write);
