--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	scripts/lint
 
 format:
-	git ls-files -co --exclude-standard '*.c' '*.h' | grep -v peer_xdr | xargs clang-format -i
+	git ls-files -co --exclude-standard '*.c' '*.h' | grep -v _xdr | xargs clang-format -i
 
 bench: build
 	scripts/bench $(BUILD)
--- a/include/guavaflow/server.h
+++ b/include/guavaflow/server.h
@@ -17,6 +17,7 @@
 GfServer *GfServer_Create(struct event_base *base, const char *address,
                           uint16_t port, size_t max_body_bytes,
                           GfServerHandler handler, void *ctx, GfError *error);
+void GfServer_BeginDrain(GfServer *server);
 void GfServer_StopAccepting(GfServer *server);
 int GfServer_OpenExchanges(const GfServer *server);
 void GfServer_Destroy(GfServer *server);
--- /dev/null
+++ b/src/cell/advice.c
@@ -0,0 +1,346 @@
+/* Questions for advice: which workers to name, how many, and which caller
+ * puts the question. The advice service takes one question at a time from
+ * each caller, and one on a slow queue lasts some twenty times as long as one
+ * on a quick queue; quick questions therefore keep callers of their own. This
+ * answers bursts on both kinds of queue at once. */
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cell_private.h"
+#include "guavaflow/log.h"
+
+/* A queue is slow if a question takes longer than this without workers. */
+#define SLOW_ADVICE_MS 100.0
+/* The part of the callers that slow questions may occupy. */
+#define SLOW_CALLERS_PERCENT 60
+/* Fewest and most workers named; the service takes at most 100. */
+#define MIN_NAMED 6
+#define MAX_NAMED 48
+/* Share of the named workers that may run a step, where none is known: the
+ * lower of the two that were seen. */
+#define EXPECTED_GOOD 0.35
+/* Workers named beyond the expected need, against a run of refusals. */
+#define SPARE_NAMED 3
+/* How much of a ticket's validity is left for the start to arrive. */
+#define TICKET_MARGIN_MS 250
+/* What the transport of a question may add to its work. */
+#define ASK_SLACK_MS 2500
+#define PERCENT 100
+
+typedef struct {
+    Worker *worker;
+    double rank;
+} Candidate;
+
+/* Returns the valid ticket of a worker for a step, or NULL. */
+const Allowed *
+CellAdvice_Ticket(const Step *step, uint32_t serial, struct timespec now)
+{
+    for (size_t i = 0; i < step->allowed_count; i++) {
+        const Allowed *a = &step->allowed[i];
+        if (a->serial == serial) {
+            return GfTime_Before(now, a->expires) ? a : NULL;
+        }
+    }
+    return NULL;
+}
+
+/* Finds a worker among the allowed ones, valid or not. */
+static Allowed *
+find_allowed(const Step *step, uint32_t serial)
+{
+    for (size_t i = 0; i < step->allowed_count; i++) {
+        if (step->allowed[i].serial == serial) {
+            return &step->allowed[i];
+        }
+    }
+    return NULL;
+}
+
+/* Tells whether advice does not allow a worker for the step. */
+static bool
+is_denied(const Step *step, uint32_t serial)
+{
+    for (size_t i = 0; i < step->denied_count; i++) {
+        if (step->denied[i] == serial) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Forgets the step's advice. */
+void
+CellAdvice_Clear(Step *step)
+{
+    free(step->allowed);
+    free(step->denied);
+    free(step->asked);
+    step->allowed = NULL;
+    step->denied = NULL;
+    step->asked = NULL;
+    step->allowed_count = 0;
+    step->denied_count = 0;
+    step->asked_count = 0;
+}
+
+/* Drops a ticket that a worker did not accept. */
+void
+CellAdvice_Drop(Step *step, uint32_t serial)
+{
+    Allowed *a = find_allowed(step, serial);
+    if (a != NULL) {
+        a->expires = (struct timespec){0};
+    }
+}
+
+/* Tells whether the step may put a question now. */
+bool
+CellAdvice_Wanted(const GfCell *cell, const Step *step)
+{
+    return !step->asking && cell->caller_count > 0;
+}
+
+/* Chooses a caller for a question, or NULL if those for its kind are all
+ * busy. */
+static Caller *
+choose_caller(GfCell *cell, bool slow)
+{
+    size_t slow_busy = 0;
+    Caller *free_caller = NULL;
+    for (size_t i = 0; i < cell->caller_count; i++) {
+        Caller *c = &cell->callers[i];
+        slow_busy += c->busy && c->slow;
+        if (!c->busy && free_caller == NULL) {
+            free_caller = c;
+        }
+    }
+    size_t slow_max = cell->caller_count * SLOW_CALLERS_PERCENT / PERCENT;
+    if (slow && slow_busy >= (slow_max > 0 ? slow_max : 1)) {
+        return NULL;
+    }
+    return free_caller;
+}
+
+/* Orders candidates, lowest rank first. */
+static int
+compare(const void *a, const void *b)
+{
+    double x = ((const Candidate *)a)->rank;
+    double y = ((const Candidate *)b)->rank;
+    return x < y ? -1 : x > y;
+}
+
+/* Returns how many tasks of the step fit on a worker now. */
+static int64_t
+fitting(const Worker *w, const Step *step)
+{
+    if (!CellPlace_HasRoom(w, step)) {
+        return 0;
+    }
+    GfAmounts need = step->spec->need;
+    GfAmounts free_room = GfAmounts_Minus(w->info.room, w->used);
+    int64_t fit = step->spec->max_per_worker > 0
+                      ? (int64_t)step->spec->max_per_worker
+                      : INT32_MAX;
+    if (step->spec->filler) {
+        return 1;
+    }
+    if (need.mcores > 0 && free_room.mcores / need.mcores < fit) {
+        fit = free_room.mcores / need.mcores;
+    }
+    if (need.memory_mb > 0 && free_room.memory_mb / need.memory_mb < fit) {
+        fit = free_room.memory_mb / need.memory_mb;
+    }
+    return fit;
+}
+
+/* Collects the workers worth asking about, best first: those that were
+ * allowed before, then those with the most room. Returns how many tasks fit
+ * on those that are allowed for sure in *sure. */
+static size_t
+collect(GfCell *cell, Step *step, struct timespec now, Candidate *out,
+        size_t max, bool *has_room)
+{
+    size_t count = 0;
+    *has_room = false;
+    for (Worker *w = cell->workers; w != NULL && count < max; w = w->hh.next) {
+        if (!CellPlace_Eligible(cell, w, step) || is_denied(step, w->serial) ||
+            CellAdvice_Ticket(step, w->serial, now) != NULL) {
+            continue;
+        }
+        int64_t fit = fitting(w, step);
+        double rank = fit > 0 ? -(double)(fit > 4 ? 4 : fit) : 1;
+        if (find_allowed(step, w->serial) != NULL) {
+            rank -= 8;
+        }
+        if (GfTime_Before(now, w->avoid_until)) {
+            rank += 16;
+        }
+        /* Spreads the questions over workers of equal room. */
+        rank +=
+            (double)((w->serial * 7919U + step->job->id.data[5] * 31U) % 97U) /
+            1000.0;
+        *has_room = *has_room || fit > 0;
+        out[count++] = (Candidate){.worker = w, .rank = rank};
+    }
+    qsort(out, count, sizeof(Candidate), compare);
+    return count;
+}
+
+/* Decides how many of the candidates to name, so that the expected number of
+ * allowed ones has room for the idle tasks. */
+static size_t
+how_many(const Step *step, const Candidate *candidates, size_t count)
+{
+    double expected = 0;
+    size_t n = 0;
+    while (n < count && n < MAX_NAMED && expected < (double)step->idle) {
+        const Worker *w = candidates[n].worker;
+        int64_t fit = fitting(w, step);
+        double good =
+            find_allowed(step, w->serial) != NULL ? 1 : EXPECTED_GOOD;
+        expected += good * (double)(fit > 0 ? fit : 1);
+        n++;
+    }
+    n += SPARE_NAMED;
+    n = n < MIN_NAMED ? MIN_NAMED : n;
+    n = n > MAX_NAMED ? MAX_NAMED : n;
+    return n < count ? n : count;
+}
+
+/* Puts a question for a step if a caller is free and it can help. */
+void
+CellAdvice_Ask(GfCell *cell, Step *step, struct timespec now)
+{
+    const GfQueue *queue =
+        GfCellConfig_FindQueue(cell->config, &step->job->queue);
+    bool slow = queue->advice_ms > SLOW_ADVICE_MS;
+    Caller *caller = choose_caller(cell, slow);
+    if (caller == NULL) {
+        return;
+    }
+    Candidate *candidates = malloc(cell->worker_count * sizeof(Candidate));
+    if (candidates == NULL) {
+        abort();
+    }
+    bool has_room = false;
+    size_t count =
+        collect(cell, step, now, candidates, cell->worker_count, &has_room);
+    size_t n = how_many(step, candidates, count);
+    bool has_ticket = false;
+    for (size_t i = 0; i < step->allowed_count; i++) {
+        has_ticket =
+            has_ticket || GfTime_Before(now, step->allowed[i].expires);
+    }
+    if (n == 0 || (!has_room && has_ticket)) {
+        if (count == 0 && step->denied_count > 0 && !has_ticket &&
+            step->allowed_count == 0) {
+            /* All are denied; workers may have changed since. */
+            CellAdvice_Clear(step);
+        }
+        free(candidates);
+        return;
+    }
+    GfName names[MAX_NAMED];
+    free(step->asked);
+    step->asked = malloc(n * sizeof(uint32_t));
+    if (step->asked == NULL) {
+        abort();
+    }
+    for (size_t i = 0; i < n; i++) {
+        names[i] = candidates[i].worker->info.id;
+        step->asked[i] = candidates[i].worker->serial;
+    }
+    free(candidates);
+    step->asked_count = n;
+    step->asking = true;
+    step->asked_at = now;
+    caller->busy = true;
+    caller->slow = slow;
+    double work = queue->advice_ms + queue->advice_ms_per_worker * (double)n;
+    GfAdviceOrder order = {.caller = caller->name,
+                           .job = step->job->id,
+                           .occurrence = step->occurrence,
+                           .step = step->number,
+                           .workers = names,
+                           .worker_count = n,
+                           .timeout_ms = (int)work + ASK_SLACK_MS};
+    cell->ops->advise(cell->ctx, &order);
+}
+
+/* Adds or renews a worker's ticket. */
+static void
+allow(Step *step, uint32_t serial, const GfName *ticket,
+      struct timespec expires)
+{
+    Allowed *a = find_allowed(step, serial);
+    if (a == NULL) {
+        step->allowed = realloc(step->allowed,
+                                (step->allowed_count + 1) * sizeof(Allowed));
+        if (step->allowed == NULL) {
+            abort();
+        }
+        a = &step->allowed[step->allowed_count++];
+        a->serial = serial;
+    }
+    a->ticket = *ticket;
+    a->expires = expires;
+}
+
+/* Notes a worker that advice does not allow. */
+static void
+deny(Step *step, uint32_t serial)
+{
+    if (is_denied(step, serial)) {
+        return;
+    }
+    step->denied =
+        realloc(step->denied, (step->denied_count + 1) * sizeof(uint32_t));
+    if (step->denied == NULL) {
+        abort();
+    }
+    step->denied[step->denied_count++] = serial;
+}
+
+/* Takes an answer: tickets for the allowed workers; the others that were
+ * named are denied for good, since the answer for a step does not change. */
+void
+GfCell_AdviceDone(GfCell *cell, const GfName *caller, const GfName *job,
+                  uint32_t occurrence, uint32_t step_number, bool answered,
+                  const GfTicket *tickets, size_t count, int64_t valid_ms)
+{
+    for (size_t i = 0; i < cell->caller_count; i++) {
+        if (GfName_Equal(&cell->callers[i].name, caller)) {
+            cell->callers[i].busy = false;
+        }
+    }
+    cell->dirty = true;
+    Job *j = CellJob_Find(cell, job);
+    Step *step = j == NULL ? NULL : CellJob_Step(j, occurrence, step_number);
+    if (step == NULL || !step->asking) {
+        return;
+    }
+    step->asking = false;
+    if (!answered || !CellJob_Active(j)) {
+        return;
+    }
+    struct timespec now = GfClock_Now(cell->clock);
+    struct timespec expires = GfTime_AddMs(now, valid_ms - TICKET_MARGIN_MS);
+    for (size_t i = 0; i < step->asked_count; i++) {
+        Worker *w = CellWorker_Find(cell, step->asked[i]);
+        size_t t = 0;
+        while (w != NULL && t < count &&
+               !GfName_Equal(&tickets[t].worker, &w->info.id)) {
+            t++;
+        }
+        if (w != NULL && t < count) {
+            allow(step, w->serial, &tickets[t].ticket, expires);
+        }
+        else if (w != NULL) {
+            deny(step, w->serial);
+        }
+    }
+    step->asked_count = 0;
+}
--- /dev/null
+++ b/src/cell/cell.c
@@ -0,0 +1,356 @@
+/* The cell as a whole: configuration, outcomes of starts and stops, time. */
+#include "guavaflow/cell.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "cell_private.h"
+#include "guavaflow/log.h"
+#include "guavaflow/metrics.h"
+
+/* A worker that refused an order is left alone this long. */
+#define REFUSED_PAUSE_MS 300
+
+static const char *const STATE_NAMES[GF_JOB_STATES] = {
+    "queued", "started", "completed", "given_up", "withdrawn"};
+static const char *const RESULT_NAMES[GF_ORDER_RESULTS] = {
+    "done",      "fenced",  "superseded", "late",   "no_room",
+    "no_ticket", "refused", "other_life", "unsent", "unknown"};
+static const char *const END_NAMES[GF_ENDS] = {"done",   "failed", "stopped",
+                                               "lapsed", "broken", "alone"};
+
+/* Returns the name of a job's state, as rows and logs show it. */
+const char *
+GfJobState_Name(GfJobState state)
+{
+    assert(state < GF_JOB_STATES);
+    return STATE_NAMES[state];
+}
+
+/* Returns the name of an order's outcome. */
+const char *
+GfOrderResult_Name(GfOrderResult result)
+{
+    assert(result < GF_ORDER_RESULTS);
+    return RESULT_NAMES[result];
+}
+
+/* Returns the name of an end. */
+const char *
+GfEndKind_Name(GfEndKind how)
+{
+    assert(how < GF_ENDS);
+    return END_NAMES[how];
+}
+
+/* Finds an end by its name. */
+bool
+GfEndKind_FromName(const char *name, GfEndKind *how)
+{
+    for (int i = 0; name != NULL && i < GF_ENDS; i++) {
+        if (strcmp(END_NAMES[i], name) == 0) {
+            *how = (GfEndKind)i;
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Creates the scheduler of one term of ownership. */
+GfCell *
+GfCell_Create(const GfCellOps *ops, void *ctx, const GfCellSettings *settings,
+              const GfClock *clock)
+{
+    assert(ops != NULL && settings != NULL && clock != NULL);
+    GfCell *cell = calloc(1, sizeof(*cell));
+    if (cell == NULL) {
+        abort();
+    }
+    cell->ops = ops;
+    cell->ctx = ctx;
+    cell->settings = *settings;
+    cell->clock = clock;
+    cell->may_extend = true;
+    cell->next_serial = settings->first_serial;
+    return cell;
+}
+
+/* Frees the scheduler. Outcomes of orders must not be reported any more. */
+void
+GfCell_Destroy(GfCell *cell)
+{
+    if (cell == NULL) {
+        return;
+    }
+    free(cell->commit_jobs);
+    Job *job;
+    Job *jtmp;
+    HASH_ITER(hh, cell->jobs, job, jtmp)
+    {
+        CellJob_Free(job);
+    }
+    Worker *w;
+    Worker *wtmp;
+    HASH_ITER(hh, cell->workers, w, wtmp)
+    {
+        HASH_DELETE(by_serial, cell->workers_by_serial, w);
+        HASH_DELETE(hh, cell->workers, w);
+        free(w);
+    }
+    TeamUse *use;
+    TeamUse *utmp;
+    HASH_ITER(hh, cell->uses, use, utmp)
+    {
+        HASH_DELETE(hh, cell->uses, use);
+        free(use);
+    }
+    free(cell->callers);
+    free(cell->evacuated);
+    free(cell->order);
+    free(cell);
+}
+
+/* Puts a configuration in force; it stays the caller's. */
+void
+GfCell_SetConfig(GfCell *cell, const GfCellConfig *config)
+{
+    cell->config = config;
+    cell->dirty = true;
+}
+
+/* Replaces the list of failure domains that are out of service. */
+void
+GfCell_SetEvacuated(GfCell *cell, const GfName *domains, size_t count)
+{
+    free(cell->evacuated);
+    cell->evacuated = malloc((count + 1) * sizeof(GfName));
+    if (cell->evacuated == NULL) {
+        abort();
+    }
+    memcpy(cell->evacuated, domains, count * sizeof(GfName));
+    cell->evacuated_count = count;
+    cell->dirty = true;
+}
+
+/* Replaces the list of advice callers. Those that stay keep what they are
+ * busy with. */
+void
+GfCell_SetCallers(GfCell *cell, const GfName *callers, size_t count)
+{
+    Caller *next = calloc(count + 1, sizeof(Caller));
+    if (next == NULL) {
+        abort();
+    }
+    for (size_t i = 0; i < count; i++) {
+        next[i].name = callers[i];
+        for (size_t k = 0; k < cell->caller_count; k++) {
+            if (GfName_Equal(&cell->callers[k].name, &callers[i])) {
+                next[i] = cell->callers[k];
+            }
+        }
+    }
+    free(cell->callers);
+    cell->callers = next;
+    cell->caller_count = count;
+    cell->dirty = true;
+}
+
+/* Says whether the ownership is proved freshly enough to grant leases and
+ * start tasks. */
+void
+GfCell_SetMayExtend(GfCell *cell, bool may_extend)
+{
+    if (cell->may_extend != may_extend) {
+        cell->may_extend = may_extend;
+        cell->dirty = true;
+        GfLog(GF_LOG_WARNING, CELL_PART, "leases %s",
+              may_extend ? "are granted again"
+                         : "are not granted, ownership is not proved");
+    }
+}
+
+/* Begins to place tasks, once jobs and workers of the former term are in.
+ * Tasks of a former term's jobs wait until no run of it is in doubt. */
+void
+GfCell_Begin(GfCell *cell)
+{
+    cell->begun = true;
+    cell->doubt = true;
+    cell->dirty = true;
+    cell->doubt_until =
+        GfTime_AddMs(GfClock_Now(cell->clock), cell->settings.doubt_ms);
+}
+
+/* Tells whether the cell places tasks. */
+bool
+GfCell_IsReady(const GfCell *cell)
+{
+    return cell->begun;
+}
+
+/* Stops all members of a gang's run after one could not be started. */
+static void
+stop_gang(Step *step)
+{
+    struct timespec now = GfClock_Now(step->job->cell->clock);
+    for (uint32_t i = 0; i < step->spec->task_count; i++) {
+        Task *t = &step->tasks[i];
+        if (t->state != TASK_IDLE) {
+            CellTask_Stop(t);
+            CellTask_SendStops(t->worker, now);
+        }
+    }
+}
+
+/* Makes a start void whose outcome is open. */
+static void
+settle(GfCell *cell, Task *task)
+{
+    task->state = TASK_SETTLING;
+    task->stop_acked = false;
+    CellTask_Stop(task);
+    CellTask_SendStops(task->worker, GfClock_Now(cell->clock));
+}
+
+/* Acts on a start that was not carried out. */
+static void
+start_refused(GfCell *cell, Worker *w, Task *task, GfOrderResult result)
+{
+    struct timespec pause =
+        GfTime_AddMs(GfClock_Now(cell->clock), REFUSED_PAUSE_MS);
+    switch (result) {
+    case GF_ORDER_NO_TICKET:
+        CellAdvice_Drop(task->step, w->serial);
+        break;
+    case GF_ORDER_OTHER_LIFE:
+        CellWorker_Lose(w, "gone");
+        w->listed = false;
+        return;
+    default:
+        if (GfTime_Before(w->avoid_until, pause)) {
+            w->avoid_until = pause;
+        }
+        break;
+    }
+    CellTask_Release(task);
+}
+
+/* Takes the outcome of a start. */
+void
+GfCell_StartDone(GfCell *cell, uint32_t serial, const GfTaskId *id,
+                 int64_t run, GfOrderResult result)
+{
+    if (result == GF_ORDER_FENCED) {
+        Worker *fencing = CellWorker_Find(cell, serial);
+        if (fencing != NULL) {
+            cell->ops->fenced(cell->ctx, &fencing->info.id);
+        }
+        return;
+    }
+    Task *task = CellJob_Task(cell, id);
+    if (task == NULL || task->worker == NULL ||
+        task->worker->serial != serial || task->run != run ||
+        task->state != TASK_STARTING) {
+        return;
+    }
+    Worker *w = task->worker;
+    Step *step = task->step;
+    if (result == GF_ORDER_DONE) {
+        task->state = TASK_RUNNING;
+        task->started_at = GfClock_Now(cell->clock);
+        GfMetrics_Add(GF_METRIC_TASKS_PLACED, 1);
+        CellJob_SetState(step->job, GF_JOB_STARTED);
+        if (task->stopping) {
+            CellTask_SendStops(w, task->started_at);
+        }
+        return;
+    }
+    GfLog(GF_LOG_INFO, CELL_PART,
+          "start not confirmed id=%s step=%u task=%u worker=%s outcome=%s",
+          id->job.data, id->step, id->index, w->info.id.data,
+          GfOrderResult_Name(result));
+    if (result == GF_ORDER_UNKNOWN || result == GF_ORDER_SUPERSEDED) {
+        GfMetrics_Add(GF_METRIC_TASKS_IN_DOUBT, 1);
+        settle(cell, task);
+    }
+    else {
+        GfMetrics_Add(GF_METRIC_TASKS_REFUSED, 1);
+        start_refused(cell, w, task, result);
+    }
+    if (step->spec->gang) {
+        stop_gang(step);
+    }
+}
+
+/* Takes the outcome of a stop. */
+void
+GfCell_StopDone(GfCell *cell, uint32_t serial, const GfTaskId *id, int64_t run,
+                GfOrderResult result)
+{
+    Worker *w = CellWorker_Find(cell, serial);
+    if (result == GF_ORDER_FENCED && w != NULL) {
+        cell->ops->fenced(cell->ctx, &w->info.id);
+        return;
+    }
+    Task *task = CellJob_Task(cell, id);
+    if (task == NULL || w == NULL || task->worker != w || task->run != run) {
+        return;
+    }
+    task->stop_in_flight = false;
+    if (result == GF_ORDER_DONE && !task->stop_acked) {
+        task->stop_acked = true;
+        task->stop_acked_at = GfClock_Now(cell->clock);
+    }
+    else if (result == GF_ORDER_OTHER_LIFE) {
+        CellWorker_Lose(w, "gone");
+        w->listed = false;
+    }
+}
+
+/* Does what is due: calls to workers, lapsed leases, placements, storing. */
+void
+GfCell_Tick(GfCell *cell)
+{
+    struct timespec now = GfClock_Now(cell->clock);
+    CellWorker_Tick(cell, now);
+    if (cell->dirty) {
+        CellPlace_Round(cell, now);
+    }
+    CellCommit_Tick(cell, now);
+}
+
+/* Describes the cell for operators. */
+json_t *
+GfCell_Describe(const GfCell *cell)
+{
+    int states[GF_JOB_STATES] = {0};
+    for (const Job *j = cell->jobs; j != NULL; j = j->hh.next) {
+        states[j->state]++;
+    }
+    json_t *jobs = json_object();
+    for (int i = 0; i < GF_JOB_STATES; i++) {
+        json_object_set_new(jobs, STATE_NAMES[i], json_integer(states[i]));
+    }
+    int listed = 0;
+    int known = 0;
+    for (const Worker *w = cell->workers; w != NULL; w = w->hh.next) {
+        listed += w->listed;
+        known += w->known && w->hold_failures == 0;
+    }
+    json_t *teams = json_object();
+    for (const TeamUse *u = cell->uses; u != NULL; u = u->hh.next) {
+        json_object_set_new(teams, u->team.data, json_integer(u->used.mcores));
+    }
+    size_t waiting = 0;
+    Step *step;
+    DL_COUNT(cell->waiting, step, waiting);
+    return json_pack("{s:I,s:o,s:i,s:i,s:I,s:I,s:o,s:b}", "token",
+                     (json_int_t)cell->settings.token, "jobs", jobs,
+                     "workers_listed", listed, "workers_heard", known,
+                     "tasks_running", (json_int_t)cell->running,
+                     "steps_waiting", (json_int_t)waiting, "mcores_by_team",
+                     teams, "in_doubt", cell->doubt);
+}
--- /dev/null
+++ b/src/cell/cell_config.c
@@ -0,0 +1,89 @@
+#include "guavaflow/cell_config.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+/* Finds a queue by name, or returns NULL. */
+const GfQueue *
+GfCellConfig_FindQueue(const GfCellConfig *config, const GfName *name)
+{
+    assert(config != NULL && name != NULL);
+    for (size_t i = 0; i < config->queue_count; i++) {
+        if (GfName_Equal(&config->queues[i].name, name)) {
+            return &config->queues[i];
+        }
+    }
+    return NULL;
+}
+
+/* Finds the queue with the caller's host name and the longest prefix that the
+ * path begins with, or returns NULL. */
+const GfQueue *
+GfCellConfig_Route(const GfCellConfig *config, const char *host,
+                   size_t host_len, const char *path)
+{
+    assert(config != NULL && host != NULL && path != NULL);
+    const GfQueue *best = NULL;
+    for (size_t i = 0; i < config->queue_count; i++) {
+        const GfQueue *q = &config->queues[i];
+        if (q->host.len != host_len ||
+            strncasecmp(q->host.data, host, host_len) != 0 ||
+            strncmp(path, q->path_prefix.data, q->path_prefix.len) != 0) {
+            continue;
+        }
+        if (best == NULL || q->path_prefix.len > best->path_prefix.len) {
+            best = q;
+        }
+    }
+    return best;
+}
+
+/* Finds a team by name, or returns NULL. */
+const GfCellTeam *
+GfCellConfig_FindTeam(const GfCellConfig *config, const GfName *name)
+{
+    assert(config != NULL && name != NULL);
+    for (size_t i = 0; i < config->team_count; i++) {
+        if (GfName_Equal(&config->teams[i].name, name)) {
+            return &config->teams[i];
+        }
+    }
+    return NULL;
+}
+
+/* Finds the team that a key belongs to, or returns NULL. */
+const GfCellTeam *
+GfCellConfig_TeamOfKey(const GfCellConfig *config, const char *key)
+{
+    assert(config != NULL && key != NULL);
+    for (size_t i = 0; i < config->team_count; i++) {
+        const GfCellTeam *team = &config->teams[i];
+        for (size_t k = 0; k < team->key_count; k++) {
+            if (strcmp(team->keys[k].data, key) == 0) {
+                return team;
+            }
+        }
+    }
+    return NULL;
+}
+
+/* Frees the configuration. */
+void
+GfCellConfig_Destroy(GfCellConfig *config)
+{
+    if (config == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < config->queue_count; i++) {
+        GfStr_Clear(&config->queues[i].path_prefix);
+    }
+    for (size_t i = 0; i < config->team_count; i++) {
+        free(config->teams[i].keys);
+    }
+    free(config->queues);
+    free(config->teams);
+    free(config->services);
+    free(config);
+}
--- /dev/null
+++ b/src/cell/cell_private.h
@@ -0,0 +1,241 @@
+/* The cell's state, shared by the files of this folder. */
+#ifndef GUAVAFLOW_CELL_PRIVATE_H
+#define GUAVAFLOW_CELL_PRIVATE_H
+
+#include <uthash.h>
+
+#include "guavaflow/cell.h"
+
+#define CELL_PART "cell"
+
+typedef struct Task Task;
+typedef struct Step Step;
+typedef struct Job Job;
+typedef struct Worker Worker;
+typedef struct Waiter Waiter;
+
+/* SETTLING: a start without an answer is being made void by a stop. */
+typedef enum {
+    TASK_IDLE,
+    TASK_STARTING,
+    TASK_RUNNING,
+    TASK_SETTLING
+} TaskState;
+
+struct Task {
+    Step *step;
+    Worker *worker;
+    Task *next; /* on the worker */
+    Task *prev;
+    int64_t run;
+    int64_t failed_run; /* the highest run counted in failures */
+    char *checkpoint;
+    struct timespec started_at;
+    struct timespec stop_sent_at;
+    struct timespec stop_acked_at;
+    uint32_t index;
+    uint32_t failures;
+    uint32_t mark;         /* number of the inventory that listed it last */
+    uint32_t avoid_serial; /* the worker that it failed on last */
+    uint8_t state;
+    bool done;
+    bool stopping;
+    bool stop_in_flight;
+    bool stop_acked;
+};
+
+/* A worker that advice allows for a step. */
+typedef struct {
+    uint32_t serial;
+    GfName ticket;
+    struct timespec expires;
+} Allowed;
+
+struct Step {
+    Job *job;
+    const GfStepSpec *spec;
+    Task *tasks;
+    uint32_t occurrence;
+    uint32_t number;
+    uint32_t blockers; /* prerequisites that are not done */
+    uint32_t left;     /* tasks that are not done */
+    uint32_t idle;     /* tasks neither done nor on a worker */
+    int64_t due_ms;    /* wall clock */
+    Allowed *allowed;
+    size_t allowed_count;
+    uint32_t *denied; /* serials of workers that advice does not allow */
+    size_t denied_count;
+    uint32_t *asked; /* serials in the question that is under way */
+    size_t asked_count;
+    struct timespec asked_at;
+    struct timespec idle_since;
+    bool asking;
+    bool listed; /* in the cell's list of steps that wait */
+    Step *next;
+    Step *prev;
+};
+
+struct Waiter {
+    GfCellDone done;
+    void *arg;
+    Waiter *next;
+};
+
+struct Job {
+    GfCell *cell;
+    GfName id;
+    GfName team;
+    GfName queue;
+    GfJobSpec spec;
+    Step *steps;
+    size_t step_total;
+    uint32_t steps_left;
+    GfJobState state;
+    GfJobState stored_state;
+    GfJobState commit_state; /* in the row of the transaction under way */
+    bool counted_waiting;
+    bool in_doubt; /* may run on a worker that has not been heard */
+    bool dirty;
+    bool in_commit;
+    uint64_t dirty_seq;
+    struct timespec accepted_at;
+    struct timespec finished_at;
+    int64_t objective_ms;
+    Waiter *waiters;
+    Waiter *commit_waiters;
+    Job *next_dirty;
+    Job *prev_dirty;
+    UT_hash_handle hh;
+};
+
+struct Worker {
+    GfWorkerInfo info;
+    uint32_t serial;
+    bool listed; /* in the platform's table */
+    bool known;  /* has answered under this term's token */
+    bool hold_in_flight;
+    bool has_clock;
+    uint32_t hold_failures;
+    int64_t clock_offset_ms;
+    struct timespec next_hold_at;
+    struct timespec lease_until; /* no run goes on after it */
+    struct timespec heard_at;
+    struct timespec listed_at;
+    int64_t seen_end;
+    int64_t acked_end;
+    int64_t pending_end; /* to be acknowledged once stored */
+    uint64_t pending_seq;
+    GfAmounts used;
+    uint32_t serving;
+    uint32_t filling;
+    uint32_t failures_in_row;
+    struct timespec avoid_until;
+    uint32_t mark;
+    Task *tasks;
+    UT_hash_handle hh;
+    UT_hash_handle by_serial;
+};
+
+typedef struct {
+    GfName name;
+    bool busy;
+    bool slow; /* what it is busy with */
+} Caller;
+
+typedef struct TeamUse {
+    GfName team;
+    GfAmounts used;
+    UT_hash_handle hh;
+} TeamUse;
+
+struct GfCell {
+    const GfCellOps *ops;
+    void *ctx;
+    GfCellSettings settings;
+    const GfClock *clock;
+    const GfCellConfig *config;
+    Job *jobs;
+    Worker *workers;
+    Worker *workers_by_serial;
+    size_t worker_count;
+    uint32_t next_serial;
+    Step *waiting; /* steps with idle tasks, all prerequisites done */
+    Step **order;  /* scratch for sorting */
+    size_t order_room;
+    Caller *callers;
+    size_t caller_count;
+    TeamUse *uses;
+    GfName *evacuated;
+    size_t evacuated_count;
+    bool may_extend;
+    bool begun;
+    bool doubt; /* some worker of the former term has not been heard */
+    struct timespec doubt_until;
+    bool dirty;        /* a placement round is due */
+    bool leased_dirty; /* the stored list of workers is out of date */
+    Job *dirty_jobs;
+    uint64_t seq;
+    uint64_t commit_seq;
+    bool committing;
+    bool commit_had_leased;
+    Job **commit_jobs;
+    size_t commit_count;
+    struct timespec commit_at;
+    size_t running;
+};
+
+/* order.c */
+size_t CellOrder_Sort(GfCell *cell, struct timespec now);
+
+/* place.c */
+bool CellPlace_Eligible(const GfCell *cell, const Worker *w, const Step *step);
+bool CellPlace_HasRoom(const Worker *w, const Step *step);
+void CellPlace_Round(GfCell *cell, struct timespec now);
+
+/* advice.c */
+const Allowed *CellAdvice_Ticket(const Step *step, uint32_t serial,
+                                 struct timespec now);
+bool CellAdvice_Wanted(const GfCell *cell, const Step *step);
+void CellAdvice_Ask(GfCell *cell, Step *step, struct timespec now);
+void CellAdvice_Clear(Step *step);
+void CellAdvice_Drop(Step *step, uint32_t serial);
+
+/* job_state.c */
+Step *CellJob_Step(Job *job, uint32_t occurrence, uint32_t step);
+Task *CellJob_Task(GfCell *cell, const GfTaskId *id);
+Job *CellJob_Find(const GfCell *cell, const GfName *id);
+void CellJob_MarkDirty(Job *job);
+void CellJob_SetState(Job *job, GfJobState state);
+void CellJob_TaskDone(Task *task);
+void CellJob_List(Step *step);
+void CellJob_Unlist(Step *step);
+bool CellJob_Active(const Job *job);
+void CellJob_Free(Job *job);
+
+/* progress.c */
+json_t *CellProgress_Save(const Job *job);
+void CellProgress_Load(Job *job, const json_t *row);
+
+/* commit.c */
+void CellCommit_Tick(GfCell *cell, struct timespec now);
+
+/* tasks.c */
+void CellTask_Assign(Task *task, Worker *w, int64_t run, TaskState state);
+void CellTask_Release(Task *task);
+void CellTask_Stop(Task *task);
+void CellTask_SendStops(Worker *w, struct timespec now);
+void CellTask_StopJob(Job *job);
+GfTaskId CellTask_Id(const Task *task);
+GfOrderTarget CellTask_Target(const Worker *w);
+void CellTask_SetCheckpoint(Task *task, const char *checkpoint);
+
+/* workers.c */
+Worker *CellWorker_Find(const GfCell *cell, uint32_t serial);
+void CellWorker_Lose(Worker *w, const char *why);
+int64_t CellWorker_Extend(GfCell *cell, Worker *w, struct timespec now);
+void CellWorker_Tick(GfCell *cell, struct timespec now);
+const GfName *CellWorker_Rack(const Worker *w);
+
+TeamUse *Cell_TeamUse(GfCell *cell, const GfName *team);
+
+#endif
--- /dev/null
+++ b/src/cell/commit.c
@@ -0,0 +1,170 @@
+/* Storing progress. Transactions are sent one after another; each carries the
+ * rows that changed since. An end is acknowledged to its worker only once the
+ * transaction that followed it is committed. */
+#include <assert.h>
+#include <stdlib.h>
+
+#include <utlist.h>
+
+#include "cell_private.h"
+
+/* Changes are gathered this long, which keeps a busy cell under some forty
+ * transactions a second. */
+#define GATHER_MS 25
+/* Pause after a transaction that failed. */
+#define RETRY_MS 200
+/* Rows in one transaction; the store takes 100 entries. */
+#define MAX_ROWS 80
+
+/* Describes the workers that may hold a lease, for a later owner. */
+static json_t *
+leased_workers(const GfCell *cell)
+{
+    json_t *list = json_array();
+    for (const Worker *w = cell->workers; w != NULL; w = w->hh.next) {
+        json_array_append_new(list,
+                              json_pack("[s,I,s,i]", w->info.id.data,
+                                        (json_int_t)w->info.lifetime,
+                                        w->info.address, (int)w->info.port));
+    }
+    return list;
+}
+
+/* Takes the dirty jobs that come first into the transaction. */
+static void
+take_jobs(GfCell *cell)
+{
+    size_t max = MAX_ROWS;
+    cell->commit_jobs = malloc(max * sizeof(Job *));
+    if (cell->commit_jobs == NULL) {
+        abort();
+    }
+    cell->commit_count = 0;
+    Job *job;
+    Job *tmp;
+    DL_FOREACH_SAFE2(cell->dirty_jobs, job, tmp, next_dirty)
+    {
+        if (cell->commit_count == max) {
+            break;
+        }
+        DL_DELETE2(cell->dirty_jobs, job, prev_dirty, next_dirty);
+        job->dirty = false;
+        job->in_commit = true;
+        job->commit_state = job->state;
+        LL_CONCAT(job->commit_waiters, job->waiters);
+        job->waiters = NULL;
+        cell->commit_jobs[cell->commit_count++] = job;
+    }
+    cell->commit_seq =
+        cell->dirty_jobs == NULL ? cell->seq : cell->dirty_jobs->dirty_seq - 1;
+}
+
+/* Sends the next transaction if one is due. */
+void
+CellCommit_Tick(GfCell *cell, struct timespec now)
+{
+    bool pending = cell->dirty_jobs != NULL || cell->leased_dirty;
+    for (const Worker *w = cell->workers; !pending && w != NULL;
+         w = w->hh.next) {
+        pending = w->pending_end > w->acked_end;
+    }
+    if (!pending || cell->committing || !cell->begun ||
+        GfTime_Before(now, cell->commit_at)) {
+        return;
+    }
+    take_jobs(cell);
+    if (cell->commit_count == 0 && !cell->leased_dirty) {
+        /* The ends changed nothing that is stored. */
+        cell->committing = true;
+        GfCell_CommitDone(cell, true);
+        return;
+    }
+    GfName names[MAX_ROWS];
+    json_t *rows[MAX_ROWS];
+    for (size_t i = 0; i < cell->commit_count; i++) {
+        names[i] = cell->commit_jobs[i]->id;
+        rows[i] = CellProgress_Save(cell->commit_jobs[i]);
+    }
+    GfCellCommit commit = {
+        .jobs = names, .rows = rows, .count = cell->commit_count};
+    cell->commit_had_leased = cell->leased_dirty;
+    if (cell->leased_dirty) {
+        commit.leased = leased_workers(cell);
+        cell->leased_dirty = false;
+    }
+    cell->committing = true;
+    cell->commit_at = GfTime_AddMs(now, GATHER_MS);
+    size_t count = cell->commit_count;
+    cell->ops->commit(cell->ctx, &commit);
+    for (size_t i = 0; i < count; i++) {
+        json_decref(rows[i]);
+    }
+    json_decref(commit.leased);
+}
+
+/* Ends the wait of those who asked for a change that is stored now. */
+static void
+notify_waiters(Job *job)
+{
+    Waiter *w;
+    Waiter *tmp;
+    Waiter *all = job->commit_waiters;
+    job->commit_waiters = NULL;
+    LL_FOREACH_SAFE(all, w, tmp)
+    {
+        w->done(w->arg, GF_OK);
+        free(w);
+    }
+}
+
+/* Lets workers forget the ends that are stored. */
+static void
+acknowledge(GfCell *cell)
+{
+    struct timespec now = GfClock_Now(cell->clock);
+    for (Worker *w = cell->workers; w != NULL; w = w->hh.next) {
+        if (w->pending_end > w->acked_end &&
+            w->pending_seq <= cell->commit_seq) {
+            w->acked_end = w->pending_end;
+            w->next_hold_at = now;
+            if (w->seen_end > w->acked_end) {
+                w->pending_end = w->seen_end;
+                w->pending_seq = cell->seq;
+            }
+        }
+    }
+}
+
+/* Takes the outcome of a transaction. committed is false if it was refused;
+ * its rows are sent again. A commit whose outcome is open is not reported
+ * until that is known. */
+void
+GfCell_CommitDone(GfCell *cell, bool committed)
+{
+    assert(cell->committing);
+    cell->committing = false;
+    Job **jobs = cell->commit_jobs;
+    size_t count = cell->commit_count;
+    cell->commit_jobs = NULL;
+    cell->commit_count = 0;
+    if (!committed) {
+        cell->commit_at = GfTime_AddMs(GfClock_Now(cell->clock), RETRY_MS);
+        cell->leased_dirty = cell->leased_dirty || cell->commit_had_leased;
+    }
+    for (size_t i = 0; i < count; i++) {
+        Job *job = jobs[i];
+        job->in_commit = false;
+        if (!committed) {
+            LL_CONCAT(job->waiters, job->commit_waiters);
+            job->commit_waiters = NULL;
+            CellJob_MarkDirty(job);
+            continue;
+        }
+        job->stored_state = job->commit_state;
+        notify_waiters(job);
+    }
+    free(jobs);
+    if (committed) {
+        acknowledge(cell);
+    }
+}
--- /dev/null
+++ b/src/cell/job_spec.c
@@ -0,0 +1,165 @@
+#include "guavaflow/job_spec.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Tells whether a need fits beside what is used. */
+bool
+GfAmounts_Fit(GfAmounts room, GfAmounts used, GfAmounts need)
+{
+    return used.mcores + need.mcores <= room.mcores &&
+           used.memory_mb + need.memory_mb <= room.memory_mb &&
+           used.accelerators + need.accelerators <= room.accelerators;
+}
+
+/* Adds two amounts. */
+GfAmounts
+GfAmounts_Plus(GfAmounts a, GfAmounts b)
+{
+    return (GfAmounts){.mcores = a.mcores + b.mcores,
+                       .memory_mb = a.memory_mb + b.memory_mb,
+                       .accelerators = a.accelerators + b.accelerators};
+}
+
+/* Subtracts b from a. */
+GfAmounts
+GfAmounts_Minus(GfAmounts a, GfAmounts b)
+{
+    return (GfAmounts){.mcores = a.mcores - b.mcores,
+                       .memory_mb = a.memory_mb - b.memory_mb,
+                       .accelerators = a.accelerators - b.accelerators};
+}
+
+/* Follows the prerequisites of a step; marks are 1 on the way and 2 when
+ * done. Returns false if the step depends on itself. */
+static bool
+visit(const GfJobSpec *spec, size_t at, uint8_t *marks)
+{
+    if (marks[at] != 0) {
+        return marks[at] == 2;
+    }
+    marks[at] = 1;
+    const GfStepSpec *step = &spec->steps[at];
+    for (size_t i = 0; i < step->prerequisite_count; i++) {
+        if (!visit(spec, step->prerequisites[i], marks)) {
+            return false;
+        }
+    }
+    marks[at] = 2;
+    return true;
+}
+
+/* Checks one step by itself. */
+static bool
+check_step(const GfJobSpec *spec, size_t at, GfError *error)
+{
+    const GfStepSpec *step = &spec->steps[at];
+    if (step->task_count < 1 || step->task_count > GF_JOB_MAX_TASKS) {
+        return GfError_Set(error, GF_BAD_REQUEST,
+                           "step %zu has %u tasks; allowed are 1 to %d", at,
+                           step->task_count, GF_JOB_MAX_TASKS);
+    }
+    if (step->need.mcores < 0 || step->need.memory_mb < 0 ||
+        step->need.accelerators < 0 || step->estimate_ms < 0) {
+        return GfError_Set(error, GF_BAD_REQUEST,
+                           "step %zu has a negative size", at);
+    }
+    for (size_t i = 0; i < step->prerequisite_count; i++) {
+        if (step->prerequisites[i] >= spec->step_count) {
+            return GfError_Set(
+                error, GF_BAD_REQUEST,
+                "step %zu waits for step %u, which is not there", at,
+                step->prerequisites[i]);
+        }
+    }
+    return true;
+}
+
+/* Checks sizes, and that no step waits for itself. */
+bool
+GfJobSpec_Check(const GfJobSpec *spec, GfError *error)
+{
+    assert(spec != NULL);
+    if (spec->step_count < 1 || spec->step_count > GF_JOB_MAX_STEPS) {
+        return GfError_Set(error, GF_BAD_REQUEST,
+                           "a job has %zu steps; allowed are 1 to %d",
+                           spec->step_count, GF_JOB_MAX_STEPS);
+    }
+    if (spec->occurrences < 1 || spec->occurrences > GF_JOB_MAX_OCCURRENCES) {
+        return GfError_Set(error, GF_BAD_REQUEST,
+                           "a job has %u occurrences; allowed are 1 to %d",
+                           spec->occurrences, GF_JOB_MAX_OCCURRENCES);
+    }
+    uint8_t marks[GF_JOB_MAX_STEPS] = {0};
+    for (size_t i = 0; i < spec->step_count; i++) {
+        if (!check_step(spec, i, error)) {
+            return false;
+        }
+    }
+    for (size_t i = 0; i < spec->step_count; i++) {
+        if (!visit(spec, i, marks)) {
+            return GfError_Set(error, GF_BAD_REQUEST,
+                               "step %zu waits for itself", i);
+        }
+    }
+    return true;
+}
+
+/* Returns the estimated milliseconds from a step's start until it and all
+ * that it waits for is done. */
+static int64_t
+chain_ms(const GfJobSpec *spec, size_t at, int64_t per_step_ms, int64_t *known)
+{
+    if (known[at] >= 0) {
+        return known[at];
+    }
+    const GfStepSpec *step = &spec->steps[at];
+    int64_t longest = 0;
+    for (size_t i = 0; i < step->prerequisite_count; i++) {
+        int64_t ms =
+            chain_ms(spec, step->prerequisites[i], per_step_ms, known);
+        longest = ms > longest ? ms : longest;
+    }
+    known[at] = longest + step->estimate_ms + per_step_ms;
+    return known[at];
+}
+
+/* Returns the estimated milliseconds of the longest chain of steps, with a
+ * fixed addition for each. The spec has been checked. */
+int64_t
+GfJobSpec_LongestChainMs(const GfJobSpec *spec, int64_t per_step_ms)
+{
+    int64_t known[GF_JOB_MAX_STEPS];
+    int64_t longest = 0;
+    memset(known, -1, sizeof(known));
+    for (size_t i = 0; i < spec->step_count; i++) {
+        int64_t ms = chain_ms(spec, i, per_step_ms, known);
+        longest = ms > longest ? ms : longest;
+    }
+    return longest;
+}
+
+/* Tells whether any step runs until the job is cancelled. */
+bool
+GfJobSpec_Lasts(const GfJobSpec *spec)
+{
+    for (size_t i = 0; i < spec->step_count; i++) {
+        if (spec->steps[i].lasting) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Frees what the spec holds. */
+void
+GfJobSpec_Clear(GfJobSpec *spec)
+{
+    for (size_t i = 0; i < spec->step_count; i++) {
+        free(spec->steps[i].prerequisites);
+    }
+    free(spec->steps);
+    GfStr_Clear(&spec->payload);
+    memset(spec, 0, sizeof(*spec));
+}
--- /dev/null
+++ b/src/cell/job_state.c
@@ -0,0 +1,385 @@
+/* Jobs, their steps and the order between them. */
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "cell_private.h"
+#include "guavaflow/log.h"
+
+/* The length of the chain of work counts a question for advice about this
+ * many workers a step; the operators' pages define the objective so. */
+#define OBJECTIVE_ADVICE_WORKERS 30
+
+/* Finds a job, or returns NULL. */
+Job *
+CellJob_Find(const GfCell *cell, const GfName *id)
+{
+    Job *job = NULL;
+    HASH_FIND(hh, cell->jobs, id->data, id->len, job);
+    return job;
+}
+
+/* Returns a step of a job, or NULL if there is none of that number. */
+Step *
+CellJob_Step(Job *job, uint32_t occurrence, uint32_t step)
+{
+    if (occurrence >= job->spec.occurrences || step >= job->spec.step_count) {
+        return NULL;
+    }
+    return &job->steps[occurrence * job->spec.step_count + step];
+}
+
+/* Finds a task, or returns NULL. */
+Task *
+CellJob_Task(GfCell *cell, const GfTaskId *id)
+{
+    Job *job = CellJob_Find(cell, &id->job);
+    Step *step =
+        job == NULL ? NULL : CellJob_Step(job, id->occurrence, id->step);
+    if (step == NULL || id->index >= step->spec->task_count) {
+        return NULL;
+    }
+    return &step->tasks[id->index];
+}
+
+/* Tells whether tasks of the job may run. */
+bool
+CellJob_Active(const Job *job)
+{
+    return job->state == GF_JOB_QUEUED || job->state == GF_JOB_STARTED;
+}
+
+/* Enters the step into the list of those that wait for workers. */
+void
+CellJob_List(Step *step)
+{
+    GfCell *cell = step->job->cell;
+    cell->dirty = true;
+    if (!step->listed && step->blockers == 0 && step->idle > 0 &&
+        CellJob_Active(step->job)) {
+        DL_APPEND(cell->waiting, step);
+        step->listed = true;
+        step->idle_since = GfClock_Now(cell->clock);
+    }
+}
+
+/* Removes the step from the list of those that wait. */
+void
+CellJob_Unlist(Step *step)
+{
+    if (step->listed) {
+        DL_DELETE(step->job->cell->waiting, step);
+        step->listed = false;
+    }
+}
+
+/* Notes that the job's stored row is out of date. */
+void
+CellJob_MarkDirty(Job *job)
+{
+    GfCell *cell = job->cell;
+    cell->seq++;
+    if (!job->dirty) {
+        job->dirty = true;
+        job->dirty_seq = cell->seq;
+        DL_APPEND2(cell->dirty_jobs, job, prev_dirty, next_dirty);
+    }
+}
+
+/* Changes the state of a job; final states never change again. */
+void
+CellJob_SetState(Job *job, GfJobState state)
+{
+    if (!CellJob_Active(job) || job->state == state) {
+        return;
+    }
+    job->state = state;
+    CellJob_MarkDirty(job);
+    if (CellJob_Active(job)) {
+        return;
+    }
+    job->finished_at = GfClock_Now(job->cell->clock);
+    for (size_t i = 0; i < job->step_total; i++) {
+        CellJob_Unlist(&job->steps[i]);
+        CellAdvice_Clear(&job->steps[i]);
+    }
+    GfLog(GF_LOG_INFO, CELL_PART, "job finished id=%s state=%s age_ms=%lld",
+          job->id.data, GfJobState_Name(state),
+          (long long)GfTime_DiffMs(job->finished_at, job->accepted_at));
+}
+
+/* Unblocks the steps that waited for this one. */
+static void
+finish_step(Step *step)
+{
+    Job *job = step->job;
+    job->steps_left--;
+    CellJob_Unlist(step);
+    CellAdvice_Clear(step);
+    for (uint32_t i = 0; i < job->spec.step_count; i++) {
+        Step *other = CellJob_Step(job, step->occurrence, i);
+        for (size_t k = 0; k < other->spec->prerequisite_count; k++) {
+            if (other->spec->prerequisites[k] == step->number &&
+                --other->blockers == 0) {
+                CellJob_List(other);
+            }
+        }
+    }
+    if (job->steps_left == 0) {
+        CellJob_SetState(job, GF_JOB_COMPLETED);
+    }
+}
+
+/* Takes note that a task is done; with one member its whole gang is. */
+void
+CellJob_TaskDone(Task *task)
+{
+    Step *step = task->step;
+    if (task->done) {
+        return;
+    }
+    CellJob_MarkDirty(step->job);
+    uint32_t first = step->spec->gang ? 0 : task->index;
+    uint32_t end = step->spec->gang ? step->spec->task_count : first + 1;
+    for (uint32_t i = first; i < end; i++) {
+        Task *t = &step->tasks[i];
+        if (!t->done) {
+            t->done = true;
+            step->left--;
+            if (t->state == TASK_IDLE) {
+                step->idle--;
+            }
+            free(t->checkpoint);
+            t->checkpoint = NULL;
+        }
+    }
+    if (step->left == 0) {
+        finish_step(step);
+    }
+}
+
+/* Lays out the steps and tasks of a job. */
+static void
+make_steps(Job *job)
+{
+    job->step_total = (size_t)job->spec.occurrences * job->spec.step_count;
+    job->steps_left = (uint32_t)job->step_total;
+    job->steps = calloc(job->step_total, sizeof(Step));
+    if (job->steps == NULL) {
+        abort();
+    }
+    for (uint32_t k = 0; k < job->spec.occurrences; k++) {
+        for (uint32_t i = 0; i < job->spec.step_count; i++) {
+            Step *step = CellJob_Step(job, k, i);
+            step->job = job;
+            step->spec = &job->spec.steps[i];
+            step->occurrence = k;
+            step->number = i;
+            step->blockers = (uint32_t)step->spec->prerequisite_count;
+            step->left = step->spec->task_count;
+            step->idle = step->left;
+            if (job->spec.first_due_ms > 0) {
+                step->due_ms =
+                    job->spec.first_due_ms + k * job->spec.interval_ms;
+            }
+            step->tasks = calloc(step->left, sizeof(Task));
+            if (step->tasks == NULL) {
+                abort();
+            }
+            for (uint32_t t = 0; t < step->left; t++) {
+                step->tasks[t].step = step;
+                step->tasks[t].index = t;
+            }
+        }
+    }
+}
+
+/* Works out by when the job should be completed, in milliseconds from its
+ * acceptance. */
+static int64_t
+objective(const Job *job, const GfQueue *queue)
+{
+    if (queue == NULL) {
+        return 0;
+    }
+    int64_t per_step = 0;
+    if (queue->needs_advice) {
+        per_step = (int64_t)(queue->advice_ms + queue->advice_ms_per_worker *
+                                                    OBJECTIVE_ADVICE_WORKERS);
+    }
+    int64_t chain = GfJobSpec_LongestChainMs(&job->spec, per_step);
+    return (int64_t)(queue->stretch * (double)chain) +
+           queue->latency_target_ms;
+}
+
+/* Takes over an accepted job and the spec, which is cleared. progress is the
+ * stored row of a former term, or NULL. Returns false, with the spec cleared,
+ * if the job is already known. */
+bool
+GfCell_AddJob(GfCell *cell, const GfName *id, const GfName *team,
+              const GfName *queue, int64_t age_ms, GfJobSpec *spec,
+              const json_t *progress, bool former_term)
+{
+    assert(cell != NULL && id != NULL && spec != NULL);
+    if (CellJob_Find(cell, id) != NULL) {
+        GfJobSpec_Clear(spec);
+        return false;
+    }
+    Job *job = calloc(1, sizeof(*job));
+    if (job == NULL) {
+        abort();
+    }
+    job->cell = cell;
+    job->id = *id;
+    job->team = *team;
+    job->queue = *queue;
+    job->spec = *spec;
+    memset(spec, 0, sizeof(*spec));
+    job->accepted_at = GfTime_AddMs(GfClock_Now(cell->clock), -age_ms);
+    job->in_doubt = former_term;
+    make_steps(job);
+    const GfQueue *q = cell->config == NULL
+                           ? NULL
+                           : GfCellConfig_FindQueue(cell->config, queue);
+    job->objective_ms = objective(job, q);
+    HASH_ADD(hh, cell->jobs, id.data, job->id.len, job);
+    if (progress != NULL) {
+        CellProgress_Load(job, progress);
+    }
+    for (size_t i = 0; i < job->step_total; i++) {
+        CellJob_List(&job->steps[i]);
+    }
+    return true;
+}
+
+/* Frees a job that nothing refers to any more. */
+void
+CellJob_Free(Job *job)
+{
+    GfCell *cell = job->cell;
+    for (size_t i = 0; i < job->step_total; i++) {
+        Step *step = &job->steps[i];
+        CellJob_Unlist(step);
+        CellAdvice_Clear(step);
+        for (uint32_t t = 0; t < step->spec->task_count; t++) {
+            if (step->tasks[t].state != TASK_IDLE) {
+                CellTask_Release(&step->tasks[t]);
+            }
+            free(step->tasks[t].checkpoint);
+        }
+        CellJob_Unlist(step);
+        free(step->tasks);
+    }
+    if (job->dirty) {
+        DL_DELETE2(cell->dirty_jobs, job, prev_dirty, next_dirty);
+    }
+    Waiter *w;
+    Waiter *tmp;
+    LL_FOREACH_SAFE(job->waiters, w, tmp)
+    {
+        w->done(w->arg, GF_NO_OWNER);
+        free(w);
+    }
+    LL_FOREACH_SAFE(job->commit_waiters, w, tmp)
+    {
+        w->done(w->arg, GF_NO_OWNER);
+        free(w);
+    }
+    HASH_DELETE(hh, cell->jobs, job);
+    free(job->steps);
+    GfJobSpec_Clear(&job->spec);
+    free(job);
+}
+
+/* Tells whether the job is known. */
+bool
+GfCell_HasJob(const GfCell *cell, const GfName *id)
+{
+    return CellJob_Find(cell, id) != NULL;
+}
+
+/* Gets the state that callers may be told: a final one only once it is
+ * stored, so that no takeover can take it back. */
+bool
+GfCell_JobState(const GfCell *cell, const GfName *id, GfJobState *state)
+{
+    const Job *job = CellJob_Find(cell, id);
+    if (job == NULL) {
+        return false;
+    }
+    *state = job->state;
+    if (!CellJob_Active(job) && job->stored_state != job->state) {
+        *state = GF_JOB_STARTED;
+    }
+    return true;
+}
+
+/* Cancels a job. done is called once that is stored, with GF_OK, or with
+ * GF_NOT_FOUND if there is no such job. A job that has finished stays so. */
+void
+GfCell_CancelJob(GfCell *cell, const GfName *id, GfCellDone done, void *arg)
+{
+    Job *job = CellJob_Find(cell, id);
+    if (job == NULL) {
+        done(arg, GF_NOT_FOUND);
+        return;
+    }
+    if (CellJob_Active(job)) {
+        CellJob_SetState(job, GF_JOB_WITHDRAWN);
+        CellTask_StopJob(job);
+    }
+    if (job->stored_state == job->state) {
+        done(arg, GF_OK);
+        return;
+    }
+    Waiter *w = calloc(1, sizeof(*w));
+    if (w == NULL) {
+        abort();
+    }
+    w->done = done;
+    w->arg = arg;
+    LL_PREPEND(job->waiters, w);
+}
+
+/* Counts a queue's jobs of which no task has started. */
+size_t
+GfCell_Waiting(const GfCell *cell, const GfName *queue)
+{
+    size_t count = 0;
+    for (const Job *j = cell->jobs; j != NULL; j = j->hh.next) {
+        count += j->state == GF_JOB_QUEUED && GfName_Equal(&j->queue, queue);
+    }
+    return count;
+}
+
+/* Returns how many jobs are known. */
+size_t
+GfCell_JobCount(const GfCell *cell)
+{
+    return HASH_COUNT(cell->jobs);
+}
+
+/* Forgets up to max jobs that finished longer ago than keep_ms and names
+ * them, so that their rows can be deleted. */
+size_t
+GfCell_TakeExpired(GfCell *cell, int64_t keep_ms, GfName *jobs, size_t max)
+{
+    struct timespec now = GfClock_Now(cell->clock);
+    size_t count = 0;
+    Job *job;
+    Job *tmp;
+    HASH_ITER(hh, cell->jobs, job, tmp)
+    {
+        if (count == max) {
+            break;
+        }
+        if (!CellJob_Active(job) && !job->dirty && !job->in_commit &&
+            GfTime_DiffMs(now, job->finished_at) > keep_ms) {
+            jobs[count++] = job->id;
+            CellJob_Free(job);
+        }
+    }
+    return count;
+}
--- /dev/null
+++ b/src/cell/order.c
@@ -0,0 +1,107 @@
+/* The order in which waiting steps get workers. It answers bursts in which
+ * more is asked than there is room for: work that can still meet its
+ * objective goes first, by class, and within a class the team furthest below
+ * its weighted share; what is late follows, so that it does not make the rest
+ * late as well. */
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "cell_private.h"
+
+/* Work is late beyond its objective and is of no use to its caller beyond
+ * three times that; the operators' pages define it so. */
+#define USELESS_FACTOR 3
+
+typedef struct {
+    Step *step;
+    uint32_t lateness;
+    uint32_t work_class;
+    double share;
+    int64_t age_ms;
+} Rank;
+
+/* Orders by lateness, class, share, then age. */
+static int
+compare(const void *a, const void *b)
+{
+    const Rank *x = a;
+    const Rank *y = b;
+    if (x->lateness != y->lateness) {
+        return x->lateness < y->lateness ? -1 : 1;
+    }
+    if (x->work_class != y->work_class) {
+        return x->work_class < y->work_class ? -1 : 1;
+    }
+    if (x->share != y->share) {
+        return x->share < y->share ? -1 : 1;
+    }
+    if (x->age_ms != y->age_ms) {
+        return x->age_ms > y->age_ms ? -1 : 1;
+    }
+    return 0;
+}
+
+/* Classes the lateness of a job: 0 in time, 1 late, 2 of no use any more.
+ * Work that lasts is never late: each moment at work counts. */
+static uint32_t
+lateness(const Job *job, int64_t age_ms, bool lasting)
+{
+    if (lasting || job->objective_ms == 0 || age_ms <= job->objective_ms) {
+        return 0;
+    }
+    return age_ms <= job->objective_ms * USELESS_FACTOR ? 1 : 2;
+}
+
+/* Ranks a step at a time. */
+static Rank
+rank(GfCell *cell, Step *step, struct timespec now)
+{
+    const Job *job = step->job;
+    Rank r = {.step = step};
+    const GfQueue *queue = GfCellConfig_FindQueue(cell->config, &job->queue);
+    const GfCellTeam *team = GfCellConfig_FindTeam(cell->config, &job->team);
+    r.age_ms = GfTime_DiffMs(now, job->accepted_at);
+    r.lateness = lateness(job, r.age_ms, step->spec->lasting);
+    r.work_class = queue == NULL ? UINT32_MAX : queue->work_class;
+    double weight = team == NULL || team->weight <= 0 ? 1 : team->weight;
+    r.share = (double)Cell_TeamUse(cell, &job->team)->used.mcores / weight;
+    return r;
+}
+
+/* Fills the cell's scratch list with the waiting steps, first in order first.
+ * Returns how many there are. */
+size_t
+CellOrder_Sort(GfCell *cell, struct timespec now)
+{
+    size_t count = 0;
+    Step *step;
+    DL_COUNT(cell->waiting, step, count);
+    if (count == 0) {
+        return 0;
+    }
+    if (cell->order_room < count) {
+        cell->order_room = count * 2;
+        free(cell->order);
+        cell->order = malloc(cell->order_room * sizeof(Step *));
+        if (cell->order == NULL) {
+            abort();
+        }
+    }
+    Rank *ranks = malloc(count * sizeof(Rank));
+    if (ranks == NULL) {
+        abort();
+    }
+    size_t i = 0;
+    DL_FOREACH(cell->waiting, step)
+    {
+        ranks[i++] = rank(cell, step, now);
+    }
+    qsort(ranks, count, sizeof(Rank), compare);
+    for (i = 0; i < count; i++) {
+        cell->order[i] = ranks[i].step;
+    }
+    free(ranks);
+    return count;
+}
--- /dev/null
+++ b/src/cell/place.c
@@ -0,0 +1,299 @@
+/* Placing tasks on workers. Tasks that serve users of their own and tasks
+ * that use idle processors are kept apart, since the latter slow the former
+ * by amounts that are not known beforehand. A gang is placed whole or not at
+ * all. */
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "cell_private.h"
+#include "guavaflow/log.h"
+
+/* Fillers share a worker's idle processors; more than one would mostly slow
+ * the others. */
+#define FILLERS_PER_WORKER 1
+/* Runs of a term are numbered from here, so that they rise over takeovers
+ * without a stored number. */
+#define RUNS_PER_TOKEN 1000000
+
+/* Tells whether a domain is taken out of service. */
+static bool
+is_evacuated(const GfCell *cell, const GfName *domain)
+{
+    for (size_t i = 0; i < cell->evacuated_count; i++) {
+        if (GfName_Equal(&cell->evacuated[i], domain)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Tells whether the worker has a label, or none is asked for. */
+static bool
+has_label(const Worker *w, const GfName *label)
+{
+    if (label->len == 0) {
+        return true;
+    }
+    for (size_t i = 0; i < w->info.label_count; i++) {
+        if (GfName_Equal(&w->info.labels[i], label)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Tells whether a step's tasks may be started on a worker at all. */
+bool
+CellPlace_Eligible(const GfCell *cell, const Worker *w, const Step *step)
+{
+    const GfQueue *queue =
+        GfCellConfig_FindQueue(cell->config, &step->job->queue);
+    if (queue == NULL || !w->listed || !w->known || w->info.leaving ||
+        w->hold_failures > 0 || !w->has_clock) {
+        return false;
+    }
+    GfAmounts none = {0};
+    GfAmounts need = step->spec->need;
+    if (step->spec->filler) {
+        need.mcores = 0;
+    }
+    return GfName_Equal(&w->info.service, &queue->service) &&
+           has_label(w, &step->spec->required_label) &&
+           GfAmounts_Fit(w->info.room, none, need) &&
+           !is_evacuated(cell, &w->info.domain);
+}
+
+/* Tells whether one more task of the step fits beside what runs. */
+bool
+CellPlace_HasRoom(const Worker *w, const Step *step)
+{
+    GfAmounts need = step->spec->need;
+    if (step->spec->filler) {
+        need.mcores = 0;
+        if (w->filling >= FILLERS_PER_WORKER || w->serving > 0) {
+            return false;
+        }
+    }
+    if (step->spec->latency_target_ms > 0 && w->filling > 0) {
+        return false;
+    }
+    return GfAmounts_Fit(w->info.room, w->used, need);
+}
+
+/* Counts the tasks of the step on a worker. */
+static uint32_t
+count_on(const Worker *w, const Step *step)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < step->spec->task_count; i++) {
+        count += step->tasks[i].worker == w;
+    }
+    return count;
+}
+
+/* Scores a worker for a step; lower is better. Full workers come first, so
+ * that room for large tasks stays in one piece. */
+static double
+score(const Worker *w, const Step *step, const Task *task, struct timespec now)
+{
+    double s = (double)(w->info.room.mcores - w->used.mcores) /
+               (double)(w->info.room.mcores + 1);
+    if (GfTime_Before(now, w->avoid_until)) {
+        s += 8;
+    }
+    if (task->avoid_serial == w->serial) {
+        s += 4;
+    }
+    if (step->spec->preferred_rack.len > 0 &&
+        !GfName_Equal(CellWorker_Rack(w), &step->spec->preferred_rack)) {
+        s += 2;
+    }
+    return s;
+}
+
+/* Finds the best worker for a task, in the rack only if one is given. */
+static Worker *
+choose(GfCell *cell, const Step *step, const Task *task, const GfName *rack,
+       bool needs_advice, struct timespec now)
+{
+    Worker *best = NULL;
+    double best_score = 0;
+    for (Worker *w = cell->workers; w != NULL; w = w->hh.next) {
+        if ((rack != NULL && !GfName_Equal(CellWorker_Rack(w), rack)) ||
+            !CellPlace_HasRoom(w, step) ||
+            !CellPlace_Eligible(cell, w, step) ||
+            (needs_advice &&
+             CellAdvice_Ticket(step, w->serial, now) == NULL) ||
+            (step->spec->max_per_worker > 0 &&
+             count_on(w, step) >= step->spec->max_per_worker)) {
+            continue;
+        }
+        double s = score(w, step, task, now);
+        if (best == NULL || s < best_score) {
+            best = w;
+            best_score = s;
+        }
+    }
+    return best;
+}
+
+/* Tells whether a need fits under the limit of the job's team. */
+static bool
+within_limit(GfCell *cell, const Job *job, GfAmounts need, int64_t times)
+{
+    const GfCellTeam *team = GfCellConfig_FindTeam(cell->config, &job->team);
+    if (team == NULL) {
+        return true;
+    }
+    GfAmounts used = Cell_TeamUse(cell, &job->team)->used;
+    GfAmounts l = team->limit;
+    return (l.mcores == 0 || used.mcores + need.mcores * times <= l.mcores) &&
+           (l.memory_mb == 0 ||
+            used.memory_mb + need.memory_mb * times <= l.memory_mb) &&
+           (l.accelerators == 0 ||
+            used.accelerators + need.accelerators * times <= l.accelerators);
+}
+
+/* Returns the next number for a run of a task. */
+static int64_t
+next_run(const GfCell *cell, const Task *task)
+{
+    int64_t first = cell->settings.token * RUNS_PER_TOKEN;
+    return (task->run > first ? task->run : first) + 1;
+}
+
+/* Sends the order to start a task that has been assigned. */
+static void
+send_start(GfCell *cell, Task *task, struct timespec now)
+{
+    Worker *w = task->worker;
+    const Allowed *allowed = CellAdvice_Ticket(task->step, w->serial, now);
+    GfStartOrder order = {.target = CellTask_Target(w),
+                          .task = CellTask_Id(task),
+                          .run = task->run,
+                          .payload = &task->step->job->spec.payload,
+                          .until_ms = CellWorker_Extend(cell, w, now),
+                          .checkpoint = task->checkpoint,
+                          .ticket =
+                              allowed == NULL ? NULL : allowed->ticket.data};
+    order.target.token = cell->settings.token;
+    cell->ops->start(cell->ctx, &order);
+}
+
+/* Places the idle tasks of a step one by one. Returns how many stay idle. */
+static uint32_t
+place_tasks(GfCell *cell, Step *step, bool needs_advice, struct timespec now)
+{
+    uint32_t left = step->idle;
+    for (uint32_t i = 0; i < step->spec->task_count && left > 0; i++) {
+        Task *task = &step->tasks[i];
+        if (task->done || task->state != TASK_IDLE) {
+            continue;
+        }
+        if (!within_limit(cell, step->job, step->spec->need, 1)) {
+            return 0;
+        }
+        Worker *w = choose(cell, step, task, NULL, needs_advice, now);
+        if (w == NULL) {
+            return left;
+        }
+        CellTask_Assign(task, w, next_run(cell, task), TASK_STARTING);
+        send_start(cell, task, now);
+        left--;
+    }
+    return left;
+}
+
+/* Assigns all tasks of a gang, within a rack if one is given. On failure none
+ * stays assigned. */
+static bool
+assign_gang(GfCell *cell, Step *step, const GfName *rack, bool needs_advice,
+            struct timespec now)
+{
+    uint32_t count = step->spec->task_count;
+    int64_t run = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        int64_t next = next_run(cell, &step->tasks[i]);
+        run = next > run ? next : run;
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        Worker *w =
+            choose(cell, step, &step->tasks[i], rack, needs_advice, now);
+        if (w == NULL) {
+            while (i-- > 0) {
+                CellTask_Release(&step->tasks[i]);
+                step->tasks[i].run = 0;
+            }
+            return false;
+        }
+        CellTask_Assign(&step->tasks[i], w, run, TASK_STARTING);
+    }
+    return true;
+}
+
+/* Places a gang, within one rack if it asks for that and one has room. */
+static bool
+place_gang(GfCell *cell, Step *step, bool needs_advice, struct timespec now)
+{
+    if (step->idle < step->spec->task_count) {
+        return true; /* the former run has not ended everywhere */
+    }
+    bool placed = false;
+    if (step->spec->same_rack) {
+        for (Worker *w = cell->workers; w != NULL && !placed; w = w->hh.next) {
+            if (CellPlace_HasRoom(w, step)) {
+                placed = assign_gang(cell, step, CellWorker_Rack(w),
+                                     needs_advice, now);
+            }
+        }
+    }
+    placed = placed || assign_gang(cell, step, NULL, needs_advice, now);
+    for (uint32_t i = 0; placed && i < step->spec->task_count; i++) {
+        send_start(cell, &step->tasks[i], now);
+    }
+    return placed;
+}
+
+/* Places what it can of a step, and asks for advice on more workers if that
+ * can help. */
+static void
+place_step(GfCell *cell, Step *step, struct timespec now, int64_t wall_ms)
+{
+    const GfQueue *queue =
+        GfCellConfig_FindQueue(cell->config, &step->job->queue);
+    if (queue == NULL || wall_ms < step->due_ms ||
+        (step->job->in_doubt && cell->doubt)) {
+        return;
+    }
+    bool unplaced;
+    if (step->spec->gang) {
+        if (!within_limit(cell, step->job, step->spec->need,
+                          step->spec->task_count)) {
+            return;
+        }
+        unplaced = !place_gang(cell, step, queue->needs_advice, now);
+    }
+    else {
+        unplaced = place_tasks(cell, step, queue->needs_advice, now) > 0;
+    }
+    if (unplaced && queue->needs_advice && CellAdvice_Wanted(cell, step)) {
+        CellAdvice_Ask(cell, step, now);
+    }
+}
+
+/* Places waiting tasks, in order. */
+void
+CellPlace_Round(GfCell *cell, struct timespec now)
+{
+    if (cell->config == NULL || !cell->begun || !cell->may_extend) {
+        return;
+    }
+    cell->dirty = false;
+    int64_t wall_ms = GfTime_WallMs();
+    size_t count = CellOrder_Sort(cell, now);
+    for (size_t i = 0; i < count; i++) {
+        place_step(cell, cell->order[i], now, wall_ms);
+    }
+}
--- /dev/null
+++ b/src/cell/progress.c
@@ -0,0 +1,168 @@
+/* The stored row of a job: its state, which tasks are done, counted failures
+ * and checkpoints. What runs is not stored; the workers' inventories say
+ * it. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "cell_private.h"
+#include "guavaflow/log.h"
+
+/* Describes the tasks of a step as text, '1' for each that is done; NULL if
+ * none is. */
+static json_t *
+save_done(const Step *step)
+{
+    if (step->left == step->spec->task_count) {
+        return NULL;
+    }
+    char *text = malloc(step->spec->task_count + 1U);
+    if (text == NULL) {
+        abort();
+    }
+    for (uint32_t i = 0; i < step->spec->task_count; i++) {
+        text[i] = step->tasks[i].done ? '1' : '0';
+    }
+    json_t *json = json_stringn(text, step->spec->task_count);
+    free(text);
+    return json;
+}
+
+/* Adds what is to be remembered of the step's unfinished tasks. */
+static void
+save_tasks(const Step *step, size_t at, json_t *failures, json_t *checkpoints)
+{
+    for (uint32_t i = 0; i < step->spec->task_count; i++) {
+        const Task *t = &step->tasks[i];
+        if (t->done) {
+            continue;
+        }
+        if (t->failures > 0) {
+            json_array_append_new(failures,
+                                  json_pack("[I,i,i,I]", (json_int_t)at,
+                                            (int)i, (int)t->failures,
+                                            (json_int_t)t->failed_run));
+        }
+        if (t->checkpoint != NULL) {
+            json_array_append_new(
+                checkpoints,
+                json_pack("[I,i,s]", (json_int_t)at, (int)i, t->checkpoint));
+        }
+    }
+}
+
+/* Builds the row of a job. */
+json_t *
+CellProgress_Save(const Job *job)
+{
+    json_t *row = json_object();
+    json_object_set_new(row, "state",
+                        json_string(GfJobState_Name(job->state)));
+    if (!CellJob_Active(job)) {
+        return row;
+    }
+    json_t *done = json_object();
+    json_t *failures = json_array();
+    json_t *checkpoints = json_array();
+    for (size_t i = 0; i < job->step_total; i++) {
+        json_t *text = save_done(&job->steps[i]);
+        char key[16];
+        snprintf(key, sizeof(key), "%zu", i);
+        if (text != NULL) {
+            json_object_set_new(done, key, text);
+        }
+        save_tasks(&job->steps[i], i, failures, checkpoints);
+    }
+    json_object_set_new(row, "done", done);
+    if (json_array_size(failures) > 0) {
+        json_object_set(row, "failures", failures);
+    }
+    if (json_array_size(checkpoints) > 0) {
+        json_object_set(row, "checkpoints", checkpoints);
+    }
+    json_decref(failures);
+    json_decref(checkpoints);
+    return row;
+}
+
+/* Finds the task that a stored entry [step, index, ...] names. */
+static Task *
+find_task(Job *job, const json_t *entry)
+{
+    json_int_t at = json_integer_value(json_array_get(entry, 0));
+    json_int_t index = json_integer_value(json_array_get(entry, 1));
+    if (at < 0 || (size_t)at >= job->step_total || index < 0 ||
+        index >= job->steps[at].spec->task_count) {
+        return NULL;
+    }
+    return &job->steps[at].tasks[index];
+}
+
+/* Marks the tasks that the row says are done. */
+static void
+load_done(Job *job, const json_t *done)
+{
+    for (size_t i = 0; i < job->step_total; i++) {
+        char key[16];
+        snprintf(key, sizeof(key), "%zu", i);
+        const json_t *text = json_object_get(done, key);
+        size_t len = json_string_length(text);
+        for (size_t t = 0; t < len && t < job->steps[i].spec->task_count;
+             t++) {
+            if (json_string_value(text)[t] == '1') {
+                CellJob_TaskDone(&job->steps[i].tasks[t]);
+            }
+        }
+    }
+}
+
+/* Brings a new job to what its row says. */
+void
+CellProgress_Load(Job *job, const json_t *row)
+{
+    const char *name = json_string_value(json_object_get(row, "state"));
+    GfJobState state = GF_JOB_QUEUED;
+    for (int i = 0; name != NULL && i < GF_JOB_STATES; i++) {
+        if (strcmp(GfJobState_Name((GfJobState)i), name) == 0) {
+            state = (GfJobState)i;
+        }
+    }
+    if (name == NULL) {
+        GfLog(GF_LOG_WARNING, CELL_PART,
+              "the stored row of a job has no state id=%s", job->id.data);
+    }
+    job->stored_state = state;
+    job->state = state;
+    if (!CellJob_Active(job)) {
+        job->finished_at = GfClock_Now(job->cell->clock);
+    }
+    else {
+        load_done(job, json_object_get(row, "done"));
+        size_t i;
+        json_t *entry;
+        json_array_foreach(json_object_get(row, "failures"), i, entry)
+        {
+            Task *task = find_task(job, entry);
+            if (task != NULL) {
+                task->failures =
+                    (uint32_t)json_integer_value(json_array_get(entry, 2));
+                task->failed_run =
+                    json_integer_value(json_array_get(entry, 3));
+            }
+        }
+        json_array_foreach(json_object_get(row, "checkpoints"), i, entry)
+        {
+            Task *task = find_task(job, entry);
+            if (task != NULL) {
+                CellTask_SetCheckpoint(
+                    task, json_string_value(json_array_get(entry, 2)));
+            }
+        }
+    }
+    if (job->dirty && job->state == job->stored_state) {
+        DL_DELETE2(job->cell->dirty_jobs, job, prev_dirty, next_dirty);
+        job->dirty = false;
+    }
+}
--- /dev/null
+++ b/src/cell/tasks.c
@@ -0,0 +1,180 @@
+/* Tasks on workers: room taken and given back, orders to stop. */
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "cell_private.h"
+
+/* A stop is repeated until the end is listed; a worker carries one out within
+ * 200 ms. */
+#define STOP_REPEAT_MS 400
+
+/* Returns what a team has running, with a new entry if there is none. */
+TeamUse *
+Cell_TeamUse(GfCell *cell, const GfName *team)
+{
+    TeamUse *use = NULL;
+    HASH_FIND(hh, cell->uses, team->data, team->len, use);
+    if (use == NULL) {
+        use = calloc(1, sizeof(*use));
+        if (use == NULL) {
+            abort();
+        }
+        use->team = *team;
+        HASH_ADD(hh, cell->uses, team.data, use->team.len, use);
+    }
+    return use;
+}
+
+/* Names a task. */
+GfTaskId
+CellTask_Id(const Task *task)
+{
+    return (GfTaskId){.job = task->step->job->id,
+                      .occurrence = task->step->occurrence,
+                      .step = task->step->number,
+                      .index = task->index};
+}
+
+/* Addresses an order. */
+GfOrderTarget
+CellTask_Target(const Worker *w)
+{
+    return (GfOrderTarget){.worker = &w->info, .serial = w->serial};
+}
+
+/* Keeps the newest checkpoint of a task. */
+void
+CellTask_SetCheckpoint(Task *task, const char *checkpoint)
+{
+    if (checkpoint == NULL || checkpoint[0] == '\0' || task->done ||
+        (task->checkpoint != NULL &&
+         strcmp(task->checkpoint, checkpoint) == 0)) {
+        return;
+    }
+    free(task->checkpoint);
+    task->checkpoint = strdup(checkpoint);
+    if (task->checkpoint == NULL) {
+        abort();
+    }
+}
+
+/* Returns what a task takes of its worker's room; fillers take no
+ * processors. */
+static GfAmounts
+room_taken(const Step *step)
+{
+    GfAmounts need = step->spec->need;
+    if (step->spec->filler) {
+        need.mcores = 0;
+    }
+    return need;
+}
+
+/* Puts a task on a worker and takes its room and its team's share. */
+void
+CellTask_Assign(Task *task, Worker *w, int64_t run, TaskState state)
+{
+    assert(task->state == TASK_IDLE && !task->done);
+    Step *step = task->step;
+    GfCell *cell = step->job->cell;
+    task->state = (uint8_t)state;
+    task->worker = w;
+    task->run = run;
+    task->stopping = false;
+    task->stop_acked = false;
+    task->stop_in_flight = false;
+    task->started_at = GfClock_Now(cell->clock);
+    DL_APPEND(w->tasks, task);
+    w->used = GfAmounts_Plus(w->used, room_taken(step));
+    w->filling += step->spec->filler;
+    w->serving += step->spec->latency_target_ms > 0;
+    TeamUse *use = Cell_TeamUse(cell, &step->job->team);
+    use->used = GfAmounts_Plus(use->used, step->spec->need);
+    cell->running++;
+    step->idle--;
+    if (step->idle == 0) {
+        CellJob_Unlist(step);
+    }
+}
+
+/* Takes a task off its worker and gives back what it took. The task waits
+ * again unless it is done. */
+void
+CellTask_Release(Task *task)
+{
+    assert(task->state != TASK_IDLE);
+    Step *step = task->step;
+    GfCell *cell = step->job->cell;
+    Worker *w = task->worker;
+    DL_DELETE(w->tasks, task);
+    w->used = GfAmounts_Minus(w->used, room_taken(step));
+    w->filling -= step->spec->filler;
+    w->serving -= step->spec->latency_target_ms > 0;
+    TeamUse *use = Cell_TeamUse(cell, &step->job->team);
+    use->used = GfAmounts_Minus(use->used, step->spec->need);
+    cell->running--;
+    cell->dirty = true;
+    task->state = TASK_IDLE;
+    task->worker = NULL;
+    task->stopping = false;
+    task->stop_in_flight = false;
+    if (!task->done) {
+        step->idle++;
+        CellJob_List(step);
+    }
+}
+
+/* Asks for the end of a run; the order is repeated until the end is seen. */
+void
+CellTask_Stop(Task *task)
+{
+    if (task->state == TASK_IDLE || task->stopping) {
+        return;
+    }
+    task->stopping = true;
+    task->stop_in_flight = false;
+    task->stop_sent_at = (struct timespec){0};
+}
+
+/* Stops all runs of a job. */
+void
+CellTask_StopJob(Job *job)
+{
+    struct timespec now = GfClock_Now(job->cell->clock);
+    for (size_t i = 0; i < job->step_total; i++) {
+        for (uint32_t t = 0; t < job->steps[i].spec->task_count; t++) {
+            Task *task = &job->steps[i].tasks[t];
+            if (task->state != TASK_IDLE) {
+                CellTask_Stop(task);
+                CellTask_SendStops(task->worker, now);
+            }
+        }
+    }
+}
+
+/* Sends the stop orders that are due on a worker. A start whose answer is
+ * still out is stopped after it. */
+void
+CellTask_SendStops(Worker *w, struct timespec now)
+{
+    Task *task;
+    DL_FOREACH(w->tasks, task)
+    {
+        if (!task->stopping || task->stop_in_flight ||
+            task->state == TASK_STARTING ||
+            GfTime_DiffMs(now, task->stop_sent_at) < STOP_REPEAT_MS) {
+            continue;
+        }
+        GfCell *cell = task->step->job->cell;
+        task->stop_in_flight = true;
+        task->stop_sent_at = now;
+        GfStopOrder order = {.target = CellTask_Target(w),
+                             .task = CellTask_Id(task),
+                             .run = task->run};
+        order.target.token = cell->settings.token;
+        cell->ops->stop(cell->ctx, &order);
+    }
+}
--- /dev/null
+++ b/src/cellentry/entry.c
@@ -0,0 +1,168 @@
+/* One entry: wires its parts to the event loop. */
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry_private.h"
+#include "guavaflow/log.h"
+#include "guavaflow/metrics.h"
+
+#define PART "entry"
+/* The owner acts at once on most news; timers and gathered writes wait for
+ * the next tick. Others only send heartbeats. */
+#define OWNER_TICK_MS 10
+#define FOLLOWER_TICK_MS 50
+/* A failure of the store counts for this long unless a call succeeds. */
+#define STORE_FAILURE_MS 2000
+
+/* Notes the outcome of a call to the store. */
+void
+EntryStore_Note(GfCellEntry *entry, GfTableResult result)
+{
+    struct timespec now = GfClock_Now(entry->clock);
+    if (result == GF_TABLE_OK || result == GF_TABLE_CONFLICT ||
+        result == GF_TABLE_NO_HISTORY) {
+        if (entry->store_failed) {
+            GfLog(GF_LOG_INFO, PART, "the store answers again after_ms=%lld",
+                  (long long)GfTime_DiffMs(now, entry->store_failed_at));
+        }
+        entry->store_failed = false;
+        entry->store_ok_at = now;
+    }
+    else if (!entry->store_failed) {
+        entry->store_failed = true;
+        entry->store_failed_at = now;
+        GfLog(GF_LOG_WARNING, PART, "the store does not answer cause=%s",
+              GfTableResult_Name(result));
+    }
+    GfMetrics_Set(GF_METRIC_STORE_AWAY, entry->store_failed);
+}
+
+/* Tells whether the store answered the last call. */
+bool
+EntryStore_Answers(const GfCellEntry *entry)
+{
+    return !entry->store_failed;
+}
+
+/* Plans the next tick. */
+static void
+plan_tick(GfCellEntry *entry)
+{
+    struct timeval tv = GfTime_Interval(
+        entry->term != NULL ? OWNER_TICK_MS : FOLLOWER_TICK_MS);
+    evtimer_add(entry->tick, &tv);
+}
+
+/* Does what is due. */
+static void
+on_tick(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    GfCellEntry *entry = arg;
+    struct timespec now = GfClock_Now(entry->clock);
+    EntryOwnership_Tick(entry, now);
+    EntryTerm_Tick(entry, now);
+    plan_tick(entry);
+}
+
+/* Creates an entry and begins to follow the configuration. Fails if the
+ * address for peers cannot be bound. */
+GfCellEntry *
+GfCellEntry_Create(struct event_base *base,
+                   const GfCellEntrySettings *settings, const GfClock *clock,
+                   GfTable *table, GfCommands *commands,
+                   const GfDecoder *decoder, GfError *error)
+{
+    assert(base != NULL && settings != NULL && table != NULL);
+    GfCellEntry *entry = calloc(1, sizeof(*entry));
+    if (entry == NULL) {
+        abort();
+    }
+    entry->base = base;
+    entry->settings = settings;
+    entry->clock = clock;
+    entry->table = table;
+    entry->commands = commands;
+    entry->decoder = decoder;
+    GfName_SetText(&entry->self, settings->member);
+    entry->incarnation = (uint64_t)GfTime_WallMs();
+    entry->started_at = GfClock_Now(clock);
+    entry->rpc = GfRpcServer_Create(base, settings->peer_at.address,
+                                    (uint16_t)settings->peer_at.port,
+                                    &CELL_PEER_PROGRAM, entry, error);
+    if (entry->rpc == NULL) {
+        free(entry);
+        return NULL;
+    }
+    entry->tick = evtimer_new(base, on_tick, entry);
+    GfLog(GF_LOG_INFO, PART, "started member=%s domain=%s", settings->member,
+          settings->failure_domain);
+    EntryControl_Begin(entry);
+    plan_tick(entry);
+    return entry;
+}
+
+/* Frees the entry. */
+void
+GfCellEntry_Destroy(GfCellEntry *entry)
+{
+    if (entry == NULL) {
+        return;
+    }
+    EntryTerm_End(entry);
+    Follow_Destroy(entry->operator_follow);
+    EntryMembers_Destroy(entry);
+    GfRpcServer_Destroy(entry->rpc);
+    event_free(entry->tick);
+    GfCellConfig_Destroy(entry->config);
+    GfStr_Clear(&entry->config_text);
+    free(entry->evacuated);
+    free(entry);
+}
+
+/* Tells whether new connections are welcome: a configuration is known. */
+bool
+GfCellEntry_IsReady(const GfCellEntry *entry)
+{
+    return entry->config != NULL && !entry->stopping;
+}
+
+/* Begins a planned stop: others are told, so that one of them takes the cell
+ * over at once; requests are served until the process ends. */
+void
+GfCellEntry_BeginStop(GfCellEntry *entry)
+{
+    entry->stopping = true;
+    entry->next_beat_at = (struct timespec){0};
+    GfLog(GF_LOG_INFO, PART, "stopping owner=%d", entry->term != NULL);
+}
+
+/* Describes the entry for operators. */
+json_t *
+GfCellEntry_Describe(const GfCellEntry *entry)
+{
+    struct timespec now = GfClock_Now(entry->clock);
+    json_t *peers = json_array();
+    for (const Peer *p = entry->peers; p != NULL; p = p->hh.next) {
+        json_array_append_new(
+            peers, json_pack("{s:s,s:b}", "member", p->name.data, "heard",
+                             EntryMembers_IsHeard(entry, p)));
+    }
+    json_t *all =
+        json_pack("{s:s,s:s,s:I,s:I,s:I,s:b,s:b,s:o}", "member",
+                  entry->self.data, "owner", entry->owner.name.data, "token",
+                  (json_int_t)entry->owner.token, "owner_silent_ms",
+                  (json_int_t)GfTime_DiffMs(now, entry->owner.heard_at),
+                  "config_version",
+                  entry->config == NULL ? (json_int_t)0
+                                        : (json_int_t)entry->config->version,
+                  "store_answers", EntryStore_Answers(entry), "stopping",
+                  entry->stopping, "peers", peers);
+    GfCell *cell = EntryTerm_Cell(entry);
+    if (cell != NULL) {
+        json_object_set_new(all, "cell", GfCell_Describe(cell));
+    }
+    return all;
+}
--- /dev/null
+++ b/src/cellentry/jobs.c
@@ -0,0 +1,532 @@
+/* Callers' requests: accepting a job is this entry's own work, done by one
+ * conditional transaction; all else is answered by the owner. */
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry_private.h"
+#include "guavaflow/log.h"
+#include "guavaflow/metrics.h"
+
+#define PART "jobs"
+#define ID_BYTES 16
+/* How long a caller is taken to wait who does not say. */
+#define DEFAULT_PATIENCE_MS 3000
+/* What is kept of the caller's time for the answer to arrive. */
+#define ANSWER_MARGIN_MS 250
+/* Pause before another attempt. */
+#define RETRY_MS 100
+/* A transaction without an answer after this is sent again; the row's
+ * condition makes that safe. */
+#define ACCEPT_TIMEOUT_MS 1000
+/* The owner answers within some milliseconds, a cancel after a commit. */
+#define STATUS_TIMEOUT_MS 500
+#define CANCEL_TIMEOUT_MS 1500
+/* After this long without an owner the store is asked instead. */
+#define OWNER_WAIT_MS 700
+/* When a caller who was refused should come back: a takeover is over by then,
+ * and the store's short outages mostly. */
+#define RETRY_AFTER_MS 1000
+/* A refused transaction is tried this often before the caller is told. */
+#define REFUSED_TRIES 3
+#define MAX_HOPS 1
+
+typedef struct {
+    GfCellEntry *entry;
+    GfJobVerb verb;
+    GfName id;
+    GfName queue;
+    GfName team;
+    GfStr row;
+    struct timespec began_at;
+    int64_t patience_ms;
+    uint32_t tries;
+    uint32_t hops;
+    bool uncertain;
+    bool pushed;
+    struct event *timer;
+    GfJobAnswerCallback callback;
+    void *arg;
+} Request;
+
+static void ask_owner(Request *r);
+static void accept_job(Request *r);
+
+/* Writes the part of the jobs' table that a job's row is in. */
+void
+EntryJobs_PartOf(const GfName *id, char *part, size_t room)
+{
+    snprintf(part, room, "j%x",
+             (unsigned)(GfName_Hash(id, 0) % ENTRY_JOB_PARTS));
+}
+
+/* Answers and frees a request. */
+static void
+answer(Request *r, const GfJobAnswer *reply)
+{
+    GfJobAnswer full = *reply;
+    full.verb = r->verb;
+    if (full.kind != GF_OK || r->verb == GF_JOB_SUBMIT ||
+        r->verb == GF_JOB_CANCEL) {
+        GfLog(full.kind == GF_OK || full.kind == GF_NO_SUCH_JOB ? GF_LOG_DEBUG
+                                                                : GF_LOG_INFO,
+              PART, "answered id=%s verb=%d outcome=%s tries=%u after_ms=%lld",
+              r->id.data, (int)r->verb, GfError_Name(full.kind), r->tries,
+              (long long)GfTime_DiffMs(GfClock_Now(r->entry->clock),
+                                       r->began_at));
+    }
+    r->callback(r->arg, &full);
+    if (r->timer != NULL) {
+        event_free(r->timer);
+    }
+    GfStr_Clear(&r->row);
+    free(r);
+}
+
+/* Answers with a kind alone. */
+static void
+answer_kind(Request *r, GfErrorKind kind)
+{
+    GfJobAnswer reply = {.kind = kind};
+    if (GfError_MayRetry(kind) && GfError_HttpStatus(kind) == 503) {
+        reply.retry_after_ms = RETRY_AFTER_MS;
+        GfMetrics_Add(GF_METRIC_REQUESTS_REFUSED, 1);
+    }
+    answer(r, &reply);
+}
+
+/* Returns how much of the caller's time is left. */
+static int64_t
+time_left(const Request *r)
+{
+    struct timespec now = GfClock_Now(r->entry->clock);
+    return r->patience_ms - ANSWER_MARGIN_MS - GfTime_DiffMs(now, r->began_at);
+}
+
+/* Makes the next attempt. */
+static void
+on_retry(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    Request *r = arg;
+    if (r->verb == GF_JOB_SUBMIT) {
+        accept_job(r);
+    }
+    else {
+        ask_owner(r);
+    }
+}
+
+/* Plans another attempt if the caller's time allows one. */
+static bool
+retry_later(Request *r)
+{
+    if (time_left(r) < RETRY_MS) {
+        return false;
+    }
+    if (r->timer == NULL) {
+        r->timer = evtimer_new(r->entry->base, on_retry, r);
+    }
+    struct timeval tv = GfTime_Interval(RETRY_MS);
+    evtimer_add(r->timer, &tv);
+    return true;
+}
+
+/* Drops the outcome of a report to the owner, which finds the row in the
+ * store if the report is lost. */
+static void
+on_reported(void *arg, const GfRpcOutcome *outcome)
+{
+    (void)arg;
+    if (outcome->kind != GF_OK) {
+        GfLog(GF_LOG_DEBUG, PART, "job not reported to the owner cause=%s",
+              GfError_Name(outcome->kind));
+    }
+}
+
+/* Tells the owner of a job whose row is stored. */
+static void
+report_job(Request *r)
+{
+    GfCellEntry *entry = r->entry;
+    if (entry->term != NULL) {
+        if (EntryTerm_IsReady(entry)) {
+            EntryTerm_TakeJobRow(entry, r->id.data, r->row.data, r->row.len,
+                                 NULL, false);
+        }
+        return;
+    }
+    Peer *owner = EntryOwnership_Peer(entry);
+    if (owner == NULL) {
+        return;
+    }
+    gfc_job_call call = {
+        .verb = GF_JOB_SUBMIT, .job = r->id.data, .queue = r->queue.data};
+    call.body.body_val = r->row.data;
+    call.body.body_len = (u_int)r->row.len;
+    GfRpcClient_Start(owner->client, GFC_JOB, &call, sizeof(gfc_job_reply),
+                      STATUS_TIMEOUT_MS, on_reported, NULL);
+}
+
+/* Takes the outcome of the transaction that accepts a job. */
+static void
+on_accepted(void *arg, GfTableResult result, int64_t version,
+            const GfTableRow *rows, size_t count)
+{
+    (void)version;
+    (void)rows;
+    (void)count;
+    Request *r = arg;
+    EntryStore_Note(r->entry, result);
+    if (result == GF_TABLE_OK || result == GF_TABLE_CONFLICT) {
+        /* On a conflict the same job was stored by an earlier attempt. */
+        if (result == GF_TABLE_OK) {
+            GfMetrics_Add(GF_METRIC_JOBS_ACCEPTED, 1);
+        }
+        report_job(r);
+        answer_kind(r, GF_OK);
+        return;
+    }
+    r->uncertain = r->uncertain || result == GF_TABLE_UNKNOWN;
+    bool give_up = !r->uncertain && r->tries >= REFUSED_TRIES;
+    if (give_up || !retry_later(r)) {
+        answer_kind(r, r->uncertain ? GF_TIMEOUT : GF_STORE_UNAVAILABLE);
+    }
+}
+
+/* Stores the row of a job unless one of its id is there. A copy of the
+ * transaction that is carried out late meets the row. */
+static void
+accept_job(Request *r)
+{
+    r->tries++;
+    char part[8];
+    EntryJobs_PartOf(&r->id, part, sizeof(part));
+    const GfTableExpectation expectation = {ENTRY_JOB_TABLE, part, r->id.data,
+                                            0};
+    const GfTableChange change = {ENTRY_JOB_TABLE, part, r->id.data,
+                                  r->row.data, r->row.len};
+    int64_t left = time_left(r);
+    int64_t limit = left < ACCEPT_TIMEOUT_MS ? left : ACCEPT_TIMEOUT_MS;
+    GfTableTransaction transaction = {
+        .expectations = &expectation,
+        .expectation_count = 1,
+        .changes = &change,
+        .change_count = 1,
+        .timeout_ms = (int)(limit > RETRY_MS ? limit : RETRY_MS)};
+    GfTable_Transact(r->entry->table, &transaction, on_accepted, r);
+}
+
+/* Takes the row of a job that the owner does not know, or that no owner could
+ * be asked about. */
+static void
+on_job_row(void *arg, GfTableResult result, int64_t version,
+           const GfTableRow *rows, size_t count)
+{
+    (void)version;
+    Request *r = arg;
+    EntryStore_Note(r->entry, result);
+    if (result != GF_TABLE_OK) {
+        if (!retry_later(r)) {
+            answer_kind(r, GF_STORE_UNAVAILABLE);
+        }
+        return;
+    }
+    if (count == 0 || rows[0].value == NULL) {
+        answer_kind(r, GF_NO_SUCH_JOB);
+        return;
+    }
+    GfStr_Clear(&r->row);
+    r->row = GfStr_Copy(rows[0].value, rows[0].value_len);
+    report_job(r);
+    if (r->verb == GF_JOB_STATUS && r->pushed) {
+        GfJobAnswer reply = {.kind = GF_OK, .state = GF_JOB_QUEUED};
+        answer(r, &reply);
+        return;
+    }
+    r->pushed = true;
+    if (!retry_later(r)) {
+        answer_kind(r, GF_NO_OWNER);
+    }
+}
+
+/* Asks the store for the job's row. */
+static void
+ask_store(Request *r)
+{
+    char part[8];
+    EntryJobs_PartOf(&r->id, part, sizeof(part));
+    GfTable_Read(r->entry->table, ENTRY_JOB_TABLE, part, r->id.data,
+                 on_job_row, r);
+}
+
+/* Takes the owner's word. */
+static void
+take_reply(Request *r, const GfJobAnswer *reply)
+{
+    if (reply->kind == GF_NO_SUCH_JOB && r->hops == 0) {
+        ask_store(r);
+    }
+    else if (reply->kind == GF_NO_OWNER) {
+        if (r->hops > 0 || !retry_later(r)) {
+            answer_kind(r, GF_NO_OWNER);
+        }
+    }
+    else {
+        answer(r, reply);
+    }
+}
+
+/* Takes the owner's answer to a call. */
+static void
+on_owner_reply(void *arg, const GfRpcOutcome *outcome)
+{
+    Request *r = arg;
+    GfJobAnswer reply = {.kind = GF_NO_OWNER};
+    if (outcome->kind == GF_OK) {
+        const gfc_job_reply *xdr = outcome->result;
+        reply.kind = xdr->kind >= 0 && xdr->kind < GF_ERROR_KINDS
+                         ? (GfErrorKind)xdr->kind
+                         : GF_PROTOCOL;
+        reply.state = xdr->state >= 0 && xdr->state < GF_JOB_STATES
+                          ? (GfJobState)xdr->state
+                          : GF_JOB_QUEUED;
+        reply.waiting = xdr->waiting;
+    }
+    take_reply(r, &reply);
+}
+
+/* Reports a cancel that is stored. */
+static void
+on_cancelled(void *arg, GfErrorKind kind)
+{
+    GfJobAnswer reply = {.kind = kind == GF_NOT_FOUND ? GF_NO_SUCH_JOB : kind};
+    take_reply(arg, &reply);
+}
+
+/* Answers as the owner. */
+static void
+answer_as_owner(Request *r, GfCell *cell)
+{
+    GfJobAnswer reply = {.kind = GF_OK};
+    switch (r->verb) {
+    case GF_JOB_STATUS:
+        if (!GfCell_JobState(cell, &r->id, &reply.state)) {
+            reply.kind = GF_NO_SUCH_JOB;
+        }
+        break;
+    case GF_JOB_COUNT:
+        reply.waiting = GfCell_Waiting(cell, &r->queue);
+        break;
+    default:
+        GfCell_CancelJob(cell, &r->id, on_cancelled, r);
+        return;
+    }
+    take_reply(r, &reply);
+}
+
+/* Asks the owner, which may be this entry, or a peer that hears it. */
+static void
+ask_owner(Request *r)
+{
+    GfCellEntry *entry = r->entry;
+    r->tries++;
+    GfCell *cell = EntryTerm_Cell(entry);
+    if (cell != NULL) {
+        answer_as_owner(r, cell);
+        return;
+    }
+    struct timespec now = GfClock_Now(entry->clock);
+    Peer *peer = entry->term != NULL ? NULL : EntryOwnership_Peer(entry);
+    if (peer != NULL && !EntryMembers_IsHeard(entry, peer)) {
+        Peer *relay = EntryMembers_Find(entry, &entry->relay);
+        peer =
+            relay != NULL && EntryMembers_IsHeard(entry, relay) ? relay : peer;
+    }
+    if (peer == NULL || r->hops >= MAX_HOPS) {
+        GfJobAnswer reply = {.kind = GF_NO_OWNER};
+        if (r->verb == GF_JOB_STATUS && r->hops == 0 &&
+            GfTime_DiffMs(now, r->began_at) > OWNER_WAIT_MS) {
+            r->pushed = true;
+            ask_store(r);
+            return;
+        }
+        take_reply(r, &reply);
+        return;
+    }
+    gfc_job_call call = {.verb = (int)r->verb,
+                         .hops = r->hops + 1,
+                         .job = r->id.data,
+                         .queue = r->queue.data};
+    int limit =
+        r->verb == GF_JOB_CANCEL ? CANCEL_TIMEOUT_MS : STATUS_TIMEOUT_MS;
+    int64_t left = time_left(r);
+    if (left < limit) {
+        limit = left > RETRY_MS ? (int)left : RETRY_MS;
+    }
+    GfRpcClient_Start(peer->client, GFC_JOB, &call, sizeof(gfc_job_reply),
+                      limit, on_owner_reply, r);
+}
+
+/* Answers another entry. */
+static void
+reply_to_peer(void *arg, const GfJobAnswer *reply)
+{
+    gfc_job_reply xdr = {.kind = (int)reply->kind,
+                         .state = (int)reply->state,
+                         .waiting = (u_int)reply->waiting,
+                         .retry_after_ms = reply->retry_after_ms};
+    GfRpcCall_Reply(arg, &xdr);
+}
+
+/* Handles a request that another entry passes on. */
+void
+EntryJobs_HandlePeer(GfCellEntry *entry, const gfc_job_call *call,
+                     GfRpcCall *rpc)
+{
+    GfJobAnswer reply = {.kind = GF_BAD_REQUEST};
+    GfName id;
+    GfName queue;
+    if (call->verb < 0 || call->verb >= GF_JOB_VERBS ||
+        !GfName_SetText(&id, call->job) ||
+        !GfName_SetText(&queue, call->queue)) {
+        reply_to_peer(rpc, &reply);
+        return;
+    }
+    if (call->verb == GF_JOB_SUBMIT) {
+        reply.kind = EntryTerm_IsReady(entry) ? GF_OK : GF_NO_OWNER;
+        if (reply.kind == GF_OK) {
+            EntryTerm_TakeJobRow(entry, id.data, call->body.body_val,
+                                 call->body.body_len, NULL, false);
+        }
+        reply_to_peer(rpc, &reply);
+        return;
+    }
+    Request *r = calloc(1, sizeof(*r));
+    if (r == NULL) {
+        abort();
+    }
+    r->entry = entry;
+    r->verb = (GfJobVerb)call->verb;
+    r->id = id;
+    r->queue = queue;
+    r->hops = call->hops;
+    r->began_at = GfClock_Now(entry->clock);
+    r->patience_ms = CANCEL_TIMEOUT_MS + ANSWER_MARGIN_MS;
+    r->callback = reply_to_peer;
+    r->arg = rpc;
+    ask_owner(r);
+}
+
+/* Tells whether a job's id has the agreed form: 16 hexadecimal digits. */
+static bool
+is_job_id(const char *text)
+{
+    return strlen(text) == ID_BYTES &&
+           strspn(text, "0123456789abcdefABCDEF") == ID_BYTES;
+}
+
+/* Builds the row of a job. */
+static GfStr
+make_row(const Request *r, const GfJobRequest *request)
+{
+    json_t *row =
+        json_pack("{s:s,s:s,s:I,s:s%}", "queue", r->queue.data, "team",
+                  r->team.data, "accepted_ms", (json_int_t)GfTime_WallMs(),
+                  "body", request->body, request->body_len);
+    if (row == NULL) {
+        return (GfStr){0};
+    }
+    char *text = json_dumps(row, JSON_COMPACT);
+    json_decref(row);
+    return (GfStr){.len = strlen(text), .data = text};
+}
+
+/* Checks a job that is handed in, and stores it. */
+static void
+begin_submit(Request *r, const GfJobRequest *request)
+{
+    GfJobSpec spec;
+    GfError error;
+    if (!r->entry->decoder->job(request->body, request->body_len, &spec,
+                                &error)) {
+        GfLog(GF_LOG_INFO, PART, "job refused id=%s cause=%s", r->id.data,
+              error.text);
+        answer_kind(r, GF_BAD_REQUEST);
+        return;
+    }
+    GfJobSpec_Clear(&spec);
+    r->row = make_row(r, request);
+    if (r->row.data == NULL) {
+        answer_kind(r, GF_BAD_REQUEST);
+        return;
+    }
+    accept_job(r);
+}
+
+/* Finds queue, team and id of a request. Returns GF_OK or why not. */
+static GfErrorKind
+resolve(Request *r, const GfJobRequest *request)
+{
+    const GfCellConfig *config = r->entry->config;
+    if (config == NULL) {
+        return GF_NOT_CONFIRMED;
+    }
+    const GfQueue *queue = GfCellConfig_Route(
+        config, request->host, strcspn(request->host, ":"), request->path);
+    if (queue == NULL) {
+        return GF_NOT_FOUND;
+    }
+    const GfCellTeam *team =
+        request->key == NULL ? NULL
+                             : GfCellConfig_TeamOfKey(config, request->key);
+    if (team == NULL && !queue->open) {
+        GfMetrics_Add(GF_METRIC_UNAUTHENTICATED, 1);
+        return GF_UNAUTHENTICATED;
+    }
+    r->queue = queue->name;
+    if (team != NULL) {
+        r->team = team->name;
+    }
+    const char *id = request->path + queue->path_prefix.len;
+    if (*id == '\0' && r->verb == GF_JOB_STATUS) {
+        r->verb = GF_JOB_COUNT;
+        return GF_OK;
+    }
+    if (!is_job_id(id) || !GfName_SetText(&r->id, id)) {
+        return r->verb == GF_JOB_SUBMIT ? GF_BAD_REQUEST : GF_NO_SUCH_JOB;
+    }
+    return GF_OK;
+}
+
+/* Handles a caller's request; the callback runs exactly once. */
+void
+GfCellEntry_Handle(GfCellEntry *entry, const GfJobRequest *request,
+                   GfJobAnswerCallback callback, void *arg)
+{
+    assert(entry != NULL && request != NULL && callback != NULL);
+    GfMetrics_Add(GF_METRIC_REQUESTS, 1);
+    Request *r = calloc(1, sizeof(*r));
+    if (r == NULL) {
+        abort();
+    }
+    r->entry = entry;
+    r->verb = request->verb;
+    r->began_at = GfClock_Now(entry->clock);
+    r->patience_ms =
+        request->patience_ms > 0 ? request->patience_ms : DEFAULT_PATIENCE_MS;
+    r->callback = callback;
+    r->arg = arg;
+    GfErrorKind kind = resolve(r, request);
+    if (kind != GF_OK) {
+        answer_kind(r, kind);
+    }
+    else if (r->verb == GF_JOB_SUBMIT) {
+        begin_submit(r, request);
+    }
+    else {
+        ask_owner(r);
+    }
+}
--- /dev/null
+++ b/src/cellentry/load.c
@@ -0,0 +1,251 @@
+/* Reading what a term begins with: progress, jobs, workers, and which workers
+ * the former owner granted leases to. */
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry_private.h"
+#include "guavaflow/log.h"
+
+#define PART "owner"
+#define PART_BYTES 8
+/* Pause after a read that failed. */
+#define RETRY_MS 150
+/* Progress, leased workers, workers, and the parts of the jobs' table. */
+#define OTHER_READS 3
+
+typedef struct {
+    Load *load;
+    const char *table;
+    const char *part;
+    const char *key;
+    char part_text[PART_BYTES];
+    struct event *timer;
+} Read;
+
+struct Load {
+    GfCellEntry *entry;
+    GfCell *cell;
+    LoadDone done;
+    json_t *progress;
+    json_t *jobs;
+    Read reads[ENTRY_JOB_PARTS + OTHER_READS];
+    size_t read_count;
+    size_t open; /* reads without an answer, and timers */
+    size_t left;
+    int64_t version;
+    bool cancelled;
+    bool finished;
+};
+
+/* Frees a load without open reads. */
+static void
+free_load(Load *load)
+{
+    for (size_t i = 0; i < load->read_count; i++) {
+        event_free(load->reads[i].timer);
+    }
+    json_decref(load->progress);
+    json_decref(load->jobs);
+    free(load);
+}
+
+/* Takes the rows of progress or jobs for later. */
+static void
+keep_rows(json_t *into, const GfTableRow *rows, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        json_t *value =
+            rows[i].value == NULL
+                ? NULL
+                : json_loadb(rows[i].value, rows[i].value_len, 0, NULL);
+        if (value == NULL) {
+            GfLog(GF_LOG_WARNING, PART,
+                  "a row is not readable table=%s key=%s", rows[i].table,
+                  rows[i].key);
+            continue;
+        }
+        json_object_set_new(into, rows[i].key, value);
+    }
+}
+
+/* Takes the list of workers that the former owner granted leases to. */
+static void
+take_leased(GfCell *cell, const GfTableRow *row)
+{
+    json_t *list = row->value == NULL
+                       ? NULL
+                       : json_loadb(row->value, row->value_len, 0, NULL);
+    size_t i;
+    json_t *entry;
+    json_array_foreach(list, i, entry)
+    {
+        GfWorkerInfo info = {
+            .lifetime = json_integer_value(json_array_get(entry, 1)),
+            .port = (uint16_t)json_integer_value(json_array_get(entry, 3))};
+        const char *address = json_string_value(json_array_get(entry, 2));
+        if (address == NULL ||
+            !GfName_SetText(&info.id,
+                            json_string_value(json_array_get(entry, 0)))) {
+            GfLog(GF_LOG_WARNING, PART, "a leased worker is not readable");
+            continue;
+        }
+        snprintf(info.address, sizeof(info.address), "%s", address);
+        GfCell_AddLeasedWorker(cell, &info);
+    }
+    json_decref(list);
+}
+
+/* Adds all jobs with their progress once everything is read. */
+static void
+finish(Load *load)
+{
+    load->finished = true;
+    const char *id;
+    json_t *row;
+    json_object_foreach(load->jobs, id, row)
+    {
+        char *text = json_dumps(row, JSON_COMPACT);
+        EntryTerm_TakeJobRow(load->entry, id, text, strlen(text),
+                             json_object_get(load->progress, id), true);
+        free(text);
+    }
+    load->done(load->entry, true, load->version);
+}
+
+static void start_read(Read *read);
+
+/* Tries a failed read again. */
+static void
+on_retry(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    Read *read = arg;
+    read->load->open--;
+    start_read(read);
+}
+
+/* Takes the rows of one read. */
+static void
+on_rows(void *arg, GfTableResult result, int64_t version,
+        const GfTableRow *rows, size_t count)
+{
+    Read *read = arg;
+    Load *load = read->load;
+    load->open--;
+    if (load->cancelled) {
+        if (load->open == 0) {
+            free_load(load);
+        }
+        return;
+    }
+    EntryStore_Note(load->entry, result);
+    if (result != GF_TABLE_OK) {
+        load->open++;
+        struct timeval tv = GfTime_Interval(RETRY_MS);
+        evtimer_add(read->timer, &tv);
+        return;
+    }
+    if (load->version == 0 || version < load->version) {
+        load->version = version;
+    }
+    if (strcmp(read->table, ENTRY_PROGRESS_TABLE) == 0) {
+        keep_rows(load->progress, rows, count);
+    }
+    else if (strcmp(read->table, ENTRY_JOB_TABLE) == 0) {
+        keep_rows(load->jobs, rows, count);
+    }
+    else if (read->key != NULL) {
+        if (count > 0) {
+            take_leased(load->cell, &rows[0]);
+        }
+    }
+    else {
+        for (size_t i = 0; i < count; i++) {
+            GfWorkerInfo info;
+            int64_t clock_ms = 0;
+            GfError error;
+            if (load->entry->decoder->worker(rows[i].key, rows[i].value,
+                                             rows[i].value_len, &info,
+                                             &clock_ms, &error)) {
+                GfCell_SetWorker(load->cell, &info, clock_ms);
+            }
+        }
+    }
+    load->left--;
+    if (load->left == 0) {
+        finish(load);
+    }
+}
+
+/* Starts one read. */
+static void
+start_read(Read *read)
+{
+    read->load->open++;
+    GfTable_Read(read->load->entry->table, read->table, read->part, read->key,
+                 on_rows, read);
+}
+
+/* Adds a read to the list. */
+static void
+add_read(Load *load, const char *table, const char *part, const char *key)
+{
+    Read *read = &load->reads[load->read_count++];
+    read->load = load;
+    read->table = table;
+    snprintf(read->part_text, sizeof(read->part_text), "%s", part);
+    read->part = read->part_text;
+    read->key = key;
+    read->timer = evtimer_new(load->entry->base, on_retry, read);
+}
+
+/* Starts all reads. done is called from the loop unless the load is
+ * cancelled. */
+Load *
+Load_Start(GfCellEntry *entry, GfCell *cell, LoadDone done)
+{
+    Load *load = calloc(1, sizeof(*load));
+    if (load == NULL) {
+        abort();
+    }
+    load->entry = entry;
+    load->cell = cell;
+    load->done = done;
+    load->progress = json_object();
+    load->jobs = json_object();
+    add_read(load, ENTRY_PROGRESS_TABLE, ENTRY_OWNER_PART, NULL);
+    add_read(load, ENTRY_CELL_TABLE, ENTRY_OWNER_PART, ENTRY_LEASED_KEY);
+    add_read(load, entry->decoder->worker_table, "", NULL);
+    for (int i = 0; i < ENTRY_JOB_PARTS; i++) {
+        char part[PART_BYTES];
+        snprintf(part, sizeof(part), "j%x", (unsigned)i);
+        add_read(load, ENTRY_JOB_TABLE, part, NULL);
+    }
+    load->left = load->read_count;
+    for (size_t i = 0; i < load->read_count; i++) {
+        start_read(&load->reads[i]);
+    }
+    return load;
+}
+
+/* Ends a load; finished or not, it must not be used any more. */
+void
+Load_Cancel(Load *load)
+{
+    if (load == NULL) {
+        return;
+    }
+    load->cancelled = true;
+    for (size_t i = 0; i < load->read_count; i++) {
+        if (evtimer_pending(load->reads[i].timer, NULL)) {
+            evtimer_del(load->reads[i].timer);
+            load->open--;
+        }
+    }
+    if (load->open == 0) {
+        free_load(load);
+    }
+}
--- /dev/null
+++ b/src/cellentry/peers.c
@@ -0,0 +1,315 @@
+/* Other entries: who is known, who was heard, and the calls they make. */
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "entry_private.h"
+#include "guavaflow/log.h"
+#include "guavaflow/metrics.h"
+
+#define PART "peers"
+/* Several times the pause between heartbeats. */
+#define HEARD_MS 1200
+/* An entry that has been silent this long is forgotten. */
+#define FORGET_MS 20000
+/* A healthy peer answers within some milliseconds; a slowed one within some
+ * hundreds. */
+#define BEAT_TIMEOUT_MS 450
+
+/* Finds a peer by name, or returns NULL. */
+Peer *
+EntryMembers_Find(GfCellEntry *entry, const GfName *name)
+{
+    Peer *peer = NULL;
+    HASH_FIND(hh, entry->peers, name->data, name->len, peer);
+    return peer;
+}
+
+/* Finds or makes a peer; one that has moved or was started anew gets a new
+ * connection. Returns NULL for this entry itself. */
+Peer *
+EntryMembers_Get(GfCellEntry *entry, const GfName *name, const char *address,
+                 uint16_t port, uint64_t incarnation)
+{
+    if (GfName_Equal(name, &entry->self) || name->len == 0) {
+        return NULL;
+    }
+    Peer *peer = EntryMembers_Find(entry, name);
+    if (peer == NULL) {
+        peer = calloc(1, sizeof(*peer));
+        if (peer == NULL) {
+            abort();
+        }
+        peer->entry = entry;
+        peer->name = *name;
+        HASH_ADD(hh, entry->peers, name.data, peer->name.len, peer);
+        GfLog(GF_LOG_INFO, PART, "entry known member=%s address=%s:%u",
+              name->data, address, port);
+    }
+    bool moved = strcmp(peer->address, address) != 0 || peer->port != port;
+    bool newer = incarnation > peer->incarnation;
+    if (peer->client == NULL || (moved && incarnation >= peer->incarnation)) {
+        if (peer->client != NULL) {
+            /* Calls under way on it still get their outcome. */
+            Retired *old = calloc(1, sizeof(*old));
+            if (old == NULL) {
+                abort();
+            }
+            old->client = peer->client;
+            LL_PREPEND(entry->retired, old);
+        }
+        snprintf(peer->address, sizeof(peer->address), "%s", address);
+        peer->port = port;
+        peer->beating = false;
+        peer->client = GfRpcClient_Create(entry->base, peer->address, port,
+                                          &CELL_PEER_PROGRAM, entry->clock);
+    }
+    if (newer) {
+        peer->incarnation = incarnation;
+        peer->stopping = false;
+    }
+    return peer;
+}
+
+/* Finds or makes the peer that a message describes. */
+Peer *
+EntryMembers_FromXdr(GfCellEntry *entry, const gfc_peer *xdr)
+{
+    GfName name;
+    if (!GfName_SetText(&name, xdr->member) || xdr->port > UINT16_MAX ||
+        strlen(xdr->address) >= sizeof(((Peer *)0)->address)) {
+        GfLog(GF_LOG_WARNING, PART, "a peer's description is malformed");
+        return NULL;
+    }
+    return EntryMembers_Get(entry, &name, xdr->address, (uint16_t)xdr->port,
+                            xdr->incarnation);
+}
+
+/* Describes this entry. */
+void
+EntryMembers_ToXdr(GfCellEntry *entry, gfc_peer *self)
+{
+    self->member = entry->self.data;
+    self->address = entry->settings->peer_at.address;
+    self->port = entry->settings->peer_at.port;
+    self->incarnation = entry->incarnation;
+}
+
+/* Tells whether a peer was in direct contact lately. */
+bool
+EntryMembers_IsHeard(const GfCellEntry *entry, const Peer *peer)
+{
+    return peer->heard &&
+           GfTime_DiffMs(GfClock_Now(entry->clock), peer->heard_at) < HEARD_MS;
+}
+
+/* Takes the answer to a heartbeat. */
+static void
+on_beat_reply(void *arg, const GfRpcOutcome *outcome)
+{
+    Peer *peer = arg;
+    GfCellEntry *entry = peer->entry;
+    peer->beating = false;
+    if (outcome->kind != GF_OK) {
+        return;
+    }
+    const gfc_beat_reply *reply = outcome->result;
+    if (strcmp(reply->from.member, peer->name.data) != 0) {
+        /* A seed, or another entry that has this address now. */
+        Peer *real = EntryMembers_FromXdr(entry, &reply->from);
+        if (real == NULL) {
+            return;
+        }
+        peer = real;
+    }
+    peer->heard = true;
+    peer->heard_at = GfClock_Now(entry->clock);
+    peer->stopping = reply->stopping;
+    for (u_int i = 0; i < reply->members.members_len; i++) {
+        EntryMembers_FromXdr(entry, &reply->members.members_val[i]);
+    }
+    EntryControl_CompareWithPeer(entry, peer, reply->config_version);
+    EntryOwnership_TakeReply(entry, peer, reply);
+}
+
+/* Sends a heartbeat, unless one is under way. */
+void
+EntryMembers_Beat(GfCellEntry *entry, Peer *peer)
+{
+    if (peer->beating) {
+        return;
+    }
+    peer->beating = true;
+    gfc_beat beat = {.token = (uint64_t)entry->owner.token,
+                     .config_version = entry->config == NULL
+                                           ? 0
+                                           : (uint64_t)entry->config->version,
+                     .stopping = entry->stopping,
+                     .has_store = EntryStore_Answers(entry)};
+    EntryMembers_ToXdr(entry, &beat.from);
+    GfMetrics_Add(GF_METRIC_BEATS, 1);
+    GfRpcClient_Start(peer->client, GFC_BEAT, &beat, sizeof(gfc_beat_reply),
+                      BEAT_TIMEOUT_MS, on_beat_reply, peer);
+}
+
+/* Lists the peers that were heard, for a heartbeat's answer. */
+static u_int
+list_members(GfCellEntry *entry, gfc_peer *out)
+{
+    u_int count = 0;
+    for (Peer *p = entry->peers; p != NULL && count < GFC_MAX_MEMBERS;
+         p = p->hh.next) {
+        if (EntryMembers_IsHeard(entry, p)) {
+            out[count++] = (gfc_peer){.member = p->name.data,
+                                      .address = p->address,
+                                      .port = p->port,
+                                      .incarnation = p->incarnation};
+        }
+    }
+    return count;
+}
+
+/* Answers a heartbeat. */
+static void
+handle_beat(void *ctx, GfRpcCall *call, void *args)
+{
+    GfCellEntry *entry = ctx;
+    const gfc_beat *beat = args;
+    Peer *peer = EntryMembers_FromXdr(entry, &beat->from);
+    if (peer != NULL) {
+        peer->heard = true;
+        peer->heard_at = GfClock_Now(entry->clock);
+        peer->stopping = beat->stopping;
+        EntryControl_CompareWithPeer(entry, peer, beat->config_version);
+    }
+    gfc_peer members[GFC_MAX_MEMBERS];
+    gfc_beat_reply reply = {
+        .owns = entry->term != NULL,
+        .ready = EntryTerm_IsReady(entry),
+        .stopping = entry->stopping,
+        .has_store = EntryStore_Answers(entry),
+        .token = (uint64_t)entry->owner.token,
+        .config_version =
+            entry->config == NULL ? 0 : (uint64_t)entry->config->version};
+    EntryMembers_ToXdr(entry, &reply.from);
+    EntryMembers_ToXdr(entry, &reply.owner);
+    Peer *owner = EntryMembers_Find(entry, &entry->owner.name);
+    if (entry->term == NULL && owner != NULL) {
+        reply.owner = (gfc_peer){.member = owner->name.data,
+                                 .address = owner->address,
+                                 .port = owner->port,
+                                 .incarnation = owner->incarnation};
+        int64_t silent =
+            GfTime_DiffMs(GfClock_Now(entry->clock), entry->owner.heard_at);
+        reply.owner_silent_ms = silent > INT32_MAX ? INT32_MAX : (u_int)silent;
+    }
+    if (entry->term != NULL) {
+        reply.members.members_val = members;
+        reply.members.members_len = list_members(entry, members);
+        if (beat->token > reply.token) {
+            GfRpcCall_Reply(call, &reply);
+            EntryOwnership_Lost(entry, "a peer knows a higher token");
+            return;
+        }
+    }
+    GfRpcCall_Reply(call, &reply);
+}
+
+/* Handles a caller's request that another entry passes on. */
+static void
+handle_job(void *ctx, GfRpcCall *call, void *args)
+{
+    EntryJobs_HandlePeer(ctx, args, call);
+}
+
+/* Answers a question for advice that was put for the owner. */
+static void
+on_advice(void *arg, GfErrorKind kind, const GfTicket *tickets, size_t count,
+          int64_t valid_ms)
+{
+    gfc_advice_reply reply = {.kind = kind, .valid_ms = (u_int)valid_ms};
+    gfc_ticket rows[GFC_MAX_WORKERS];
+    count = count > GFC_MAX_WORKERS ? GFC_MAX_WORKERS : count;
+    for (size_t i = 0; i < count; i++) {
+        rows[i] = (gfc_ticket){.worker = (char *)tickets[i].worker.data,
+                               .ticket = (char *)tickets[i].ticket.data};
+    }
+    reply.tickets.tickets_val = rows;
+    reply.tickets.tickets_len = (u_int)count;
+    GfRpcCall_Reply(arg, &reply);
+}
+
+/* Puts a question for advice for the owner. */
+static void
+handle_advise(void *ctx, GfRpcCall *call, void *args)
+{
+    GfCellEntry *entry = ctx;
+    const gfc_advice_ask *ask = args;
+    GfName workers[GFC_MAX_WORKERS];
+    size_t count = 0;
+    for (u_int i = 0; i < ask->workers.workers_len; i++) {
+        if (GfName_SetText(&workers[count], ask->workers.workers_val[i])) {
+            count++;
+        }
+    }
+    entry->commands->ops->advise(entry->commands, ask->step, workers, count,
+                                 (int)ask->timeout_ms, on_advice, call);
+}
+
+/* Hands out the configuration in force. */
+static void
+handle_config(void *ctx, GfRpcCall *call, void *args)
+{
+    GfCellEntry *entry = ctx;
+    const gfc_config_ask *ask = args;
+    gfc_config_reply reply = {0};
+    if (entry->config != NULL &&
+        (uint64_t)entry->config->version > ask->known_version) {
+        reply.config_version = (uint64_t)entry->config->version;
+        reply.document.document_val = entry->config_text.data;
+        reply.document.document_len = (u_int)entry->config_text.len;
+    }
+    GfRpcCall_Reply(call, &reply);
+}
+
+#define PROCEDURE(number, args_type, result_type, handler)                    \
+    {                                                                         \
+        number, (xdrproc_t)xdr_##args_type, sizeof(args_type),                \
+            (xdrproc_t)xdr_##result_type, handler                             \
+    }
+
+static const GfRpcProcedure PROCEDURES[] = {
+    PROCEDURE(GFC_BEAT, gfc_beat, gfc_beat_reply, handle_beat),
+    PROCEDURE(GFC_JOB, gfc_job_call, gfc_job_reply, handle_job),
+    PROCEDURE(GFC_ADVISE, gfc_advice_ask, gfc_advice_reply, handle_advise),
+    PROCEDURE(GFC_CONFIG, gfc_config_ask, gfc_config_reply, handle_config),
+};
+
+const GfRpcProgram CELL_PEER_PROGRAM = {
+    .program = GFC_CELL,
+    .version = GFC_CELL_V1,
+    .procedures = PROCEDURES,
+    .procedure_count = sizeof(PROCEDURES) / sizeof(PROCEDURES[0])};
+
+/* Closes all connections. */
+void
+EntryMembers_Destroy(GfCellEntry *entry)
+{
+    Peer *peer;
+    Peer *tmp;
+    HASH_ITER(hh, entry->peers, peer, tmp)
+    {
+        HASH_DELETE(hh, entry->peers, peer);
+        GfRpcClient_Destroy(peer->client);
+        free(peer);
+    }
+    Retired *old;
+    Retired *otmp;
+    LL_FOREACH_SAFE(entry->retired, old, otmp)
+    {
+        GfRpcClient_Destroy(old->client);
+        free(old);
+    }
+}
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -5,6 +5,7 @@
 #include <jansson.h>
 #include <popt.h>
 
+#include "guavaflow/cell_settings.h"
 #include "guavaflow/error.h"
 #include "guavaflow/name.h"
 
@@ -45,6 +46,8 @@
 int Cli_Show(const CliReply *reply);
 bool Cli_WantsJson(void);
 
+int Cli_RunCellEntry(const GfCellEntrySettings *settings);
+
 int CmdEntry_Run(int argc, const char **argv);
 int CmdCheckConfig_Run(int argc, const char **argv);
 int CmdRequest_Run(int argc, const char **argv);
--- a/src/cli/cmd_entry.c
+++ b/src/cli/cmd_entry.c
@@ -5,8 +5,10 @@
 #include <event2/event.h>
 
 #include "cli.h"
+#include "guavaflow/cell_settings.h"
 #include "guavaflow/entry.h"
 #include "guavaflow/log.h"
+#include "guavaflow/yaml.h"
 
 static char *config_path;
 
@@ -29,6 +31,7 @@
 run_loop(const GfSettings *settings)
 {
     GfError error;
+    GfLog_SetHost(settings->member);
     struct event_base *base = event_base_new();
     GfEntry *entry = GfEntry_Create(base, settings, GfClock_System(), &error);
     int code = 0;
@@ -49,7 +52,64 @@
     return code;
 }
 
-/* Runs an entry: guavaflow entry --config FILE. */
+/* Runs an entry with either kind of settings. */
+static int
+run_file(const char *path)
+{
+    GfError error;
+    GfStr text;
+    if (!GfYaml_ReadFile(path, &text, &error)) {
+        return Cli_Fail(&error);
+    }
+    int code = 0;
+    if (GfCellEntrySettings_Describes(text.data, text.len)) {
+        GfCellEntrySettings *cell =
+            GfCellEntrySettings_Parse(text.data, text.len, path, &error);
+        code = cell == NULL ? Cli_Fail(&error) : Cli_RunCellEntry(cell);
+        GfCellEntrySettings_Destroy(cell);
+    }
+    else {
+        GfSettings *settings =
+            GfSettings_Parse(text.data, text.len, path, &error);
+        code = settings == NULL ? Cli_Fail(&error) : run_loop(settings);
+        GfSettings_Destroy(settings);
+    }
+    GfStr_Clear(&text);
+    return code;
+}
+
+/* Checks a file with either kind of settings. */
+static int
+check_file(const char *path)
+{
+    GfError error;
+    GfStr text;
+    if (!GfYaml_ReadFile(path, &text, &error)) {
+        return Cli_Fail(&error);
+    }
+    char member[GF_NAME_MAX_BYTES + 1] = "";
+    GfCellEntrySettings *cell = NULL;
+    GfSettings *settings = NULL;
+    if (GfCellEntrySettings_Describes(text.data, text.len)) {
+        cell = GfCellEntrySettings_Parse(text.data, text.len, path, &error);
+    }
+    else {
+        settings = GfSettings_Parse(text.data, text.len, path, &error);
+    }
+    GfStr_Clear(&text);
+    if (cell == NULL && settings == NULL) {
+        return Cli_Fail(&error);
+    }
+    snprintf(member, sizeof(member), "%s",
+             cell != NULL ? cell->member : settings->member);
+    GfCellEntrySettings_Destroy(cell);
+    GfSettings_Destroy(settings);
+    printf("%s: the settings of %s are good\n", path, member);
+    return 0;
+}
+
+/* Runs an entry: guavaflow entry [--config FILE]. Without the option the
+ * variable GUAVAFLOW_CONFIG names the file. */
 int
 CmdEntry_Run(int argc, const char **argv)
 {
@@ -58,19 +118,16 @@
     if (popt == NULL) {
         return code;
     }
-    if (config_path == NULL || poptPeekArg(popt) != NULL) {
-        return Cli_Usage(popt, "--config FILE is required, and no more");
+    const char *path =
+        config_path != NULL ? config_path : getenv("GUAVAFLOW_CONFIG");
+    if (path == NULL || poptPeekArg(popt) != NULL) {
+        return Cli_Usage(popt, "--config FILE or the variable "
+                               "GUAVAFLOW_CONFIG is required, and no more");
     }
-    GfError error;
-    GfSettings *settings = GfSettings_Load(config_path, &error);
     poptFreeContext(popt);
-    if (settings == NULL) {
-        return Cli_Fail(&error);
-    }
-    GfLog_SetHost(settings->member);
-    code = run_loop(settings);
-    GfSettings_Destroy(settings);
+    code = run_file(path);
     free(config_path);
+    config_path = NULL;
     return code;
 }
 
@@ -89,15 +146,7 @@
     if (path == NULL || poptPeekArg(popt) != NULL) {
         return Cli_Usage(popt, "one FILE is required");
     }
-    GfError error;
-    GfSettings *settings = GfSettings_Load(path, &error);
-    if (settings == NULL) {
-        code = Cli_Fail(&error);
-    }
-    else {
-        printf("%s: the settings of %s are good\n", path, settings->member);
-        GfSettings_Destroy(settings);
-    }
+    code = check_file(path);
     poptFreeContext(popt);
     return code;
 }
--- a/src/common/error.c
+++ b/src/common/error.c
@@ -33,6 +33,7 @@
     [GF_TARGET_FAILED] = {"target_failed", 502, 7, false},
     [GF_OUTCOME_UNKNOWN] = {"outcome_unknown", 502, 7, false},
     [GF_CANCELLED] = {"cancelled", 409, 5, false},
+    [GF_NO_SUCH_JOB] = {"no_such_job", 410, 4, false},
     [GF_STOPPING] = {"stopping", 503, 6, true},
     [GF_PROTOCOL] = {"protocol", 502, 7, false},
     [GF_BAD_CONFIG] = {"bad_config", 500, 8, false},
--- /dev/null
+++ b/src/config/cell_settings.c
@@ -0,0 +1,203 @@
+#include "guavaflow/cell_settings.h"
+
+#include <arpa/inet.h>
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "guavaflow/log.h"
+#include "guavaflow/name.h"
+#include "guavaflow/yaml.h"
+
+#define MAX_PORT 65535
+#define MARKER "ownership:"
+#define MAX_TEXT 512
+#define MIN_LEASE_MS 1000
+#define MS_PER_S 1000
+
+#define TEXT_FIELD(name, flags)                                               \
+    CYAML_FIELD_STRING_PTR(#name, CYAML_FLAG_POINTER | (flags),               \
+                           GfCellEntrySettings, name, 0, MAX_TEXT)
+
+static const cyaml_schema_field_t FIELDS[] = {
+    TEXT_FIELD(ownership, CYAML_FLAG_DEFAULT),
+    TEXT_FIELD(member, CYAML_FLAG_DEFAULT),
+    TEXT_FIELD(failure_domain, CYAML_FLAG_DEFAULT),
+    TEXT_FIELD(front, CYAML_FLAG_DEFAULT),
+    TEXT_FIELD(ready, CYAML_FLAG_DEFAULT),
+    TEXT_FIELD(peer, CYAML_FLAG_DEFAULT),
+    TEXT_FIELD(store, CYAML_FLAG_DEFAULT),
+    TEXT_FIELD(advice, CYAML_FLAG_OPTIONAL),
+    TEXT_FIELD(seeds, CYAML_FLAG_OPTIONAL),
+    TEXT_FIELD(log_level, CYAML_FLAG_OPTIONAL),
+    CYAML_FIELD_UINT("metrics_port", CYAML_FLAG_OPTIONAL, GfCellEntrySettings,
+                     metrics_port),
+    CYAML_FIELD_FLOAT("stop_grace_s", CYAML_FLAG_DEFAULT, GfCellEntrySettings,
+                      stop_grace_s),
+    CYAML_FIELD_FLOAT("longest_lease_ms", CYAML_FLAG_DEFAULT,
+                      GfCellEntrySettings, longest_lease_ms),
+    CYAML_FIELD_FLOAT("keep_finished_s", CYAML_FLAG_DEFAULT,
+                      GfCellEntrySettings, keep_finished_s),
+    CYAML_FIELD_END};
+
+static const cyaml_schema_value_t SCHEMA = {
+    CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, GfCellEntrySettings, FIELDS)};
+
+/* Tells whether the text has settings of this kind. */
+bool
+GfCellEntrySettings_Describes(const char *text, size_t len)
+{
+    return len >= strlen(MARKER) && strncmp(text, MARKER, strlen(MARKER)) == 0;
+}
+
+/* Reads ADDRESS:PORT, with an IPv4 number as the address. */
+static bool
+read_endpoint(const char *path, const char *name, const char *text, size_t len,
+              GfEndpoint *out, GfError *error)
+{
+    char buffer[MAX_TEXT];
+    char *colon = NULL;
+    if (len < sizeof(buffer)) {
+        memcpy(buffer, text, len);
+        buffer[len] = '\0';
+        colon = strrchr(buffer, ':');
+    }
+    char *end = NULL;
+    struct in_addr in;
+    unsigned long port = 0;
+    if (colon != NULL) {
+        *colon = '\0';
+        port = strtoul(colon + 1, &end, 10);
+    }
+    if (colon == NULL || *end != '\0' || port < 1 || port > MAX_PORT ||
+        inet_pton(AF_INET, buffer, &in) != 1) {
+        return GfError_Set(error, GF_BAD_CONFIG,
+                           "%s: %s is \"%.*s\"; allowed is an IPv4 number "
+                           "with a port, as in 127.0.0.1:8000",
+                           path, name, (int)len, text);
+    }
+    out->address = strdup(buffer);
+    out->port = (uint32_t)port;
+    return out->address != NULL;
+}
+
+/* Reads the list of seeds. */
+static bool
+read_seeds(const char *path, GfCellEntrySettings *s, GfError *error)
+{
+    const char *at = s->seeds == NULL ? "" : s->seeds;
+    while (*at != '\0' && s->seed_count < GF_MAX_SEEDS) {
+        size_t len = strcspn(at, ",");
+        if (!read_endpoint(path, "seeds", at, len, &s->seed_at[s->seed_count],
+                           error)) {
+            return false;
+        }
+        s->seed_count++;
+        at += len;
+        at += *at == ',';
+    }
+    return true;
+}
+
+/* Checks one text that must be a name. */
+static bool
+check_name(const char *path, const char *name, const char *text,
+           GfError *error)
+{
+    GfName out;
+    if (text[0] == '\0' || !GfName_SetText(&out, text)) {
+        return GfError_Set(error, GF_BAD_CONFIG,
+                           "%s: %s is \"%s\"; allowed are 1 to %d visible "
+                           "characters",
+                           path, name, text, GF_NAME_MAX_BYTES);
+    }
+    return true;
+}
+
+/* Checks the settings and reads the endpoints out of them. */
+static bool
+check(const char *path, GfCellEntrySettings *s, GfError *error)
+{
+    if (strcmp(s->ownership, "token") != 0) {
+        return GfError_Set(error, GF_BAD_CONFIG,
+                           "%s: ownership is \"%s\"; allowed is token", path,
+                           s->ownership);
+    }
+    if (s->longest_lease_ms < MIN_LEASE_MS || s->stop_grace_s < 1 ||
+        s->keep_finished_s < 1 || s->metrics_port > MAX_PORT) {
+        return GfError_Set(error, GF_BAD_CONFIG,
+                           "%s: allowed are longest_lease_ms from %d, "
+                           "stop_grace_s and keep_finished_s from 1, "
+                           "metrics_port to %d",
+                           path, MIN_LEASE_MS, MAX_PORT);
+    }
+    if (s->log_level != NULL && s->log_level[0] != '\0' &&
+        !GfLog_SetLevelByName(s->log_level)) {
+        return GfError_Set(error, GF_BAD_CONFIG,
+                           "%s: log_level is \"%s\"; allowed are debug, info, "
+                           "warning, error",
+                           path, s->log_level);
+    }
+    bool has_advice = s->advice != NULL && s->advice[0] != '\0';
+    return check_name(path, "member", s->member, error) &&
+           check_name(path, "failure_domain", s->failure_domain, error) &&
+           read_endpoint(path, "front", s->front, strlen(s->front),
+                         &s->front_at, error) &&
+           read_endpoint(path, "ready", s->ready, strlen(s->ready),
+                         &s->ready_at, error) &&
+           read_endpoint(path, "peer", s->peer, strlen(s->peer), &s->peer_at,
+                         error) &&
+           read_endpoint(path, "store", s->store, strlen(s->store),
+                         &s->store_at, error) &&
+           (!has_advice ||
+            read_endpoint(path, "advice", s->advice, strlen(s->advice),
+                          &s->advice_at, error)) &&
+           read_seeds(path, s, error);
+}
+
+/* Parses and checks settings. On failure the error has the path, the place
+ * and what is allowed, and NULL is returned. */
+GfCellEntrySettings *
+GfCellEntrySettings_Parse(const char *text, size_t len, const char *path,
+                          GfError *error)
+{
+    assert(text != NULL && path != NULL);
+    GfCellEntrySettings *s = GfYaml_Load(text, len, path, &SCHEMA, error);
+    if (s != NULL && !check(path, s, error)) {
+        GfCellEntrySettings_Destroy(s);
+        return NULL;
+    }
+    return s;
+}
+
+/* Loads settings from a file. */
+GfCellEntrySettings *
+GfCellEntrySettings_Load(const char *path, GfError *error)
+{
+    GfStr text;
+    if (!GfYaml_ReadFile(path, &text, error)) {
+        return NULL;
+    }
+    GfCellEntrySettings *s =
+        GfCellEntrySettings_Parse(text.data, text.len, path, error);
+    GfStr_Clear(&text);
+    return s;
+}
+
+/* Frees the settings. */
+void
+GfCellEntrySettings_Destroy(GfCellEntrySettings *settings)
+{
+    if (settings == NULL) {
+        return;
+    }
+    free(settings->front_at.address);
+    free(settings->ready_at.address);
+    free(settings->peer_at.address);
+    free(settings->store_at.address);
+    free(settings->advice_at.address);
+    for (size_t i = 0; i < settings->seed_count; i++) {
+        free(settings->seed_at[i].address);
+    }
+    GfYaml_Free(&SCHEMA, settings);
+}
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -20,6 +20,7 @@
     size_t max_body_bytes;
     int open;
     bool stopping;
+    bool draining;
 };
 
 struct GfExchange {
@@ -129,7 +130,7 @@
     if (request != NULL) {
         evhtp_request_unset_hook(request, evhtp_hook_on_request_fini);
         GfExchange_AddHeader(exchange, "Content-Type", type);
-        if (exchange->server->stopping) {
+        if (exchange->server->stopping || exchange->server->draining) {
             GfExchange_AddHeader(exchange, "Connection", "close");
             request->flags &= (uint16_t)~EVHTP_REQ_FLAG_KEEPALIVE;
         }
@@ -251,6 +252,14 @@
     return server;
 }
 
+/* Tells callers to leave with their next answer; new connections are still
+ * taken. */
+void
+GfServer_BeginDrain(GfServer *server)
+{
+    server->draining = true;
+}
+
 /* Closes the listening socket and tells callers to leave with their next
  * answer. */
 void
--- /dev/null
+++ b/src/rpc/cell_xdr.x
@@ -0,0 +1,85 @@
+/* Calls between the entries of a cell. */
+const GFC_NAME_BYTES = 63;
+const GFC_BODY_BYTES = 1048576;
+const GFC_MAX_MEMBERS = 512;
+const GFC_MAX_WORKERS = 128;
+
+typedef string gfc_name<GFC_NAME_BYTES>;
+
+struct gfc_peer {
+    gfc_name member;
+    gfc_name address;
+    unsigned int port;
+    unsigned hyper incarnation;
+};
+
+struct gfc_beat {
+    gfc_peer from;
+    unsigned hyper token;
+    unsigned hyper config_version;
+    bool stopping;
+    bool has_store;
+};
+
+struct gfc_beat_reply {
+    gfc_peer from;
+    bool owns;
+    bool ready;
+    bool stopping;
+    bool has_store;
+    unsigned hyper token;
+    gfc_peer owner;
+    unsigned int owner_silent_ms;
+    unsigned hyper config_version;
+    gfc_peer members<GFC_MAX_MEMBERS>;
+};
+
+struct gfc_job_call {
+    int verb;
+    unsigned int hops;
+    gfc_name job;
+    gfc_name queue;
+    opaque body<GFC_BODY_BYTES>;
+};
+
+struct gfc_job_reply {
+    int kind;
+    int state;
+    unsigned int waiting;
+    unsigned int retry_after_ms;
+};
+
+struct gfc_advice_ask {
+    gfc_name step;
+    unsigned int timeout_ms;
+    gfc_name workers<GFC_MAX_WORKERS>;
+};
+
+struct gfc_ticket {
+    gfc_name worker;
+    gfc_name ticket;
+};
+
+struct gfc_advice_reply {
+    int kind;
+    unsigned int valid_ms;
+    gfc_ticket tickets<GFC_MAX_WORKERS>;
+};
+
+struct gfc_config_ask {
+    unsigned hyper known_version;
+};
+
+struct gfc_config_reply {
+    unsigned hyper config_version;
+    opaque document<GFC_BODY_BYTES>;
+};
+
+program GFC_CELL {
+    version GFC_CELL_V1 {
+        gfc_beat_reply GFC_BEAT(gfc_beat) = 1;
+        gfc_job_reply GFC_JOB(gfc_job_call) = 2;
+        gfc_advice_reply GFC_ADVISE(gfc_advice_ask) = 3;
+        gfc_config_reply GFC_CONFIG(gfc_config_ask) = 4;
+    } = 1;
+} = 0x20004747;
