Count failures by run, and room of stray runs until they end

(3) with a slow store, entries took an owner whose claim was under way for a lost one. Change: counted failures are a set of runs; a stray holds its room and its team's share until an inventory does not list it; a heartbeat's answer says that a claim is under way.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -98,6 +98,7 @@
     {
         HASH_DELETE(by_serial, cell->workers_by_serial, w);
         HASH_DELETE(hh, cell->workers, w);
+        free(w->strays);
         free(w);
     }
     TeamUse *use;
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -28,7 +28,7 @@
     Task *next; /* on the worker */
     Task *prev;
     int64_t run;
-    int64_t failed_run; /* the highest run counted in failures */
+    int64_t *failed_runs; /* those that are counted, in any order */
     char *checkpoint;
     struct timespec started_at;
     struct timespec stop_sent_at;
@@ -108,6 +108,13 @@
     UT_hash_handle hh;
 };
 
+/* What a run takes that no task of ours accounts for. */
+typedef struct {
+    GfName team;
+    GfAmounts need;
+    bool filler;
+} Stray;
+
 struct Worker {
     GfWorkerInfo info;
     uint32_t serial;
@@ -126,6 +133,9 @@
     int64_t pending_end; /* to be acknowledged once stored */
     uint64_t pending_seq;
     GfAmounts used;
+    Stray *strays; /* runs that are not ours and have not ended yet */
+    size_t stray_count;
+    size_t unknown_runs; /* strays of which not even the size is known */
     uint32_t serving;
     uint32_t filling;
     uint32_t failures_in_row;
@@ -228,6 +238,9 @@
 GfTaskId CellTask_Id(const Task *task);
 GfOrderTarget CellTask_Target(const Worker *w);
 void CellTask_SetCheckpoint(Task *task, const char *checkpoint);
+bool CellTask_AddFailure(Task *task, int64_t run);
+void CellTask_Clear(Task *task);
+GfAmounts CellTask_RoomTaken(const Step *step);
 
 /* workers.c */
 Worker *CellWorker_Find(const GfCell *cell, uint32_t serial);
@@ -235,6 +248,7 @@
 int64_t CellWorker_Extend(GfCell *cell, Worker *w, struct timespec now);
 void CellWorker_Tick(GfCell *cell, struct timespec now);
 const GfName *CellWorker_Rack(const Worker *w);
+void CellWorker_ClearStrays(GfCell *cell, Worker *w);
 
 TeamUse *Cell_TeamUse(GfCell *cell, const GfName *team);
 
--- a/src/cell/job_state.c
+++ b/src/cell/job_state.c
@@ -151,8 +151,7 @@
             if (t->state == TASK_IDLE) {
                 step->idle--;
             }
-            free(t->checkpoint);
-            t->checkpoint = NULL;
+            CellTask_Clear(t);
         }
     }
     if (step->left == 0) {
@@ -267,7 +266,7 @@
             if (step->tasks[t].state != TASK_IDLE) {
                 CellTask_Release(&step->tasks[t]);
             }
-            free(step->tasks[t].checkpoint);
+            CellTask_Clear(&step->tasks[t]);
         }
         CellJob_Unlist(step);
         free(step->tasks);
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -51,7 +51,7 @@
     const GfQueue *queue =
         GfCellConfig_FindQueue(cell->config, &step->job->queue);
     if (queue == NULL || !w->listed || !w->known || w->info.leaving ||
-        w->hold_failures > 0 || !w->has_clock) {
+        w->hold_failures > 0 || !w->has_clock || w->unknown_runs > 0) {
         return false;
     }
     GfAmounts none = {0};
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -39,11 +39,13 @@
         if (t->done) {
             continue;
         }
-        if (t->failures > 0) {
-            json_array_append_new(failures,
-                                  json_pack("[I,i,i,I]", (json_int_t)at,
-                                            (int)i, (int)t->failures,
-                                            (json_int_t)t->failed_run));
+        if (t->failures > 0 && !step->spec->lasting) {
+            json_t *entry = json_pack("[I,i]", (json_int_t)at, (int)i);
+            for (uint32_t k = 0; k < t->failures; k++) {
+                json_array_append_new(
+                    entry, json_integer((json_int_t)t->failed_runs[k]));
+            }
+            json_array_append_new(failures, entry);
         }
         if (t->checkpoint != NULL) {
             json_array_append_new(
@@ -145,11 +147,10 @@
         json_array_foreach(json_object_get(row, "failures"), i, entry)
         {
             Task *task = find_task(job, entry);
-            if (task != NULL) {
-                task->failures =
-                    (uint32_t)json_integer_value(json_array_get(entry, 2));
-                task->failed_run =
-                    json_integer_value(json_array_get(entry, 3));
+            for (size_t k = 2; task != NULL && k < json_array_size(entry);
+                 k++) {
+                CellTask_AddFailure(
+                    task, json_integer_value(json_array_get(entry, k)));
             }
         }
         json_array_foreach(json_object_get(row, "checkpoints"), i, entry)
--- a/src/cell/tasks.c
+++ b/src/cell/tasks.c
@@ -61,10 +61,40 @@
     }
 }
 
+/* Counts the failure of a run. Returns false if it was counted before: ends
+ * come again after a takeover, and in any order. */
+bool
+CellTask_AddFailure(Task *task, int64_t run)
+{
+    for (uint32_t i = 0; i < task->failures; i++) {
+        if (task->failed_runs[i] == run) {
+            return false;
+        }
+    }
+    task->failed_runs = realloc(task->failed_runs,
+                                (task->failures + 1U) * sizeof(int64_t));
+    if (task->failed_runs == NULL) {
+        abort();
+    }
+    task->failed_runs[task->failures++] = run;
+    return true;
+}
+
+/* Frees what a task remembers. */
+void
+CellTask_Clear(Task *task)
+{
+    free(task->checkpoint);
+    free(task->failed_runs);
+    task->checkpoint = NULL;
+    task->failed_runs = NULL;
+    task->failures = 0;
+}
+
 /* Returns what a task takes of its worker's room; fillers take no
  * processors. */
-static GfAmounts
-room_taken(const Step *step)
+GfAmounts
+CellTask_RoomTaken(const Step *step)
 {
     GfAmounts need = step->spec->need;
     if (step->spec->filler) {
@@ -88,7 +118,7 @@
     task->stop_in_flight = false;
     task->started_at = GfClock_Now(cell->clock);
     DL_APPEND(w->tasks, task);
-    w->used = GfAmounts_Plus(w->used, room_taken(step));
+    w->used = GfAmounts_Plus(w->used, CellTask_RoomTaken(step));
     w->filling += step->spec->filler;
     w->serving += step->spec->latency_target_ms > 0;
     TeamUse *use = Cell_TeamUse(cell, &step->job->team);
@@ -110,7 +140,7 @@
     GfCell *cell = step->job->cell;
     Worker *w = task->worker;
     DL_DELETE(w->tasks, task);
-    w->used = GfAmounts_Minus(w->used, room_taken(step));
+    w->used = GfAmounts_Minus(w->used, CellTask_RoomTaken(step));
     w->filling -= step->spec->filler;
     w->serving -= step->spec->latency_target_ms > 0;
     TeamUse *use = Cell_TeamUse(cell, &step->job->team);
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -18,6 +18,8 @@
 /* Pause while ends are known but not stored; keeps the lease alive while the
  * store is away. */
 #define HOLD_UNSTORED_MS 900
+/* Pause while runs are being stopped, which takes a worker up to 200 ms. */
+#define HOLD_STRAY_MS 100
 /* What a lease may outlast its nominal length by transport and timers. */
 #define LEASE_MARGIN_MS 150
 #define PERCENT 100
@@ -94,6 +96,7 @@
 begin_life(GfCell *cell, Worker *w, int64_t lifetime)
 {
     CellWorker_Lose(w, "restarted");
+    CellWorker_ClearStrays(cell, w);
     w->info.lifetime = lifetime;
     w->seen_end = 0;
     w->acked_end = 0;
@@ -238,17 +241,18 @@
 count_failure(Task *task, int64_t run)
 {
     Job *job = task->step->job;
-    if (run <= task->failed_run) {
+    if (task->step->spec->lasting) {
+        return true;
+    }
+    if (!CellTask_AddFailure(task, run)) {
         return false;
     }
-    task->failed_run = run;
-    task->failures++;
     CellJob_MarkDirty(job);
     const GfQueue *queue =
         job->cell->config == NULL
             ? NULL
             : GfCellConfig_FindQueue(job->cell->config, &job->queue);
-    if (queue != NULL && !task->step->spec->lasting && !task->done &&
+    if (queue != NULL && !task->done &&
         task->failures >= queue->max_attempts && CellJob_Active(job)) {
         GfLog(GF_LOG_INFO, CELL_PART,
               "job given up id=%s step=%u task=%u failures=%u", job->id.data,
@@ -314,18 +318,60 @@
     }
 }
 
-/* Stops a run that no task of ours accounts for. */
+/* Forgets the strays of a worker and gives back what they took. */
+void
+CellWorker_ClearStrays(GfCell *cell, Worker *w)
+{
+    for (size_t i = 0; i < w->stray_count; i++) {
+        const Stray *s = &w->strays[i];
+        w->used = GfAmounts_Minus(w->used, s->need);
+        w->filling -= s->filler;
+        TeamUse *use = Cell_TeamUse(cell, &s->team);
+        use->used = GfAmounts_Minus(use->used, s->need);
+    }
+    free(w->strays);
+    w->strays = NULL;
+    w->stray_count = 0;
+    w->unknown_runs = 0;
+}
+
+/* Notes what a stray takes until it has ended. */
+static void
+add_stray(GfCell *cell, Worker *w, const Task *task)
+{
+    if (task == NULL) {
+        w->unknown_runs++;
+        return;
+    }
+    Stray s = {.team = task->step->job->team,
+               .need = CellTask_RoomTaken(task->step),
+               .filler = task->step->spec->filler};
+    w->strays = realloc(w->strays, (w->stray_count + 1) * sizeof(Stray));
+    if (w->strays == NULL) {
+        abort();
+    }
+    w->strays[w->stray_count++] = s;
+    w->used = GfAmounts_Plus(w->used, s.need);
+    w->filling += s.filler;
+    TeamUse *use = Cell_TeamUse(cell, &s.team);
+    use->used = GfAmounts_Plus(use->used, s.need);
+}
+
+/* Stops a run that no task of ours accounts for. What it takes counts until
+ * an inventory does not list it any more. */
 static void
-stop_stray(GfCell *cell, Worker *w, const GfRunRow *row)
+stop_stray(GfCell *cell, Worker *w, const Task *task, const GfRunRow *row)
 {
-    GfStopOrder order = {
-        .target = CellTask_Target(w), .task = row->task, .run = row->run};
+    GfStopOrder order = {.target = CellTask_Target(w),
+                         .task = row->task,
+                         .run = row->run};
     order.target.token = cell->settings.token;
+    add_stray(cell, w, task);
     cell->ops->stop(cell->ctx, &order);
     GfLog(GF_LOG_INFO, CELL_PART,
-          "stopping a stray run id=%s step=%u task=%u worker=%s",
+          "stopping a stray run id=%s step=%u task=%u worker=%s known=%d",
           row->task.job.data, row->task.step, row->task.index,
-          w->info.id.data);
+          w->info.id.data, task != NULL);
 }
 
 /* Takes a row of what runs: confirms a task of ours, adopts one that waits,
@@ -335,7 +381,7 @@
 {
     Task *task = CellJob_Task(cell, &row->task);
     if (task == NULL) {
-        stop_stray(cell, w, row);
+        stop_stray(cell, w, task, row);
         return;
     }
     Job *job = task->step->job;
@@ -348,7 +394,7 @@
         CellTask_Assign(task, w, row->run, TASK_RUNNING);
     }
     else {
-        stop_stray(cell, w, row);
+        stop_stray(cell, w, task, row);
         return;
     }
     task->mark = w->mark;
@@ -412,10 +458,15 @@
             w->seen_end = end->number;
         }
     }
+    size_t strays = w->stray_count + w->unknown_runs;
+    CellWorker_ClearStrays(cell, w);
     for (size_t i = 0; i < inventory->run_count; i++) {
         apply_run(cell, w, &inventory->runs[i]);
     }
     settle_missing(w, sent_at);
+    if (strays > 0 && w->stray_count + w->unknown_runs == 0) {
+        cell->dirty = true;
+    }
     if (w->seen_end > w->acked_end && w->pending_end < w->seen_end) {
         w->pending_end = w->seen_end;
         w->pending_seq = cell->seq;
@@ -456,8 +507,13 @@
     w->hold_failures = 0;
     w->heard_at = now;
     apply_inventory(cell, w, sent_at, inventory);
-    bool unstored = w->seen_end > w->acked_end;
-    w->next_hold_at = unstored ? GfTime_AddMs(now, HOLD_UNSTORED_MS) : now;
+    w->next_hold_at = now;
+    if (w->seen_end > w->acked_end) {
+        w->next_hold_at = GfTime_AddMs(now, HOLD_UNSTORED_MS);
+    }
+    else if (w->stray_count + w->unknown_runs > 0) {
+        w->next_hold_at = GfTime_AddMs(now, HOLD_STRAY_MS);
+    }
 }
 
 /* Calls a worker: extends its lease, acknowledges ends, asks what runs. After
@@ -471,7 +527,9 @@
     order.target.token = cell->settings.token;
     order.until_ms = CellWorker_Extend(cell, w, now);
     order.acked = sure ? w->acked_end : 0;
-    order.wait_ms = sure && w->seen_end == w->acked_end ? HOLD_WAIT_MS : 0;
+    bool quiet = w->seen_end == w->acked_end &&
+                 w->stray_count + w->unknown_runs == 0;
+    order.wait_ms = sure && quiet ? HOLD_WAIT_MS : 0;
     w->hold_in_flight = true;
     cell->ops->hold(cell->ctx, &order);
 }
@@ -484,6 +542,7 @@
     HASH_DELETE(by_serial, cell->workers_by_serial, w);
     cell->worker_count--;
     cell->leased_dirty = true;
+    CellWorker_ClearStrays(cell, w);
     free(w);
 }
 
--- a/src/cellentry/entry_private.h
+++ b/src/cellentry/entry_private.h
@@ -53,6 +53,7 @@
 /* What this entry believes of the owner. token 0: none is known. */
 typedef struct {
     GfName name;
+    uint64_t incarnation; /* of the process that claimed; 0: not known */
     int64_t token;
     struct timespec heard_at;
     struct timespec storeless_since;
--- a/src/cellentry/ownership.c
+++ b/src/cellentry/ownership.c
@@ -43,15 +43,16 @@
 
 /* Takes another owner into view if its token is higher. */
 static void
-set_owner(GfCellEntry *entry, const GfName *name, int64_t token,
-          const char *source)
+set_owner(GfCellEntry *entry, const GfName *name, uint64_t incarnation,
+          int64_t token, const char *source)
 {
     if (token <= entry->owner.token) {
         return;
     }
     GfLog(GF_LOG_INFO, PART, "owner known member=%s token=%lld source=%s",
           name->data, (long long)token, source);
-    entry->owner = (OwnerView){.name = *name, .token = token};
+    entry->owner = (OwnerView){
+        .name = *name, .incarnation = incarnation, .token = token};
     entry->owner.heard_at = GfClock_Now(entry->clock);
     entry->claim_planned = false;
     entry->next_beat_at = (struct timespec){0};
@@ -82,7 +83,8 @@
     GfName name;
     if (reply->token > 0 && GfName_SetText(&name, reply->owner.member)) {
         EntryMembers_FromXdr(entry, &reply->owner);
-        set_owner(entry, &name, (int64_t)reply->token, "peer");
+        set_owner(entry, &name, reply->owner.incarnation,
+                  (int64_t)reply->token, "peer");
     }
     if (!GfName_Equal(&peer->name, &entry->owner.name)) {
         if ((int64_t)reply->token == entry->owner.token && !reply->owns &&
@@ -93,7 +95,10 @@
         return;
     }
     if (!reply->owns) {
-        entry->owner.disowned = true;
+        /* The answer to its claim may still be on the way. */
+        bool pending = reply->claiming && reply->from.incarnation ==
+                                              entry->owner.incarnation;
+        entry->owner.disowned = !pending;
         return;
     }
     entry->owner.disowned = false;
@@ -135,15 +140,15 @@
             EntryTerm_Begin(entry, row->version);
         }
         else if (entry->term == NULL) {
-            set_owner(entry, &name, row->version, "store");
+            set_owner(entry, &name, 0, row->version, "store");
             entry->owner.disowned = true;
         }
     }
     else {
-        EntryMembers_Get(entry, &name, address, (uint16_t)port,
-                         (uint64_t)json_integer_value(
-                             json_object_get(json, "incarnation")));
-        set_owner(entry, &name, row->version, "store");
+        uint64_t incarnation = (uint64_t)json_integer_value(
+            json_object_get(json, "incarnation"));
+        EntryMembers_Get(entry, &name, address, (uint16_t)port, incarnation);
+        set_owner(entry, &name, incarnation, row->version, "store");
     }
     json_decref(json);
 }
--- a/src/cellentry/peers.c
+++ b/src/cellentry/peers.c
@@ -187,6 +187,7 @@
     gfc_peer members[GFC_MAX_MEMBERS];
     gfc_beat_reply reply = {
         .owns = entry->term != NULL,
+        .claiming = entry->claiming,
         .ready = EntryTerm_IsReady(entry),
         .stopping = entry->stopping,
         .has_store = EntryStore_Answers(entry),
--- a/src/rpc/cell_xdr.c
+++ b/src/rpc/cell_xdr.c
@@ -58,10 +58,12 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_gfc_peer (xdrs, &objp->from))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->owns))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->claiming))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->ready))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->stopping))
@@ -71,6 +73,7 @@
 
 		} else {
 		IXDR_PUT_BOOL(buf, objp->owns);
+		IXDR_PUT_BOOL(buf, objp->claiming);
 		IXDR_PUT_BOOL(buf, objp->ready);
 		IXDR_PUT_BOOL(buf, objp->stopping);
 		IXDR_PUT_BOOL(buf, objp->has_store);
@@ -90,10 +93,12 @@
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_gfc_peer (xdrs, &objp->from))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->owns))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->claiming))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->ready))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->stopping))
@@ -103,6 +108,7 @@
 
 		} else {
 		objp->owns = IXDR_GET_BOOL(buf);
+		objp->claiming = IXDR_GET_BOOL(buf);
 		objp->ready = IXDR_GET_BOOL(buf);
 		objp->stopping = IXDR_GET_BOOL(buf);
 		objp->has_store = IXDR_GET_BOOL(buf);
@@ -125,6 +131,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->owns))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->claiming))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->ready))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->stopping))
--- a/src/rpc/cell_xdr.h
+++ b/src/rpc/cell_xdr.h
@@ -41,6 +41,7 @@
 struct gfc_beat_reply {
 	gfc_peer from;
 	bool_t owns;
+	bool_t claiming;
 	bool_t ready;
 	bool_t stopping;
 	bool_t has_store;
--- a/src/rpc/cell_xdr.x
+++ b/src/rpc/cell_xdr.x
@@ -24,6 +24,7 @@
 struct gfc_beat_reply {
     gfc_peer from;
     bool owns;
+    bool claiming;
     bool ready;
     bool stopping;
     bool has_store;
