Look for jobs that a worker names and a new owner has not loaded

The new owner saw an end of an unknown job, let the worker forget it, and ran the task again (TWICE). Loading 912 jobs took 0.5 s, since finished ones were decoded as well. Ruled out: a late transaction of the old owner (its commits were refused). Change: an inventory that names an unknown job is applied up to there; the store is asked for the row, and the worker takes nothing new meanwhile. Finished jobs are kept by state alone.

--- a/include/guavaflow/cell.h
+++ b/include/guavaflow/cell.h
@@ -173,6 +173,9 @@
     void (*pace)(void *ctx, const GfPaceOrder *order);
     void (*advise)(void *ctx, const GfAdviceOrder *order);
     void (*commit)(void *ctx, const GfCellCommit *commit);
+    /* A worker runs or ran a task of a job that is not known here. The answer
+     * is GfCell_AddJob, GfCell_JobAbsent or GfCell_LookupFailed. */
+    void (*look_up)(void *ctx, const GfName *job);
     void (*fenced)(void *ctx, const GfName *worker);
 } GfCellOps;
 
@@ -198,6 +201,9 @@
 bool GfCell_AddJob(GfCell *cell, const GfName *id, const GfName *team,
                    const GfName *queue, int64_t age_ms, GfJobSpec *spec,
                    const json_t *progress, bool former_term);
+bool GfCell_AddFinished(GfCell *cell, const GfName *id, const char *state);
+void GfCell_JobAbsent(GfCell *cell, const GfName *id);
+void GfCell_LookupFailed(GfCell *cell, const GfName *id);
 bool GfCell_HasJob(const GfCell *cell, const GfName *id);
 bool GfCell_JobState(const GfCell *cell, const GfName *id, GfJobState *state);
 void GfCell_CancelJob(GfCell *cell, const GfName *id, GfCellDone done,
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -101,6 +101,13 @@
         free(w->strays);
         free(w);
     }
+    Lookup *lookup;
+    Lookup *ltmp;
+    HASH_ITER(hh, cell->lookups, lookup, ltmp)
+    {
+        HASH_DELETE(hh, cell->lookups, lookup);
+        free(lookup);
+    }
     TeamUse *use;
     TeamUse *utmp;
     HASH_ITER(hh, cell->uses, use, utmp)
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -158,6 +158,13 @@
     UT_hash_handle hh;
 } TeamUse;
 
+/* A job that a worker named and that is not known here. */
+typedef struct Lookup {
+    GfName job;
+    bool absent; /* the store has no row of it */
+    UT_hash_handle hh;
+} Lookup;
+
 struct GfCell {
     const GfCellOps *ops;
     void *ctx;
@@ -165,6 +172,7 @@
     const GfClock *clock;
     const GfCellConfig *config;
     Job *jobs;
+    Lookup *lookups;
     Worker *workers;
     Worker *workers_by_serial;
     size_t worker_count;
@@ -221,6 +229,8 @@
 void CellJob_Unlist(Step *step);
 bool CellJob_Active(const Job *job);
 void CellJob_Free(Job *job);
+bool CellJob_IsAbsent(GfCell *cell, const GfName *id);
+void CellJob_ForgetLookup(GfCell *cell, const GfName *id);
 
 /* progress.c */
 json_t *CellProgress_Save(const Job *job);
--- a/src/cell/job_state.c
+++ b/src/cell/job_state.c
@@ -159,6 +159,56 @@
     }
 }
 
+/* Forgets that a job was looked for. */
+void
+CellJob_ForgetLookup(GfCell *cell, const GfName *id)
+{
+    Lookup *lookup = NULL;
+    HASH_FIND(hh, cell->lookups, id->data, id->len, lookup);
+    if (lookup != NULL) {
+        HASH_DELETE(hh, cell->lookups, lookup);
+        free(lookup);
+    }
+}
+
+/* Tells whether a job that is not known here does not exist. As long as that
+ * is open the store is asked, and false is returned. */
+bool
+CellJob_IsAbsent(GfCell *cell, const GfName *id)
+{
+    Lookup *lookup = NULL;
+    HASH_FIND(hh, cell->lookups, id->data, id->len, lookup);
+    if (lookup == NULL) {
+        lookup = calloc(1, sizeof(*lookup));
+        if (lookup == NULL) {
+            abort();
+        }
+        lookup->job = *id;
+        HASH_ADD(hh, cell->lookups, job.data, lookup->job.len, lookup);
+        cell->ops->look_up(cell->ctx, id);
+        return false;
+    }
+    return lookup->absent;
+}
+
+/* Takes the store's word that there is no such job. */
+void
+GfCell_JobAbsent(GfCell *cell, const GfName *id)
+{
+    Lookup *lookup = NULL;
+    HASH_FIND(hh, cell->lookups, id->data, id->len, lookup);
+    if (lookup != NULL) {
+        lookup->absent = true;
+    }
+}
+
+/* Notes that the store could not be asked; the next inventory asks again. */
+void
+GfCell_LookupFailed(GfCell *cell, const GfName *id)
+{
+    CellJob_ForgetLookup(cell, id);
+}
+
 /* Lays out the steps and tasks of a job. */
 static void
 make_steps(Job *job)
@@ -213,6 +263,35 @@
            queue->latency_target_ms;
 }
 
+/* Takes over a job that had finished in a former term; its spec is not
+ * needed. Returns false if the state's name is not a final one, or if the job
+ * is already known. */
+bool
+GfCell_AddFinished(GfCell *cell, const GfName *id, const char *state)
+{
+    int found = GF_JOB_COMPLETED;
+    while (found < GF_JOB_STATES &&
+           strcmp(GfJobState_Name((GfJobState)found), state) != 0) {
+        found++;
+    }
+    if (found == GF_JOB_STATES || CellJob_Find(cell, id) != NULL) {
+        return false;
+    }
+    Job *job = calloc(1, sizeof(*job));
+    if (job == NULL) {
+        abort();
+    }
+    job->cell = cell;
+    job->id = *id;
+    job->state = (GfJobState)found;
+    job->stored_state = job->state;
+    job->finished_at = GfClock_Now(cell->clock);
+    job->accepted_at = job->finished_at;
+    CellJob_ForgetLookup(cell, id);
+    HASH_ADD(hh, cell->jobs, id.data, job->id.len, job);
+    return true;
+}
+
 /* Takes over an accepted job and the spec, which is cleared. progress is the
  * stored row of a former term, or NULL. Returns false, with the spec cleared,
  * if the job is already known. */
@@ -243,6 +322,7 @@
                            ? NULL
                            : GfCellConfig_FindQueue(cell->config, queue);
     job->objective_ms = objective(job, q);
+    CellJob_ForgetLookup(cell, id);
     HASH_ADD(hh, cell->jobs, id.data, job->id.len, job);
     if (progress != NULL) {
         CellProgress_Load(job, progress);
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -271,15 +271,22 @@
     return task->step->spec->gang ? &task->step->tasks[0] : task;
 }
 
+/* Tells whether a job is known here or known not to exist. One that a former
+ * owner took in late may have to be looked for in the store first. */
+static bool
+is_settled(GfCell *cell, const GfName *job)
+{
+    return CellJob_Find(cell, job) != NULL || CellJob_IsAbsent(cell, job);
+}
+
 /* Applies the end of a run that a worker has listed. */
 static void
 apply_end(GfCell *cell, Worker *w, const GfEndRow *end)
 {
     Task *task = CellJob_Task(cell, &end->task);
     if (task == NULL) {
-        GfLog(GF_LOG_WARNING, CELL_PART,
-              "an end of an unknown task id=%s worker=%s", end->task.job.data,
-              w->info.id.data);
+        GfLog(GF_LOG_INFO, CELL_PART, "an end of no task of ours id=%s worker=%s",
+              end->task.job.data, w->info.id.data);
         return;
     }
     Job *job = task->step->job;
@@ -380,6 +387,10 @@
 apply_run(GfCell *cell, Worker *w, const GfRunRow *row)
 {
     Task *task = CellJob_Task(cell, &row->task);
+    if (!is_settled(cell, &row->task.job)) {
+        w->unknown_runs++;
+        return;
+    }
     if (task == NULL) {
         stop_stray(cell, w, task, row);
         return;
@@ -451,15 +462,20 @@
         w->known = true;
         cell->dirty = true;
     }
+    size_t strays = w->stray_count + w->unknown_runs;
+    CellWorker_ClearStrays(cell, w);
     for (size_t i = 0; i < inventory->end_count; i++) {
         const GfEndRow *end = &inventory->ends[i];
-        if (end->number > w->seen_end) {
-            apply_end(cell, w, end);
-            w->seen_end = end->number;
+        if (end->number <= w->seen_end) {
+            continue;
         }
+        if (!is_settled(cell, &end->task.job)) {
+            w->unknown_runs++; /* this end and those after it come again */
+            break;
+        }
+        apply_end(cell, w, end);
+        w->seen_end = end->number;
     }
-    size_t strays = w->stray_count + w->unknown_runs;
-    CellWorker_ClearStrays(cell, w);
     for (size_t i = 0; i < inventory->run_count; i++) {
         apply_run(cell, w, &inventory->runs[i]);
     }
--- a/src/cellentry/load.c
+++ b/src/cellentry/load.c
@@ -24,12 +24,19 @@
     struct event *timer;
 } Read;
 
+/* A job's row as it was read. */
+typedef struct {
+    GfName id;
+    GfStr value;
+} JobRow;
+
 struct Load {
     GfCellEntry *entry;
     GfCell *cell;
     LoadDone done;
     json_t *progress;
-    json_t *jobs;
+    JobRow *jobs;
+    size_t job_count;
     Read reads[ENTRY_JOB_PARTS + OTHER_READS];
     size_t read_count;
     size_t open; /* reads without an answer, and timers */
@@ -47,11 +54,35 @@
         event_free(load->reads[i].timer);
     }
     json_decref(load->progress);
-    json_decref(load->jobs);
+    for (size_t i = 0; i < load->job_count; i++) {
+        GfStr_Clear(&load->jobs[i].value);
+    }
+    free(load->jobs);
     free(load);
 }
 
-/* Takes the rows of progress or jobs for later. */
+/* Takes the rows of jobs for later; those that finished are never decoded. */
+static void
+keep_jobs(Load *load, const GfTableRow *rows, size_t count)
+{
+    load->jobs =
+        realloc(load->jobs, (load->job_count + count + 1) * sizeof(JobRow));
+    if (load->jobs == NULL) {
+        abort();
+    }
+    for (size_t i = 0; i < count; i++) {
+        JobRow *job = &load->jobs[load->job_count];
+        if (rows[i].value == NULL || !GfName_SetText(&job->id, rows[i].key)) {
+            GfLog(GF_LOG_WARNING, PART, "a job's row is not readable key=%s",
+                  rows[i].key);
+            continue;
+        }
+        job->value = GfStr_Copy(rows[i].value, rows[i].value_len);
+        load->job_count++;
+    }
+}
+
+/* Takes the rows of progress for later. */
 static void
 keep_rows(json_t *into, const GfTableRow *rows, size_t count)
 {
@@ -102,14 +133,17 @@
 finish(Load *load)
 {
     load->finished = true;
-    const char *id;
-    json_t *row;
-    json_object_foreach(load->jobs, id, row)
-    {
-        char *text = json_dumps(row, JSON_COMPACT);
-        EntryTerm_TakeJobRow(load->entry, id, text, strlen(text),
-                             json_object_get(load->progress, id), true);
-        free(text);
+    for (size_t i = 0; i < load->job_count; i++) {
+        const JobRow *job = &load->jobs[i];
+        const json_t *progress =
+            json_object_get(load->progress, job->id.data);
+        const char *state =
+            json_string_value(json_object_get(progress, "state"));
+        if (state == NULL ||
+            !GfCell_AddFinished(load->cell, &job->id, state)) {
+            EntryTerm_TakeJobRow(load->entry, job->id.data, job->value.data,
+                                 job->value.len, progress, true);
+        }
     }
     load->done(load->entry, true, load->version);
 }
@@ -155,7 +189,7 @@
         keep_rows(load->progress, rows, count);
     }
     else if (strcmp(read->table, ENTRY_JOB_TABLE) == 0) {
-        keep_rows(load->jobs, rows, count);
+        keep_jobs(load, rows, count);
     }
     else if (read->key != NULL) {
         if (count > 0) {
@@ -215,7 +249,6 @@
     load->cell = cell;
     load->done = done;
     load->progress = json_object();
-    load->jobs = json_object();
     add_read(load, ENTRY_PROGRESS_TABLE, ENTRY_OWNER_PART, NULL);
     add_read(load, ENTRY_CELL_TABLE, ENTRY_OWNER_PART, ENTRY_LEASED_KEY);
     add_read(load, entry->decoder->worker_table, "", NULL);
--- a/src/cellentry/term.c
+++ b/src/cellentry/term.c
@@ -264,6 +264,60 @@
     EntryOwnership_Lost(term->entry, "a worker has seen a higher token");
 }
 
+/* A look for the row of a job under way. */
+typedef struct {
+    Term *term;
+    GfName job;
+} JobSearch;
+
+/* Takes the row of a job that a worker named. */
+static void
+on_job_found(void *arg, GfTableResult result, int64_t version,
+             const GfTableRow *rows, size_t count)
+{
+    (void)version;
+    JobSearch *s = arg;
+    Term *term = s->term;
+    term->calls_open--;
+    if (term->ended) {
+        free_if_idle(term);
+    }
+    else if (result != GF_TABLE_OK) {
+        EntryStore_Note(term->entry, result);
+        GfCell_LookupFailed(term->cell, &s->job);
+    }
+    else if (count > 0 && rows[0].value != NULL) {
+        EntryTerm_TakeJobRow(term->entry, s->job.data, rows[0].value,
+                             rows[0].value_len, NULL, true);
+        if (!GfCell_HasJob(term->cell, &s->job)) {
+            GfCell_JobAbsent(term->cell, &s->job);
+        }
+    }
+    else {
+        GfCell_JobAbsent(term->cell, &s->job);
+    }
+    free(s);
+}
+
+/* Looks for the row of a job that a worker named. Progress of a job that this
+ * term has not loaded cannot have been stored since. */
+static void
+op_look_up(void *ctx, const GfName *job)
+{
+    Term *term = ctx;
+    JobSearch *s = calloc(1, sizeof(*s));
+    if (s == NULL) {
+        abort();
+    }
+    s->term = term;
+    s->job = *job;
+    term->calls_open++;
+    char part[8];
+    EntryJobs_PartOf(job, part, sizeof(part));
+    GfTable_Read(term->entry->table, ENTRY_JOB_TABLE, part, job->data,
+                 on_job_found, s);
+}
+
 /* A question for advice under way. */
 typedef struct {
     GfCellEntry *entry;
@@ -372,6 +426,7 @@
                                    .pace = op_pace,
                                    .advise = op_advise,
                                    .commit = op_commit,
+                                   .look_up = op_look_up,
                                    .fenced = op_fenced};
 
 /* Passes outcomes of orders to the cell of the term that runs now; those of
