Let the lease of a silent worker run out; ask for workers that can be used

A step with all tasks off the list stayed in it, and questions for advice named workers again on which the step may have no further task. Ruled out: quota, advice (tickets were had), the table's row (it was gone). Change: no extension is asked for after a hold that failed; advice names workers with room for the step first; fillers make way for a task that serves users; the step that waits longest is logged with why.

--- a/src/cell/advice.c
+++ b/src/cell/advice.c
@@ -136,13 +136,19 @@
 static int64_t
 fitting(const Worker *w, const Step *step)
 {
-    if (!CellPlace_HasRoom(w, step)) {
+    uint32_t here =
+        step->spec->max_per_worker > 0 ? CellPlace_CountOn(w, step) : 0;
+    bool only_fillers =
+        step->spec->latency_target_ms > 0 && w->filling > 0 &&
+        GfAmounts_Fit(w->info.room, w->used, step->spec->need);
+    if ((!CellPlace_HasRoom(w, step) && !only_fillers) ||
+        (here > 0 && here >= step->spec->max_per_worker)) {
         return 0;
     }
     GfAmounts need = step->spec->need;
     GfAmounts free_room = GfAmounts_Minus(w->info.room, w->used);
     int64_t fit = step->spec->max_per_worker > 0
-                      ? (int64_t)step->spec->max_per_worker
+                      ? (int64_t)(step->spec->max_per_worker - here)
                       : INT32_MAX;
     if (step->spec->filler) {
         return 1;
@@ -172,7 +178,7 @@
         }
         int64_t fit = fitting(w, step);
         double rank = fit > 0 ? -(double)(fit > 4 ? 4 : fit) : 1;
-        if (find_allowed(step, w->serial) != NULL) {
+        if (fit > 0 && find_allowed(step, w->serial) != NULL) {
             rank -= 8;
         }
         if (GfTime_Before(now, w->avoid_until)) {
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -200,6 +200,7 @@
     size_t commit_count;
     struct timespec commit_at;
     size_t running;
+    struct timespec wait_logged_at;
 };
 
 /* order.c */
@@ -208,6 +209,7 @@
 /* place.c */
 bool CellPlace_Eligible(const GfCell *cell, const Worker *w, const Step *step);
 bool CellPlace_HasRoom(const Worker *w, const Step *step);
+uint32_t CellPlace_CountOn(const Worker *w, const Step *step);
 void CellPlace_Round(GfCell *cell, struct timespec now);
 
 /* advice.c */
--- a/src/cell/job_state.c
+++ b/src/cell/job_state.c
@@ -154,6 +154,9 @@
             CellTask_Clear(t);
         }
     }
+    if (step->idle == 0) {
+        CellJob_Unlist(step);
+    }
     if (step->left == 0) {
         finish_step(step);
     }
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -16,6 +16,8 @@
 /* Runs of a term are numbered from here, so that they rise over takeovers
  * without a stored number. */
 #define RUNS_PER_TOKEN 1000000
+/* A step that waits longer than this is logged, as often as this. */
+#define WAIT_LOG_MS 1000
 
 /* Tells whether a domain is taken out of service. */
 static bool
@@ -83,8 +85,8 @@
 }
 
 /* Counts the tasks of the step on a worker. */
-static uint32_t
-count_on(const Worker *w, const Step *step)
+uint32_t
+CellPlace_CountOn(const Worker *w, const Step *step)
 {
     uint32_t count = 0;
     for (uint32_t i = 0; i < step->spec->task_count; i++) {
@@ -127,7 +129,7 @@
             (needs_advice &&
              CellAdvice_Ticket(step, w->serial, now) == NULL) ||
             (step->spec->max_per_worker > 0 &&
-             count_on(w, step) >= step->spec->max_per_worker)) {
+             CellPlace_CountOn(w, step) >= step->spec->max_per_worker)) {
             continue;
         }
         double s = score(w, step, task, now);
@@ -156,6 +158,34 @@
             used.accelerators + need.accelerators * times <= l.accelerators);
 }
 
+/* Stops the fillers on a worker that a task with users of its own could use
+ * but for them; their checkpoints are kept. */
+static void
+clear_fillers(GfCell *cell, const Step *step, bool needs_advice,
+              struct timespec now)
+{
+    for (Worker *w = cell->workers; w != NULL; w = w->hh.next) {
+        if (w->filling == 0 ||
+            !GfAmounts_Fit(w->info.room, w->used, step->spec->need) ||
+            !CellPlace_Eligible(cell, w, step) ||
+            (needs_advice &&
+             CellAdvice_Ticket(step, w->serial, now) == NULL) ||
+            (step->spec->max_per_worker > 0 &&
+             CellPlace_CountOn(w, step) >= step->spec->max_per_worker)) {
+            continue;
+        }
+        Task *t;
+        DL_FOREACH(w->tasks, t)
+        {
+            if (t->step->spec->filler) {
+                CellTask_Stop(t);
+            }
+        }
+        CellTask_SendStops(w, now);
+        return;
+    }
+}
+
 /* Returns the next number for a run of a task. */
 static int64_t
 next_run(const GfCell *cell, const Task *task)
@@ -197,6 +227,9 @@
         }
         Worker *w = choose(cell, step, task, NULL, needs_advice, now);
         if (w == NULL) {
+            if (step->spec->latency_target_ms > 0) {
+                clear_fillers(cell, step, needs_advice, now);
+            }
             return left;
         }
         CellTask_Assign(task, w, next_run(cell, task), TASK_STARTING);
@@ -283,6 +316,48 @@
     }
 }
 
+/* Logs why the step that has waited longest does, at most once a second. */
+static void
+log_longest_wait(GfCell *cell, struct timespec now)
+{
+    if (GfTime_DiffMs(now, cell->wait_logged_at) < WAIT_LOG_MS) {
+        return;
+    }
+    const Step *longest = NULL;
+    Step *step;
+    DL_FOREACH(cell->waiting, step)
+    {
+        if (longest == NULL ||
+            GfTime_Before(step->idle_since, longest->idle_since)) {
+            longest = step;
+        }
+    }
+    if (longest == NULL ||
+        GfTime_DiffMs(now, longest->idle_since) < WAIT_LOG_MS) {
+        return;
+    }
+    cell->wait_logged_at = now;
+    int eligible = 0;
+    int roomy = 0;
+    int tickets = 0;
+    for (const Worker *w = cell->workers; w != NULL; w = w->hh.next) {
+        bool ok = CellPlace_Eligible(cell, w, longest);
+        eligible += ok;
+        roomy += ok && CellPlace_HasRoom(w, longest);
+        tickets += CellAdvice_Ticket(longest, w->serial, now) != NULL;
+    }
+    GfLog(GF_LOG_INFO, CELL_PART,
+          "step waits id=%s step=%u idle=%u since_ms=%lld eligible=%d "
+          "with_room=%d tickets=%d allowed=%zu denied=%zu asking=%d "
+          "lasting=%d in_limit=%d in_doubt=%d",
+          longest->job->id.data, longest->number, longest->idle,
+          (long long)GfTime_DiffMs(now, longest->idle_since), eligible, roomy,
+          tickets, longest->allowed_count, longest->denied_count,
+          longest->asking, longest->spec->lasting,
+          within_limit(cell, longest->job, longest->spec->need, 1),
+          longest->job->in_doubt && cell->doubt);
+}
+
 /* Places waiting tasks, in order. */
 void
 CellPlace_Round(GfCell *cell, struct timespec now)
@@ -296,4 +371,5 @@
     for (size_t i = 0; i < count; i++) {
         place_step(cell, cell->order[i], now, wall_ms);
     }
+    log_longest_wait(cell, now);
 }
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -541,7 +541,10 @@
     bool sure = w->known && w->hold_failures == 0;
     GfHoldOrder order = {.target = CellTask_Target(w)};
     order.target.token = cell->settings.token;
-    order.until_ms = CellWorker_Extend(cell, w, now);
+    /* A call without an answer may extend the lease all the same; one that
+     * asks for no extension lets it run out if the worker is gone. */
+    order.until_ms =
+        w->hold_failures == 0 ? CellWorker_Extend(cell, w, now) : 0;
     order.acked = sure ? w->acked_end : 0;
     bool quiet = w->seen_end == w->acked_end &&
                  w->stray_count + w->unknown_runs == 0;
