Doubt jobs taken in during a takeover; store which workers hold leases

Jobs of the former term were in doubt, new ones were not. And one silent worker held back the whole backlog for up to eight seconds. Ruled out: late orders (both starts were answered). Change: jobs taken in before all workers are fenced are in doubt while a former owner can still start tasks. The list of workers that may hold a lease is stored before they get tasks, without those silent beyond their lease, so a later owner waits for those only that matter.

--- a/include/guavaflow/cell.h
+++ b/include/guavaflow/cell.h
@@ -182,6 +182,7 @@
 typedef struct {
     int64_t token;
     int64_t lease_ms; /* what a hold asks of a worker */
+    int64_t proof_ms; /* after it a former owner starts nothing */
     int64_t doubt_ms; /* after it nothing of a former owner runs */
     int64_t clock_drift_percent;
     uint32_t first_serial; /* above those of the process's former terms */
--- a/src/cell/advice.c
+++ b/src/cell/advice.c
@@ -138,9 +138,8 @@
 {
     uint32_t here =
         step->spec->max_per_worker > 0 ? CellPlace_CountOn(w, step) : 0;
-    bool only_fillers =
-        step->spec->latency_target_ms > 0 && w->filling > 0 &&
-        GfAmounts_Fit(w->info.room, w->used, step->spec->need);
+    bool only_fillers = step->spec->latency_target_ms > 0 && w->filling > 0 &&
+                        GfAmounts_Fit(w->info.room, w->used, step->spec->need);
     if ((!CellPlace_HasRoom(w, step) && !only_fillers) ||
         (here > 0 && here >= step->spec->max_per_worker)) {
         return 0;
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -74,6 +74,7 @@
     cell->settings = *settings;
     cell->clock = clock;
     cell->may_extend = true;
+    cell->created_at = GfClock_Now(clock);
     cell->next_serial = settings->first_serial;
     return cell;
 }
@@ -189,7 +190,7 @@
     cell->doubt = true;
     cell->dirty = true;
     cell->doubt_until =
-        GfTime_AddMs(GfClock_Now(cell->clock), cell->settings.doubt_ms);
+        GfTime_AddMs(cell->created_at, cell->settings.doubt_ms);
 }
 
 /* Tells whether the cell places tasks. */
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -118,8 +118,12 @@
 struct Worker {
     GfWorkerInfo info;
     uint32_t serial;
-    bool listed; /* in the platform's table */
-    bool known;  /* has answered under this term's token */
+    bool listed;  /* in the platform's table */
+    bool known;   /* has answered under this term's token */
+    bool suspect; /* a former owner may have runs there */
+    bool in_list; /* named in the list of leased workers to be stored */
+    bool stored;  /* named in the list as it is stored */
+    bool in_commit;
     bool hold_in_flight;
     bool has_clock;
     uint32_t hold_failures;
@@ -188,6 +192,7 @@
     bool may_extend;
     bool begun;
     bool doubt; /* some worker of the former term has not been heard */
+    struct timespec created_at;
     struct timespec doubt_until;
     bool dirty;        /* a placement round is due */
     bool leased_dirty; /* the stored list of workers is out of date */
@@ -259,6 +264,7 @@
 void CellWorker_Lose(Worker *w, const char *why);
 int64_t CellWorker_Extend(GfCell *cell, Worker *w, struct timespec now);
 void CellWorker_Tick(GfCell *cell, struct timespec now);
+void CellWorker_UpdateList(GfCell *cell, struct timespec now);
 const GfName *CellWorker_Rack(const Worker *w);
 void CellWorker_ClearStrays(GfCell *cell, Worker *w);
 
--- a/src/cell/commit.c
+++ b/src/cell/commit.c
@@ -18,10 +18,14 @@
 
 /* Describes the workers that may hold a lease, for a later owner. */
 static json_t *
-leased_workers(const GfCell *cell)
+leased_workers(GfCell *cell)
 {
     json_t *list = json_array();
-    for (const Worker *w = cell->workers; w != NULL; w = w->hh.next) {
+    for (Worker *w = cell->workers; w != NULL; w = w->hh.next) {
+        w->in_commit = w->in_list;
+        if (!w->in_list) {
+            continue;
+        }
         json_array_append_new(list,
                               json_pack("[s,I,s,i]", w->info.id.data,
                                         (json_int_t)w->info.lifetime,
@@ -63,6 +67,7 @@
 void
 CellCommit_Tick(GfCell *cell, struct timespec now)
 {
+    CellWorker_UpdateList(cell, now);
     bool pending = cell->dirty_jobs != NULL || cell->leased_dirty;
     for (const Worker *w = cell->workers; !pending && w != NULL;
          w = w->hh.next) {
@@ -75,6 +80,7 @@
     take_jobs(cell);
     if (cell->commit_count == 0 && !cell->leased_dirty) {
         /* The ends changed nothing that is stored. */
+        cell->commit_had_leased = false;
         cell->committing = true;
         GfCell_CommitDone(cell, true);
         return;
@@ -117,6 +123,20 @@
     }
 }
 
+/* Notes which workers the stored list names now; only those get tasks. */
+static void
+note_list(GfCell *cell)
+{
+    for (Worker *w = cell->workers; cell->commit_had_leased && w != NULL;
+         w = w->hh.next) {
+        if (w->in_commit && w->in_list && !w->stored) {
+            w->stored = true;
+            cell->dirty = true;
+        }
+    }
+    cell->commit_had_leased = false;
+}
+
 /* Lets workers forget the ends that are stored. */
 static void
 acknowledge(GfCell *cell)
@@ -165,6 +185,7 @@
     }
     free(jobs);
     if (committed) {
+        note_list(cell);
         acknowledge(cell);
     }
 }
--- a/src/cell/job_state.c
+++ b/src/cell/job_state.c
@@ -319,7 +319,12 @@
     job->spec = *spec;
     memset(spec, 0, sizeof(*spec));
     job->accepted_at = GfTime_AddMs(GfClock_Now(cell->clock), -age_ms);
-    job->in_doubt = former_term;
+    /* Until it is fenced everywhere a former owner may start new jobs too. */
+    bool fenced = cell->begun && !cell->doubt;
+    int64_t term_ms =
+        GfTime_DiffMs(GfClock_Now(cell->clock), cell->created_at);
+    job->in_doubt =
+        former_term || (!fenced && term_ms < cell->settings.proof_ms);
     make_steps(job);
     const GfQueue *q = cell->config == NULL
                            ? NULL
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -52,8 +52,9 @@
 {
     const GfQueue *queue =
         GfCellConfig_FindQueue(cell->config, &step->job->queue);
-    if (queue == NULL || !w->listed || !w->known || w->info.leaving ||
-        w->hold_failures > 0 || !w->has_clock || w->unknown_runs > 0) {
+    if (queue == NULL || !w->listed || !w->known || !w->stored ||
+        w->info.leaving || w->hold_failures > 0 || !w->has_clock ||
+        w->unknown_runs > 0) {
         return false;
     }
     GfAmounts none = {0};
--- a/src/cell/tasks.c
+++ b/src/cell/tasks.c
@@ -71,8 +71,8 @@
             return false;
         }
     }
-    task->failed_runs = realloc(task->failed_runs,
-                                (task->failures + 1U) * sizeof(int64_t));
+    task->failed_runs =
+        realloc(task->failed_runs, (task->failures + 1U) * sizeof(int64_t));
     if (task->failed_runs == NULL) {
         abort();
     }
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -123,7 +123,6 @@
     HASH_ADD(hh, cell->workers, info.id.data, w->info.id.len, w);
     HASH_ADD(by_serial, cell->workers_by_serial, serial, sizeof(w->serial), w);
     cell->worker_count++;
-    cell->leased_dirty = true;
     return w;
 }
 
@@ -166,8 +165,9 @@
     Worker *w = NULL;
     HASH_FIND(hh, cell->workers, info->id.data, info->id.len, w);
     if (w == NULL) {
-        add_worker(cell, info);
+        w = add_worker(cell, info);
     }
+    w->suspect = true;
 }
 
 /* Notes that a worker left the table. What runs there is followed until its
@@ -205,7 +205,7 @@
 GfCell_AllHeard(const GfCell *cell)
 {
     for (const Worker *w = cell->workers; w != NULL; w = w->hh.next) {
-        if (!w->known) {
+        if (w->suspect && !w->known) {
             return false;
         }
     }
@@ -285,8 +285,9 @@
 {
     Task *task = CellJob_Task(cell, &end->task);
     if (task == NULL) {
-        GfLog(GF_LOG_INFO, CELL_PART, "an end of no task of ours id=%s worker=%s",
-              end->task.job.data, w->info.id.data);
+        GfLog(GF_LOG_INFO, CELL_PART,
+              "an end of no task of ours id=%s worker=%s", end->task.job.data,
+              w->info.id.data);
         return;
     }
     Job *job = task->step->job;
@@ -369,16 +370,15 @@
 static void
 stop_stray(GfCell *cell, Worker *w, const Task *task, const GfRunRow *row)
 {
-    GfStopOrder order = {.target = CellTask_Target(w),
-                         .task = row->task,
-                         .run = row->run};
+    GfStopOrder order = {
+        .target = CellTask_Target(w), .task = row->task, .run = row->run};
     order.target.token = cell->settings.token;
     add_stray(cell, w, task);
     cell->ops->stop(cell->ctx, &order);
     GfLog(GF_LOG_INFO, CELL_PART,
           "stopping a stray run id=%s step=%u task=%u worker=%s known=%d",
-          row->task.job.data, row->task.step, row->task.index,
-          w->info.id.data, task != NULL);
+          row->task.job.data, row->task.step, row->task.index, w->info.id.data,
+          task != NULL);
 }
 
 /* Takes a row of what runs: confirms a task of ours, adopts one that waits,
@@ -546,8 +546,8 @@
     order.until_ms =
         w->hold_failures == 0 ? CellWorker_Extend(cell, w, now) : 0;
     order.acked = sure ? w->acked_end : 0;
-    bool quiet = w->seen_end == w->acked_end &&
-                 w->stray_count + w->unknown_runs == 0;
+    bool quiet =
+        w->seen_end == w->acked_end && w->stray_count + w->unknown_runs == 0;
     order.wait_ms = sure && quiet ? HOLD_WAIT_MS : 0;
     w->hold_in_flight = true;
     cell->ops->hold(cell->ctx, &order);
@@ -560,7 +560,7 @@
     HASH_DELETE(hh, cell->workers, w);
     HASH_DELETE(by_serial, cell->workers_by_serial, w);
     cell->worker_count--;
-    cell->leased_dirty = true;
+    cell->leased_dirty = cell->leased_dirty || w->in_list;
     CellWorker_ClearStrays(cell, w);
     free(w);
 }
@@ -575,7 +575,7 @@
     }
     size_t unheard = 0;
     for (const Worker *w = cell->workers; w != NULL; w = w->hh.next) {
-        unheard += !w->known;
+        unheard += w->suspect && !w->known;
     }
     if (unheard == 0 || !GfTime_Before(now, cell->doubt_until)) {
         cell->doubt = false;
@@ -614,3 +614,22 @@
     }
     check_doubt(cell, now);
 }
+
+/* Decides which workers belong into the stored list: those that hold or may
+ * get a lease. One that is silent beyond its lease is left out, so that a
+ * later owner does not wait for it. */
+void
+CellWorker_UpdateList(GfCell *cell, struct timespec now)
+{
+    for (Worker *w = cell->workers; w != NULL; w = w->hh.next) {
+        bool silent = (w->hold_failures > 0 || !w->listed) &&
+                      w->tasks == NULL && w->known &&
+                      GfTime_Before(w->lease_until, now);
+        bool wanted = w->known ? !silent : w->suspect;
+        if (w->in_list != wanted) {
+            w->in_list = wanted;
+            w->stored = w->stored && wanted;
+            cell->leased_dirty = true;
+        }
+    }
+}
--- a/src/cellentry/jobs.c
+++ b/src/cellentry/jobs.c
@@ -225,7 +225,6 @@
 on_job_row(void *arg, GfTableResult result, int64_t version,
            const GfTableRow *rows, size_t count)
 {
-    (void)version;
     Request *r = arg;
     EntryStore_Note(r->entry, result);
     if (result != GF_TABLE_OK) {
@@ -235,6 +234,10 @@
         return;
     }
     if (count == 0 || rows[0].value == NULL) {
+        GfLog(GF_LOG_INFO, PART,
+              "no row of a job id=%s rows=%zu store_version=%lld owner=%s",
+              r->id.data, count, (long long)version,
+              r->entry->owner.name.data);
         answer_kind(r, GF_NO_SUCH_JOB);
         return;
     }
--- a/src/cellentry/load.c
+++ b/src/cellentry/load.c
@@ -135,8 +135,7 @@
     load->finished = true;
     for (size_t i = 0; i < load->job_count; i++) {
         const JobRow *job = &load->jobs[i];
-        const json_t *progress =
-            json_object_get(load->progress, job->id.data);
+        const json_t *progress = json_object_get(load->progress, job->id.data);
         const char *state =
             json_string_value(json_object_get(progress, "state"));
         if (state == NULL ||
--- a/src/cellentry/ownership.c
+++ b/src/cellentry/ownership.c
@@ -51,8 +51,8 @@
     }
     GfLog(GF_LOG_INFO, PART, "owner known member=%s token=%lld source=%s",
           name->data, (long long)token, source);
-    entry->owner = (OwnerView){
-        .name = *name, .incarnation = incarnation, .token = token};
+    entry->owner =
+        (OwnerView){.name = *name, .incarnation = incarnation, .token = token};
     entry->owner.heard_at = GfClock_Now(entry->clock);
     entry->claim_planned = false;
     entry->next_beat_at = (struct timespec){0};
@@ -96,8 +96,8 @@
     }
     if (!reply->owns) {
         /* The answer to its claim may still be on the way. */
-        bool pending = reply->claiming && reply->from.incarnation ==
-                                              entry->owner.incarnation;
+        bool pending = reply->claiming &&
+                       reply->from.incarnation == entry->owner.incarnation;
         entry->owner.disowned = !pending;
         return;
     }
@@ -145,8 +145,8 @@
         }
     }
     else {
-        uint64_t incarnation = (uint64_t)json_integer_value(
-            json_object_get(json, "incarnation"));
+        uint64_t incarnation =
+            (uint64_t)json_integer_value(json_object_get(json, "incarnation"));
         EntryMembers_Get(entry, &name, address, (uint16_t)port, incarnation);
         set_owner(entry, &name, incarnation, row->version, "store");
     }
--- a/src/cellentry/term.c
+++ b/src/cellentry/term.c
@@ -564,6 +564,7 @@
     lease = lease < LEASE_MS ? lease : LEASE_MS;
     GfCellSettings settings = {.token = token,
                                .lease_ms = lease,
+                               .proof_ms = PROOF_MS + PROOF_MARGIN_MS,
                                .doubt_ms = PROOF_MS + PROOF_MARGIN_MS + lease +
                                            lease * CLOCK_DRIFT_PERCENT / 100,
                                .clock_drift_percent = CLOCK_DRIFT_PERCENT,
