--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -129,7 +129,8 @@
     uint32_t hold_failures;
     int64_t clock_offset_ms;
     struct timespec next_hold_at;
-    struct timespec lease_until; /* no run goes on after it */
+    struct timespec lease_until;   /* no run goes on after it */
+    struct timespec life_began_at; /* when it became known here */
     struct timespec heard_at;
     struct timespec listed_at;
     int64_t seen_end;
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -98,6 +98,9 @@
     CellWorker_Lose(w, "restarted");
     CellWorker_ClearStrays(cell, w);
     w->info.lifetime = lifetime;
+    w->life_began_at = GfClock_Now(cell->clock);
+    w->hold_in_flight = false;
+    w->hold_failures = 0;
     w->seen_end = 0;
     w->acked_end = 0;
     w->pending_end = 0;
@@ -501,11 +504,14 @@
         return;
     }
     struct timespec now = GfClock_Now(cell->clock);
-    w->hold_in_flight = false;
     if (result == GF_ORDER_FENCED) {
         cell->ops->fenced(cell->ctx, &w->info.id);
         return;
     }
+    if (GfTime_Before(sent_at, w->life_began_at)) {
+        return; /* meant for a life that is over */
+    }
+    w->hold_in_flight = false;
     if (result == GF_ORDER_OTHER_LIFE) {
         /* The address answers, but for another worker: this one is gone. */
         CellWorker_Lose(w, "gone");
