Hold a worker for unheard while it runs something that is not understood

Ruled out: the stored list of workers (it named the worker). Change: a worker counts as heard only with an inventory that is understood whole.

--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -462,8 +462,6 @@
         /* A former owner may have granted a lease just now. */
         struct timespec end = GfTime_AddMs(now, longest_lease_ms(cell));
         w->lease_until = end;
-        w->known = true;
-        cell->dirty = true;
     }
     size_t strays = w->stray_count + w->unknown_runs;
     CellWorker_ClearStrays(cell, w);
@@ -483,6 +481,11 @@
         apply_run(cell, w, &inventory->runs[i]);
     }
     settle_missing(w, sent_at);
+    if (!w->known && w->unknown_runs == 0) {
+        /* With a run that is not understood yet, more is in doubt here. */
+        w->known = true;
+        cell->dirty = true;
+    }
     if (strays > 0 && w->stray_count + w->unknown_runs == 0) {
         cell->dirty = true;
     }
--- a/tests/support/cell_world.c
+++ b/tests/support/cell_world.c
@@ -99,6 +99,7 @@
     GfJobState stored;
     json_t *progress;
     int starts;
+    bool hidden;
     bool *done; /* by step and index */
 } SimJob;
 
@@ -884,7 +885,9 @@
         }
     }
     for (int k = 0; k < w->job_count; k++) {
-        give_job(w, o, &w->jobs[k], true);
+        if (!w->jobs[k].hidden) {
+            give_job(w, o, &w->jobs[k], true);
+        }
     }
     GfCell_Begin(o->cell);
     return o->cell;
@@ -936,6 +939,21 @@
     return number;
 }
 
+int
+World_SubmitHidden(World *w, const WorldJob *job)
+{
+    int number = World_Submit(w, job);
+    w->jobs[number].hidden = true;
+    return number;
+}
+
+void
+World_Reveal(World *w, int job)
+{
+    w->jobs[job].hidden = false;
+    give_job(w, &w->owners[w->current], &w->jobs[job], false);
+}
+
 static void
 ignore(void *arg, GfErrorKind kind)
 {
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -50,6 +50,10 @@
 
 /* Jobs, named by number. */
 int World_Submit(World *world, const WorldJob *job);
+/* A hidden job is left out of what later owners read, until it is revealed to
+ * the owner; only a look for its row finds it. */
+int World_SubmitHidden(World *world, const WorldJob *job);
+void World_Reveal(World *world, int job);
 void World_Cancel(World *world, int job);
 GfJobState World_State(const World *world, int job);
 int64_t World_FinishedAfterMs(const World *world, int job);
--- a/tests/unit/cell.c
+++ b/tests/unit/cell.c
@@ -144,6 +144,26 @@
     finish(w, config);
 }
 
+/* A job that only the former owner knew when the next one read the jobs, and
+ * that runs already, is not started again once the next one learns of it. */
+static void
+test_job_known_late(void)
+{
+    GfCellConfig *config;
+    WorldSettings settings = CALM;
+    World *w = begin(&settings, &config, 0);
+    WorldJob job = job_of("quick", 4, 2000, 1500);
+    int j = World_SubmitHidden(w, &job);
+    World_Run(w, 100);
+    World_TakeOver(w);
+    World_Run(w, 30);
+    World_Reveal(w, j);
+    World_Run(w, 3000);
+    CU_ASSERT_EQUAL(World_State(w, j), GF_JOB_COMPLETED);
+    CU_ASSERT_EQUAL(World_Starts(w, j), 4);
+    finish(w, config);
+}
+
 /* Failures that come from two workers in any order count, each once, also
  * over a takeover. */
 static void
@@ -422,6 +442,7 @@
     {"takeover", test_takeover},
     {"ends after takeover", test_ends_after_takeover},
     {"two owners", test_two_owners},
+    {"job known late", test_job_known_late},
     {"attempts", test_attempts},
     {"silent worker", test_silent_worker},
     {"cut worker", test_cut_worker},
