Let the strongest entry own the cell

Change: each entry states its strength (processor share, halved on a narrow link, an eighth while its loop is late); candidates wait by strength, and an owner yields to one that is 1.4 times stronger.

--- a/include/guavaflow/cell_settings.h
+++ b/include/guavaflow/cell_settings.h
@@ -24,6 +24,8 @@
     char *seeds;
     char *log_level;
     uint32_t metrics_port;
+    double processor_share; /* of one processor */
+    double link_mbps;
     double stop_grace_s;
     double longest_lease_ms;
     double keep_finished_s;
--- a/src/cellentry/entry.c
+++ b/src/cellentry/entry.c
@@ -12,6 +12,8 @@
  * the next tick. Others only send heartbeats. */
 #define OWNER_TICK_MS 10
 #define FOLLOWER_TICK_MS 50
+/* Weight of the newest tick in the smoothed lateness: some thirty ticks. */
+#define LAG_WEIGHT 0.03
 /* A failure of the store counts for this long unless a call succeeds. */
 #define STORE_FAILURE_MS 2000
 
@@ -49,8 +51,9 @@
 static void
 plan_tick(GfCellEntry *entry)
 {
-    struct timeval tv = GfTime_Interval(
-        entry->term != NULL ? OWNER_TICK_MS : FOLLOWER_TICK_MS);
+    int64_t ms = entry->term != NULL ? OWNER_TICK_MS : FOLLOWER_TICK_MS;
+    struct timeval tv = GfTime_Interval(ms);
+    entry->tick_due_at = GfTime_AddMs(GfClock_Now(entry->clock), ms);
     evtimer_add(entry->tick, &tv);
 }
 
@@ -62,6 +65,8 @@
     (void)what;
     GfCellEntry *entry = arg;
     struct timespec now = GfClock_Now(entry->clock);
+    double late = (double)GfTime_DiffMs(now, entry->tick_due_at);
+    entry->loop_lag_ms += (late - entry->loop_lag_ms) * LAG_WEIGHT;
     EntryOwnership_Tick(entry, now);
     EntryTerm_Tick(entry, now);
     plan_tick(entry);
--- a/src/cellentry/entry_private.h
+++ b/src/cellentry/entry_private.h
@@ -47,6 +47,8 @@
     bool heard;
     bool beating;
     bool stopping;
+    uint32_t strength;
+    struct timespec known_at;
     UT_hash_handle hh;
 };
 
@@ -105,6 +107,9 @@
     Term *term;
     uint32_t term_count;
     bool stopping;
+    double loop_lag_ms; /* smoothed lateness of ticks */
+    struct timespec tick_due_at;
+    uint32_t last_owner_strength; /* 0: not known */
 };
 
 /* follow.c: keeps up with a table. */
@@ -137,6 +142,8 @@
 void EntryOwnership_Tick(GfCellEntry *entry, struct timespec now);
 void EntryOwnership_TakeReply(GfCellEntry *entry, Peer *peer,
                               const gfc_beat_reply *reply);
+bool EntryOwnership_Yields(GfCellEntry *entry);
+uint32_t EntryOwnership_Strength(const GfCellEntry *entry);
 void EntryOwnership_Lost(GfCellEntry *entry, const char *cause);
 Peer *EntryOwnership_Peer(GfCellEntry *entry);
 
--- a/src/cellentry/ownership.c
+++ b/src/cellentry/ownership.c
@@ -30,6 +30,22 @@
  * entries ends for all at once. */
 #define STORELESS_MS 900
 #define CLAIM_TIMEOUT_MS 1500
+/* Strength is counted in thousandths of a processor. */
+#define PER_PROCESSOR 1000
+#define DEFAULT_STRENGTH 250
+/* The owner of 350 workers moves some 10 Mbit/s in bursts. */
+#define NARROW_LINK_MBPS 50
+/* A loop this late on average is that of a slowed host. */
+#define SLOW_LOOP_MS 25
+#define SLOW_LOOP_FACTOR 8
+/* Ownership moves to a host that is this much stronger, once it has been
+ * known for a while; a takeover costs some 100 ms. */
+#define YIELD_FACTOR 1.4
+#define YIELD_AFTER_MS 1500
+/* An entry weaker than this waits at the first start of all, so that a
+ * stronger one, if there is any, comes first. */
+#define FIRST_OWNER_STRENGTH 250
+#define WEAK_DELAY_MS 350
 
 /* Returns the peer that owns the cell, or NULL if it is unknown or this entry
  * itself. */
@@ -127,6 +143,8 @@
     uint64_t nonce =
         (uint64_t)json_integer_value(json_object_get(json, "nonce"));
     GfName name;
+    entry->last_owner_strength =
+        (uint32_t)json_integer_value(json_object_get(json, "strength"));
     entry->owner_row_version = row->version;
     if (member == NULL || address == NULL || port < 1 || port > UINT16_MAX ||
         !GfName_SetText(&name, member)) {
@@ -187,11 +205,12 @@
     randombytes_buf(&entry->claim_nonce, sizeof(entry->claim_nonce));
     entry->claim_nonce >>= 16U; /* stays exact in JSON */
     json_t *row =
-        json_pack("{s:s,s:s,s:I,s:I,s:I}", "member", entry->self.data,
+        json_pack("{s:s,s:s,s:I,s:I,s:I,s:I}", "member", entry->self.data,
                   "address", entry->settings->peer_at.address, "port",
                   (json_int_t)entry->settings->peer_at.port, "incarnation",
                   (json_int_t)entry->incarnation, "nonce",
-                  (json_int_t)entry->claim_nonce);
+                  (json_int_t)entry->claim_nonce, "strength",
+                  (json_int_t)EntryOwnership_Strength(entry));
     char *text = json_dumps(row, JSON_COMPACT);
     json_decref(row);
     const GfTableExpectation expectation = {.table = ENTRY_CELL_TABLE,
@@ -212,27 +231,85 @@
     free(text);
 }
 
-/* Returns how many known entries come before this one as candidates. */
-static int
-rank(GfCellEntry *entry)
+/* Returns how fit this entry is to own the cell: thousandths of a processor,
+ * less on a narrow link, and little while its loop is late. */
+uint32_t
+EntryOwnership_Strength(const GfCellEntry *entry)
 {
+    const GfCellEntrySettings *s = entry->settings;
+    double strength = s->processor_share > 0
+                          ? s->processor_share * PER_PROCESSOR
+                          : DEFAULT_STRENGTH;
+    if (s->link_mbps > 0 && s->link_mbps < NARROW_LINK_MBPS) {
+        strength /= 2;
+    }
+    if (entry->loop_lag_ms > SLOW_LOOP_MS) {
+        strength /= SLOW_LOOP_FACTOR;
+    }
+    return strength < 1 ? 1 : (uint32_t)strength;
+}
+
+/* Tells whether this entry would rather not own the cell: it is stopping, or
+ * a much stronger one has been in contact for a while. */
+bool
+EntryOwnership_Yields(GfCellEntry *entry)
+{
+    if (entry->stopping) {
+        return true;
+    }
+    if (entry->term == NULL) {
+        return false;
+    }
+    struct timespec now = GfClock_Now(entry->clock);
+    uint32_t own = EntryOwnership_Strength(entry);
+    for (const Peer *p = entry->peers; p != NULL; p = p->hh.next) {
+        if (EntryMembers_IsHeard(entry, p) && !p->stopping &&
+            p->strength > own * YIELD_FACTOR &&
+            GfTime_DiffMs(now, p->known_at) > YIELD_AFTER_MS) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Tells whether a peer comes before this entry as a candidate. */
+static bool
+is_better(const GfCellEntry *entry, const Peer *peer)
+{
+    uint32_t own = EntryOwnership_Strength(entry);
+    if (peer->strength != own) {
+        return peer->strength > own;
+    }
     uint64_t seed = (uint64_t)entry->owner.token;
-    uint64_t own = GfName_Hash(&entry->self, seed);
+    return GfName_Hash(&peer->name, seed) < GfName_Hash(&entry->self, seed);
+}
+
+/* Returns how long to wait before a claim. Where others are known the better
+ * ones go first. Right after a start nobody is; then those that are weaker
+ * than the last owner wait for the others. */
+static int64_t
+claim_delay_ms(GfCellEntry *entry)
+{
     int before = 0;
+    size_t heard = 0;
     for (const Peer *p = entry->peers; p != NULL; p = p->hh.next) {
         if (!GfName_Equal(&p->name, &entry->owner.name) &&
-            EntryMembers_IsHeard(entry, p) && !p->stopping &&
-            GfName_Hash(&p->name, seed) < own) {
-            before++;
+            EntryMembers_IsHeard(entry, p) && !p->stopping) {
+            heard++;
+            before += is_better(entry, p);
         }
     }
-    if (entry->peers == NULL || before == 0) {
-        /* Entries that do not know each other yet come in any order. */
-        return entry->owner.token == 0
-                   ? (int)randombytes_uniform(CLAIM_MAX_STEPS)
-                   : 0;
-    }
-    return before < CLAIM_MAX_STEPS ? before : CLAIM_MAX_STEPS;
+    before = before < CLAIM_MAX_STEPS ? before : CLAIM_MAX_STEPS;
+    int64_t ms = (int64_t)before * CLAIM_STEP_MS;
+    uint32_t own = EntryOwnership_Strength(entry);
+    uint32_t wanted = entry->last_owner_strength > 0
+                          ? entry->last_owner_strength
+                          : FIRST_OWNER_STRENGTH;
+    if (heard == 0) {
+        ms += randombytes_uniform(CLAIM_MAX_STEPS) * CLAIM_STEP_MS / 2;
+        ms += own < wanted ? WEAK_DELAY_MS : 0;
+    }
+    return ms;
 }
 
 /* Takes the owner's row, read because the owner seems gone, and plans a claim
@@ -259,8 +336,8 @@
     bool own_row = GfName_Equal(&entry->owner.name, &entry->self);
     if ((same || own_row) && !entry->claim_planned && entry->term == NULL) {
         entry->claim_planned = true;
-        entry->claim_at = GfTime_AddMs(GfClock_Now(entry->clock),
-                                       (int64_t)rank(entry) * CLAIM_STEP_MS);
+        entry->claim_at =
+            GfTime_AddMs(GfClock_Now(entry->clock), claim_delay_ms(entry));
     }
 }
 
--- a/src/cellentry/peers.c
+++ b/src/cellentry/peers.c
@@ -44,6 +44,7 @@
         }
         peer->entry = entry;
         peer->name = *name;
+        peer->known_at = GfClock_Now(entry->clock);
         HASH_ADD(hh, entry->peers, name.data, peer->name.len, peer);
         GfLog(GF_LOG_INFO, PART, "entry known member=%s address=%s:%u",
               name->data, address, port);
@@ -83,8 +84,12 @@
         GfLog(GF_LOG_WARNING, PART, "a peer's description is malformed");
         return NULL;
     }
-    return EntryMembers_Get(entry, &name, xdr->address, (uint16_t)xdr->port,
-                            xdr->incarnation);
+    Peer *peer = EntryMembers_Get(entry, &name, xdr->address,
+                                  (uint16_t)xdr->port, xdr->incarnation);
+    if (peer != NULL && xdr->strength > 0) {
+        peer->strength = xdr->strength;
+    }
+    return peer;
 }
 
 /* Describes this entry. */
@@ -95,6 +100,7 @@
     self->address = entry->settings->peer_at.address;
     self->port = entry->settings->peer_at.port;
     self->incarnation = entry->incarnation;
+    self->strength = EntryOwnership_Strength(entry);
 }
 
 /* Tells whether a peer was in direct contact lately. */
@@ -165,7 +171,8 @@
             out[count++] = (gfc_peer){.member = p->name.data,
                                       .address = p->address,
                                       .port = p->port,
-                                      .incarnation = p->incarnation};
+                                      .incarnation = p->incarnation,
+                                      .strength = p->strength};
         }
     }
     return count;
@@ -189,7 +196,7 @@
         .owns = entry->term != NULL,
         .claiming = entry->claiming,
         .ready = EntryTerm_IsReady(entry),
-        .stopping = entry->stopping,
+        .stopping = EntryOwnership_Yields(entry),
         .has_store = EntryStore_Answers(entry),
         .token = (uint64_t)entry->owner.token,
         .config_version =
@@ -201,7 +208,8 @@
         reply.owner = (gfc_peer){.member = owner->name.data,
                                  .address = owner->address,
                                  .port = owner->port,
-                                 .incarnation = owner->incarnation};
+                                 .incarnation = owner->incarnation,
+                                 .strength = owner->strength};
         int64_t silent =
             GfTime_DiffMs(GfClock_Now(entry->clock), entry->owner.heard_at);
         reply.owner_silent_ms = silent > INT32_MAX ? INT32_MAX : (u_int)silent;
--- a/src/config/cell_settings.c
+++ b/src/config/cell_settings.c
@@ -32,6 +32,10 @@
     TEXT_FIELD(log_level, CYAML_FLAG_OPTIONAL),
     CYAML_FIELD_UINT("metrics_port", CYAML_FLAG_OPTIONAL, GfCellEntrySettings,
                      metrics_port),
+    CYAML_FIELD_FLOAT("processor_share", CYAML_FLAG_OPTIONAL,
+                      GfCellEntrySettings, processor_share),
+    CYAML_FIELD_FLOAT("link_mbps", CYAML_FLAG_OPTIONAL, GfCellEntrySettings,
+                      link_mbps),
     CYAML_FIELD_FLOAT("stop_grace_s", CYAML_FLAG_DEFAULT, GfCellEntrySettings,
                       stop_grace_s),
     CYAML_FIELD_FLOAT("longest_lease_ms", CYAML_FLAG_DEFAULT,
@@ -124,11 +128,13 @@
                            s->ownership);
     }
     if (s->longest_lease_ms < MIN_LEASE_MS || s->stop_grace_s < 1 ||
-        s->keep_finished_s < 1 || s->metrics_port > MAX_PORT) {
+        s->keep_finished_s < 1 || s->metrics_port > MAX_PORT ||
+        s->processor_share < 0 || s->link_mbps < 0) {
         return GfError_Set(error, GF_BAD_CONFIG,
                            "%s: allowed are longest_lease_ms from %d, "
                            "stop_grace_s and keep_finished_s from 1, "
-                           "metrics_port to %d",
+                           "metrics_port to %d, processor_share and "
+                           "link_mbps from 0",
                            path, MIN_LEASE_MS, MAX_PORT);
     }
     if (s->log_level != NULL && s->log_level[0] != '\0' &&
--- a/src/rpc/cell_xdr.c
+++ b/src/rpc/cell_xdr.c
@@ -28,6 +28,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->strength))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/rpc/cell_xdr.h
+++ b/src/rpc/cell_xdr.h
@@ -26,6 +26,7 @@
 	gfc_name address;
 	u_int port;
 	u_quad_t incarnation;
+	u_int strength;
 };
 typedef struct gfc_peer gfc_peer;
 
--- a/src/rpc/cell_xdr.x
+++ b/src/rpc/cell_xdr.x
@@ -11,6 +11,7 @@
     gfc_name address;
     unsigned int port;
     unsigned hyper incarnation;
+    unsigned int strength;
 };
 
 struct gfc_beat {
