Serve HTTP by evhttp: libevhtp garbles requests that arrive in pieces

The log of the refused path showed one more byte than was sent, at the place where the request line was cut into two segments; the id then named no job. Ruled out: the store's answer (never asked), the owner (never asked), stale reads, removal of rows.

--- a/src/cellentry/jobs.c
+++ b/src/cellentry/jobs.c
@@ -69,12 +69,16 @@
     full.verb = r->verb;
     if (full.kind != GF_OK || r->verb == GF_JOB_SUBMIT ||
         r->verb == GF_JOB_CANCEL) {
-        GfLog(full.kind == GF_OK || full.kind == GF_NO_SUCH_JOB ? GF_LOG_DEBUG
-                                                                : GF_LOG_INFO,
-              PART, "answered id=%s verb=%d outcome=%s tries=%u after_ms=%lld",
+        GfLog(full.kind == GF_OK ? GF_LOG_DEBUG : GF_LOG_INFO, PART,
+              "answered id=%s verb=%d outcome=%s tries=%u hops=%u "
+              "after_ms=%lld config=%lld owner_token=%lld",
               r->id.data, (int)r->verb, GfError_Name(full.kind), r->tries,
+              r->hops,
               (long long)GfTime_DiffMs(GfClock_Now(r->entry->clock),
-                                       r->began_at));
+                                       r->began_at),
+              r->entry->config == NULL ? 0LL
+                                       : (long long)r->entry->config->version,
+              (long long)r->entry->owner.token);
     }
     r->callback(r->arg, &full);
     if (r->timer != NULL) {
@@ -499,6 +503,8 @@
         return GF_OK;
     }
     if (!is_job_id(id) || !GfName_SetText(&r->id, id)) {
+        GfLog(GF_LOG_INFO, PART, "not a job's id path=%s verb=%d",
+              request->path, (int)r->verb);
         return r->verb == GF_JOB_SUBMIT ? GF_BAD_REQUEST : GF_NO_SUCH_JOB;
     }
     return GF_OK;
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -4,20 +4,28 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <evhtp.h>
+#include <sys/queue.h>
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <utlist.h>
 
 #include "guavaflow/log.h"
 
 #define PART "http"
-#define LISTEN_BACKLOG 512
 #define IDLE_TIMEOUT_S 75
-#define WRITE_TIMEOUT_S 30
+#define MAX_HEADER_BYTES 16384
 
 struct GfServer {
-    evhtp_t *http;
+    struct evhttp *http;
+    struct evhttp_bound_socket *socket;
     GfServerHandler handler;
     void *ctx;
-    size_t max_body_bytes;
+    GfExchange *exchanges;
     int open;
     bool stopping;
     bool draining;
@@ -25,23 +33,26 @@
 
 struct GfExchange {
     GfServer *server;
-    evhtp_request_t *request;
-    bool paused;
+    struct evhttp_request *request; /* NULL once the caller is gone */
+    struct evkeyvalq query;
+    bool query_parsed;
     bool answered;
+    GfExchange *next;
+    GfExchange *prev;
 };
 
 /* Returns the method as the caller wrote it, for the methods in use. */
 const char *
 GfExchange_Method(const GfExchange *exchange)
 {
-    switch (evhtp_request_get_method(exchange->request)) {
-    case htp_method_GET:
+    switch (evhttp_request_get_command(exchange->request)) {
+    case EVHTTP_REQ_GET:
         return "GET";
-    case htp_method_POST:
+    case EVHTTP_REQ_POST:
         return "POST";
-    case htp_method_PUT:
+    case EVHTTP_REQ_PUT:
         return "PUT";
-    case htp_method_DELETE:
+    case EVHTTP_REQ_DELETE:
         return "DELETE";
     default:
         return "OTHER";
@@ -52,36 +63,43 @@
 const char *
 GfExchange_Path(const GfExchange *exchange)
 {
-    evhtp_uri_t *uri = exchange->request->uri;
-    if (uri == NULL || uri->path == NULL || uri->path->full == NULL) {
-        return "/";
-    }
-    return uri->path->full;
+    const struct evhttp_uri *uri =
+        evhttp_request_get_evhttp_uri(exchange->request);
+    const char *path = uri == NULL ? NULL : evhttp_uri_get_path(uri);
+    return path == NULL || path[0] == '\0' ? "/" : path;
 }
 
 /* Returns a query argument, or NULL. */
 const char *
 GfExchange_Query(const GfExchange *exchange, const char *name)
 {
-    evhtp_uri_t *uri = exchange->request->uri;
-    if (uri == NULL || uri->query == NULL) {
-        return NULL;
+    GfExchange *e = (GfExchange *)exchange;
+    if (!e->query_parsed) {
+        const struct evhttp_uri *uri =
+            evhttp_request_get_evhttp_uri(e->request);
+        const char *text = uri == NULL ? NULL : evhttp_uri_get_query(uri);
+        TAILQ_INIT(&e->query);
+        e->query_parsed = true;
+        if (text != NULL && evhttp_parse_query_str(text, &e->query) != 0) {
+            GfLog(GF_LOG_INFO, PART, "a query is not readable");
+        }
     }
-    return evhtp_kv_find(uri->query, name);
+    return evhttp_find_header(&e->query, name);
 }
 
 /* Returns a request header, or NULL. */
 const char *
 GfExchange_Header(const GfExchange *exchange, const char *name)
 {
-    return evhtp_header_find(exchange->request->headers_in, name);
+    return evhttp_find_header(
+        evhttp_request_get_input_headers(exchange->request), name);
 }
 
 /* Copies the body; the caller of this function clears the copy. */
 GfStr
 GfExchange_Body(const GfExchange *exchange)
 {
-    struct evbuffer *in = exchange->request->buffer_in;
+    struct evbuffer *in = evhttp_request_get_input_buffer(exchange->request);
     size_t len = evbuffer_get_length(in);
     const char *data = (const char *)evbuffer_pullup(in, -1);
     return GfStr_Copy(data, len);
@@ -91,30 +109,39 @@
 void
 GfExchange_AddHeader(GfExchange *exchange, const char *name, const char *value)
 {
-    if (exchange->request == NULL) {
-        return;
+    if (exchange->request != NULL) {
+        evhttp_add_header(evhttp_request_get_output_headers(exchange->request),
+                          name, value);
     }
-    evhtp_headers_add_header(exchange->request->headers_out,
-                             evhtp_header_new(name, value, 1, 1));
 }
 
 /* Ends an exchange and frees it. */
 static void
 finish(GfExchange *exchange)
 {
-    exchange->server->open--;
+    GfServer *server = exchange->server;
+    DL_DELETE(server->exchanges, exchange);
+    server->open--;
+    if (exchange->query_parsed) {
+        evhttp_clear_headers(&exchange->query);
+    }
     free(exchange);
 }
 
-/* Notes that the caller's request is gone, so that a later answer is dropped
- * instead of written to a freed request. */
-static evhtp_res
-on_request_fini(evhtp_request_t *request, void *arg)
+/* Notes that callers whose connection closes are gone, so that a later answer
+ * is dropped instead of written to a freed request. */
+static void
+on_close(struct evhttp_connection *connection, void *arg)
 {
-    (void)request;
-    GfExchange *exchange = arg;
-    exchange->request = NULL;
-    return EVHTP_RES_OK;
+    GfServer *server = arg;
+    GfExchange *e;
+    DL_FOREACH(server->exchanges, e)
+    {
+        if (e->request != NULL &&
+            evhttp_request_get_connection(e->request) == connection) {
+            e->request = NULL;
+        }
+    }
 }
 
 /* Answers the exchange with the given bytes and frees it. An answer to a
@@ -126,23 +153,27 @@
     assert(exchange != NULL);
     assert(!exchange->answered);
     exchange->answered = true;
-    evhtp_request_t *request = exchange->request;
-    if (request != NULL) {
-        evhtp_request_unset_hook(request, evhtp_hook_on_request_fini);
-        GfExchange_AddHeader(exchange, "Content-Type", type);
-        if (exchange->server->stopping || exchange->server->draining) {
-            GfExchange_AddHeader(exchange, "Connection", "close");
-            request->flags &= (uint16_t)~EVHTP_REQ_FLAG_KEEPALIVE;
-        }
-        if (len > 0) {
-            evbuffer_add(request->buffer_out, data, len);
-        }
-        evhtp_send_reply(request, (evhtp_res)status);
-        if (exchange->paused) {
-            evhtp_request_resume(request);
-        }
+    struct evhttp_request *request = exchange->request;
+    if (request == NULL) {
+        finish(exchange);
+        return;
     }
+    GfExchange_AddHeader(exchange, "Content-Type", type);
+    if (exchange->server->stopping || exchange->server->draining) {
+        GfExchange_AddHeader(exchange, "Connection", "close");
+    }
+    struct evbuffer *out = evbuffer_new();
+    if (out == NULL) {
+        abort();
+    }
+    if (len > 0) {
+        evbuffer_add(out, data, len);
+    }
+    /* The request may be freed while it is sent. */
+    exchange->request = NULL;
     finish(exchange);
+    evhttp_send_reply(request, status, NULL, out);
+    evbuffer_free(out);
 }
 
 /* Answers with a JSON document, whose reference it takes. */
@@ -161,24 +192,23 @@
 void
 GfExchange_Drop(GfExchange *exchange)
 {
-    evhtp_request_t *request = exchange->request;
+    struct evhttp_request *request = exchange->request;
     exchange->answered = true;
     if (request != NULL) {
-        evhtp_request_unset_hook(request, evhtp_hook_on_request_fini);
-        evutil_socket_t fd = bufferevent_getfd(request->conn->bev);
+        struct evhttp_connection *connection =
+            evhttp_request_get_connection(request);
+        evutil_socket_t fd =
+            bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
         if (fd >= 0) {
             shutdown(fd, SHUT_RDWR);
         }
-        if (exchange->paused) {
-            evhtp_request_resume(request);
-        }
     }
     finish(exchange);
 }
 
 /* Takes a whole request from the library and hands it on. */
 static void
-on_request(evhtp_request_t *request, void *arg)
+on_request(struct evhttp_request *request, void *arg)
 {
     GfServer *server = arg;
     GfExchange *exchange = calloc(1, sizeof(*exchange));
@@ -187,41 +217,15 @@
     }
     exchange->server = server;
     exchange->request = request;
-    exchange->paused = true;
     server->open++;
-    evhtp_request_set_hook(request, evhtp_hook_on_request_fini,
-                           (evhtp_hook)on_request_fini, exchange);
-    evhtp_request_pause(request);
+    DL_APPEND(server->exchanges, exchange);
+    evhttp_connection_set_closecb(evhttp_request_get_connection(request),
+                                  on_close, server);
     server->handler(server->ctx, exchange);
 }
 
-/* Logs a call that announces a body over the limit; the library closes its
- * connection. */
-static evhtp_res
-on_headers(evhtp_request_t *request, evhtp_headers_t *headers, void *arg)
-{
-    (void)request;
-    const GfServer *server = arg;
-    const char *length = evhtp_header_find(headers, "Content-Length");
-    if (length != NULL &&
-        strtoull(length, NULL, 10) > server->max_body_bytes) {
-        GfLog(GF_LOG_WARNING, PART, "A call has a body over %zu bytes.",
-              server->max_body_bytes);
-    }
-    return EVHTP_RES_OK;
-}
-
-/* Watches the headers of a new connection's calls. */
-static evhtp_res
-on_accept(evhtp_connection_t *connection, void *arg)
-{
-    evhtp_connection_set_hook(connection, evhtp_hook_on_headers,
-                              (evhtp_hook)on_headers, arg);
-    return EVHTP_RES_OK;
-}
-
 /* Opens a listening server. Fails with GF_BAD_CONFIG if the address cannot
- * be bound. Bodies over max_body_bytes end the connection. */
+ * be bound. Bodies over max_body_bytes are refused. */
 GfServer *
 GfServer_Create(struct event_base *base, const char *address, uint16_t port,
                 size_t max_body_bytes, GfServerHandler handler, void *ctx,
@@ -234,18 +238,20 @@
     }
     server->handler = handler;
     server->ctx = ctx;
-    server->http = evhtp_new(base, NULL);
-    evhtp_set_gencb(server->http, on_request, server);
-    evhtp_set_max_body_size(server->http, max_body_bytes);
-    evhtp_set_post_accept_cb(server->http, on_accept, server);
-    server->max_body_bytes = max_body_bytes;
-    struct timeval idle = {.tv_sec = IDLE_TIMEOUT_S};
-    struct timeval write = {.tv_sec = WRITE_TIMEOUT_S};
-    evhtp_set_timeouts(server->http, &idle, &write);
-    if (evhtp_bind_socket(server->http, address, port, LISTEN_BACKLOG) != 0) {
+    server->http = evhttp_new(base);
+    if (server->http == NULL) {
+        abort();
+    }
+    evhttp_set_gencb(server->http, on_request, server);
+    evhttp_set_max_body_size(server->http, (ev_ssize_t)max_body_bytes);
+    evhttp_set_max_headers_size(server->http, MAX_HEADER_BYTES);
+    evhttp_set_timeout(server->http, IDLE_TIMEOUT_S);
+    server->socket =
+        evhttp_bind_socket_with_handle(server->http, address, port);
+    if (server->socket == NULL) {
         GfError_Set(error, GF_BAD_CONFIG, "cannot listen on %s port %u",
                     address, port);
-        evhtp_free(server->http);
+        evhttp_free(server->http);
         free(server);
         return NULL;
     }
@@ -267,7 +273,7 @@
 {
     if (!server->stopping) {
         server->stopping = true;
-        evhtp_unbind_socket(server->http);
+        evhttp_del_accept_socket(server->http, server->socket);
     }
 }
 
@@ -278,14 +284,14 @@
     return server->open;
 }
 
-/* Closes the server. Exchanges still open lose their callers. */
+/* Closes the server. Exchanges still open lose their callers; the exchange
+ * may be answered until the server is freed only. */
 void
 GfServer_Destroy(GfServer *server)
 {
     if (server == NULL) {
         return;
     }
-    GfServer_StopAccepting(server);
-    evhtp_free(server->http);
+    evhttp_free(server->http);
     free(server);
 }
