Keep room under a team's limit for the classes that come first

Ruled out: advice, room, order. Change: a module of its own (share.c): a class may fill the limit only up to what the classes before it needed in the last seconds, at most half of it.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -7,6 +7,8 @@
 #include "guavaflow/cell.h"
 
 #define CELL_PART "cell"
+/* Work classes told apart in a team's use; later ones count as the last. */
+#define CELL_CLASSES 4
 
 typedef struct Task Task;
 typedef struct Step Step;
@@ -94,6 +96,7 @@
     GfJobState stored_state;
     GfJobState commit_state; /* in the row of the transaction under way */
     bool counted_waiting;
+    uint32_t work_class;
     bool in_doubt; /* may run on a worker that has not been heard */
     bool dirty;
     bool in_commit;
@@ -160,6 +163,9 @@
 typedef struct TeamUse {
     GfName team;
     GfAmounts used;
+    GfAmounts by_class[CELL_CLASSES]; /* part of used */
+    GfAmounts asked[CELL_CLASSES];    /* what waits, as of the last round */
+    GfAmounts peak[CELL_CLASSES];     /* of both together, decaying */
     UT_hash_handle hh;
 } TeamUse;
 
@@ -207,11 +213,18 @@
     struct timespec commit_at;
     size_t running;
     struct timespec wait_logged_at;
+    struct timespec shares_updated_at;
 };
 
 /* order.c */
 size_t CellOrder_Sort(GfCell *cell, struct timespec now);
 
+/* share.c */
+void CellShare_Update(GfCell *cell, struct timespec now);
+bool CellShare_Allows(GfCell *cell, const Step *step, int64_t times);
+void CellShare_Take(GfCell *cell, const Step *step);
+void CellShare_Give(GfCell *cell, const Step *step);
+
 /* place.c */
 bool CellPlace_Eligible(const GfCell *cell, const Worker *w, const Step *step);
 bool CellPlace_HasRoom(const Worker *w, const Step *step);
--- a/src/cell/job_state.c
+++ b/src/cell/job_state.c
@@ -330,6 +330,9 @@
                            ? NULL
                            : GfCellConfig_FindQueue(cell->config, queue);
     job->objective_ms = objective(job, q);
+    job->work_class = q == NULL || q->work_class >= CELL_CLASSES
+                          ? CELL_CLASSES - 1
+                          : q->work_class;
     CellJob_ForgetLookup(cell, id);
     HASH_ADD(hh, cell->jobs, id.data, job->id.len, job);
     if (progress != NULL) {
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -142,23 +142,6 @@
     return best;
 }
 
-/* Tells whether a need fits under the limit of the job's team. */
-static bool
-within_limit(GfCell *cell, const Job *job, GfAmounts need, int64_t times)
-{
-    const GfCellTeam *team = GfCellConfig_FindTeam(cell->config, &job->team);
-    if (team == NULL) {
-        return true;
-    }
-    GfAmounts used = Cell_TeamUse(cell, &job->team)->used;
-    GfAmounts l = team->limit;
-    return (l.mcores == 0 || used.mcores + need.mcores * times <= l.mcores) &&
-           (l.memory_mb == 0 ||
-            used.memory_mb + need.memory_mb * times <= l.memory_mb) &&
-           (l.accelerators == 0 ||
-            used.accelerators + need.accelerators * times <= l.accelerators);
-}
-
 /* Stops the fillers on a worker that a task with users of its own could use
  * but for them; their checkpoints are kept. */
 static void
@@ -223,7 +206,7 @@
         if (task->done || task->state != TASK_IDLE) {
             continue;
         }
-        if (!within_limit(cell, step->job, step->spec->need, 1)) {
+        if (!CellShare_Allows(cell, step, 1)) {
             return 0;
         }
         Worker *w = choose(cell, step, task, NULL, needs_advice, now);
@@ -303,8 +286,7 @@
     }
     bool unplaced;
     if (step->spec->gang) {
-        if (!within_limit(cell, step->job, step->spec->need,
-                          step->spec->task_count)) {
+        if (!CellShare_Allows(cell, step, step->spec->task_count)) {
             return;
         }
         unplaced = !place_gang(cell, step, queue->needs_advice, now);
@@ -355,7 +337,7 @@
           (long long)GfTime_DiffMs(now, longest->idle_since), eligible, roomy,
           tickets, longest->allowed_count, longest->denied_count,
           longest->asking, longest->spec->lasting,
-          within_limit(cell, longest->job, longest->spec->need, 1),
+          CellShare_Allows(cell, longest, 1),
           longest->job->in_doubt && cell->doubt);
 }
 
@@ -368,6 +350,7 @@
     }
     cell->dirty = false;
     int64_t wall_ms = GfTime_WallMs();
+    CellShare_Update(cell, now);
     size_t count = CellOrder_Sort(cell, now);
     for (size_t i = 0; i < count; i++) {
         place_step(cell, cell->order[i], now, wall_ms);
--- /dev/null
+++ b/src/cell/share.c
@@ -0,0 +1,133 @@
+/* What teams use and may use. A team at its limit would let its long tasks
+ * keep its quick ones waiting, as the former hold what they have for seconds.
+ * A class therefore leaves room under the limit for what the classes before
+ * it needed lately. This answers bursts of quick work of teams whose batch
+ * work fills their limit. */
+#include <math.h>
+#include <stdlib.h>
+
+#include "cell_private.h"
+
+/* The peak of a class's need falls to a third in this time. */
+#define PEAK_DECAY_MS 8000.0
+/* Of the limit, no more than this is kept free for the classes before. */
+#define MAX_RESERVE_PERCENT 50
+#define PERCENT 100
+
+/* Returns what a team has running, with a new entry if there is none. */
+TeamUse *
+Cell_TeamUse(GfCell *cell, const GfName *team)
+{
+    TeamUse *use = NULL;
+    HASH_FIND(hh, cell->uses, team->data, team->len, use);
+    if (use == NULL) {
+        use = calloc(1, sizeof(*use));
+        if (use == NULL) {
+            abort();
+        }
+        use->team = *team;
+        HASH_ADD(hh, cell->uses, team.data, use->team.len, use);
+    }
+    return use;
+}
+
+/* Returns the larger of each amount. */
+static GfAmounts
+larger(GfAmounts a, GfAmounts b)
+{
+    return (GfAmounts){
+        .mcores = a.mcores > b.mcores ? a.mcores : b.mcores,
+        .memory_mb = a.memory_mb > b.memory_mb ? a.memory_mb : b.memory_mb,
+        .accelerators =
+            a.accelerators > b.accelerators ? a.accelerators : b.accelerators};
+}
+
+/* Multiplies each amount. */
+static GfAmounts
+scale(GfAmounts a, double factor)
+{
+    return (GfAmounts){.mcores = (int64_t)((double)a.mcores * factor),
+                       .memory_mb = (int64_t)((double)a.memory_mb * factor),
+                       .accelerators =
+                           (int64_t)((double)a.accelerators * factor)};
+}
+
+/* Counts a task of a step as running. */
+void
+CellShare_Take(GfCell *cell, const Step *step)
+{
+    TeamUse *use = Cell_TeamUse(cell, &step->job->team);
+    GfAmounts *own = &use->by_class[step->job->work_class];
+    use->used = GfAmounts_Plus(use->used, step->spec->need);
+    *own = GfAmounts_Plus(*own, step->spec->need);
+}
+
+/* Counts a task of a step as ended. */
+void
+CellShare_Give(GfCell *cell, const Step *step)
+{
+    TeamUse *use = Cell_TeamUse(cell, &step->job->team);
+    GfAmounts *own = &use->by_class[step->job->work_class];
+    use->used = GfAmounts_Minus(use->used, step->spec->need);
+    *own = GfAmounts_Minus(*own, step->spec->need);
+}
+
+/* Brings the peaks up to date with what runs and waits. */
+void
+CellShare_Update(GfCell *cell, struct timespec now)
+{
+    int64_t ms = GfTime_DiffMs(now, cell->shares_updated_at);
+    double decay = exp(-(double)ms / PEAK_DECAY_MS);
+    cell->shares_updated_at = now;
+    for (TeamUse *u = cell->uses; u != NULL; u = u->hh.next) {
+        for (int c = 0; c < CELL_CLASSES; c++) {
+            u->asked[c] = (GfAmounts){0};
+        }
+    }
+    for (const Step *s = cell->waiting; s != NULL; s = s->next) {
+        GfAmounts *asked =
+            &Cell_TeamUse(cell, &s->job->team)->asked[s->job->work_class];
+        *asked = GfAmounts_Plus(*asked, scale(s->spec->need, s->idle));
+    }
+    for (TeamUse *u = cell->uses; u != NULL; u = u->hh.next) {
+        for (int c = 0; c < CELL_CLASSES; c++) {
+            u->peak[c] = larger(scale(u->peak[c], decay),
+                                GfAmounts_Plus(u->by_class[c], u->asked[c]));
+        }
+    }
+}
+
+/* Tells whether an amount fits under a limit of which something is kept for
+ * others. A limit of 0 is none. */
+static bool
+fits(int64_t limit, int64_t used, int64_t kept, int64_t need)
+{
+    int64_t most = limit * MAX_RESERVE_PERCENT / PERCENT;
+    return limit == 0 || used + (kept < most ? kept : most) + need <= limit;
+}
+
+/* Tells whether the team may run so many more tasks of a step. Tasks that
+ * last are held to the limit alone, since they are to be at work always. */
+bool
+CellShare_Allows(GfCell *cell, const Step *step, int64_t times)
+{
+    const GfCellTeam *team =
+        GfCellConfig_FindTeam(cell->config, &step->job->team);
+    if (team == NULL) {
+        return true;
+    }
+    const TeamUse *use = Cell_TeamUse(cell, &step->job->team);
+    GfAmounts need = scale(step->spec->need, (double)times);
+    GfAmounts kept = {0};
+    for (uint32_t c = 0; !step->spec->lasting && c < step->job->work_class;
+         c++) {
+        GfAmounts peak = larger(use->peak[c], use->by_class[c]);
+        kept = GfAmounts_Plus(kept, GfAmounts_Minus(peak, use->by_class[c]));
+    }
+    const GfAmounts *l = &team->limit;
+    return fits(l->mcores, use->used.mcores, kept.mcores, need.mcores) &&
+           fits(l->memory_mb, use->used.memory_mb, kept.memory_mb,
+                need.memory_mb) &&
+           fits(l->accelerators, use->used.accelerators, kept.accelerators,
+                need.accelerators);
+}
--- a/src/cell/tasks.c
+++ b/src/cell/tasks.c
@@ -11,23 +11,6 @@
  * 200 ms. */
 #define STOP_REPEAT_MS 400
 
-/* Returns what a team has running, with a new entry if there is none. */
-TeamUse *
-Cell_TeamUse(GfCell *cell, const GfName *team)
-{
-    TeamUse *use = NULL;
-    HASH_FIND(hh, cell->uses, team->data, team->len, use);
-    if (use == NULL) {
-        use = calloc(1, sizeof(*use));
-        if (use == NULL) {
-            abort();
-        }
-        use->team = *team;
-        HASH_ADD(hh, cell->uses, team.data, use->team.len, use);
-    }
-    return use;
-}
-
 /* Names a task. */
 GfTaskId
 CellTask_Id(const Task *task)
@@ -121,8 +104,7 @@
     w->used = GfAmounts_Plus(w->used, CellTask_RoomTaken(step));
     w->filling += step->spec->filler;
     w->serving += step->spec->latency_target_ms > 0;
-    TeamUse *use = Cell_TeamUse(cell, &step->job->team);
-    use->used = GfAmounts_Plus(use->used, step->spec->need);
+    CellShare_Take(cell, step);
     cell->running++;
     step->idle--;
     if (step->idle == 0) {
@@ -143,8 +125,7 @@
     w->used = GfAmounts_Minus(w->used, CellTask_RoomTaken(step));
     w->filling -= step->spec->filler;
     w->serving -= step->spec->latency_target_ms > 0;
-    TeamUse *use = Cell_TeamUse(cell, &step->job->team);
-    use->used = GfAmounts_Minus(use->used, step->spec->need);
+    CellShare_Give(cell, step);
     cell->running--;
     cell->dirty = true;
     task->state = TASK_IDLE;
