Make placement rounds cheap, and end them in time for heartbeats

Ruled out: the store and the links (heartbeats to others were answered). Change: a job keeps what the configuration says of its queue and team; with advice only allowed workers are looked at; steps for which no question helps pause; a round is cut after 20 ms; the list of members is sent only when it changed.

--- a/src/cell/advice.c
+++ b/src/cell/advice.c
@@ -26,6 +26,8 @@
 #define TICKET_MARGIN_MS 250
 /* What the transport of a question may add to its work. */
 #define ASK_SLACK_MS 2500
+/* A step for which no question helps now is looked at again after this. */
+#define ASK_PAUSE_MS 120
 #define PERCENT 100
 
 typedef struct {
@@ -97,9 +99,10 @@
 
 /* Tells whether the step may put a question now. */
 bool
-CellAdvice_Wanted(const GfCell *cell, const Step *step)
+CellAdvice_Wanted(const GfCell *cell, const Step *step, struct timespec now)
 {
-    return !step->asking && cell->caller_count > 0;
+    return !step->asking && cell->caller_count > 0 &&
+           !GfTime_Before(now, step->next_ask_at);
 }
 
 /* Chooses a caller for a question, or NULL if those for its kind are all
@@ -219,8 +222,7 @@
 void
 CellAdvice_Ask(GfCell *cell, Step *step, struct timespec now)
 {
-    const GfQueue *queue =
-        GfCellConfig_FindQueue(cell->config, &step->job->queue);
+    const GfQueue *queue = step->job->queue_in_force;
     bool slow = queue->advice_ms > SLOW_ADVICE_MS;
     Caller *caller = choose_caller(cell, slow);
     if (caller == NULL) {
@@ -246,6 +248,7 @@
             CellAdvice_Clear(step);
         }
         free(candidates);
+        step->next_ask_at = GfTime_AddMs(now, ASK_PAUSE_MS);
         return;
     }
     GfName names[MAX_NAMED];
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -128,6 +128,9 @@
 {
     cell->config = config;
     cell->dirty = true;
+    for (Job *j = cell->jobs; j != NULL; j = j->hh.next) {
+        CellJob_Bind(j);
+    }
 }
 
 /* Replaces the list of failure domains that are out of service. */
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -15,6 +15,7 @@
 typedef struct Job Job;
 typedef struct Worker Worker;
 typedef struct Waiter Waiter;
+typedef struct TeamUse TeamUse;
 
 /* SETTLING: a start without an answer is being made void by a stop. */
 typedef enum {
@@ -70,6 +71,7 @@
     uint32_t *asked; /* serials in the question that is under way */
     size_t asked_count;
     struct timespec asked_at;
+    struct timespec next_ask_at;
     struct timespec idle_since;
     bool asking;
     bool listed; /* in the cell's list of steps that wait */
@@ -88,6 +90,9 @@
     GfName id;
     GfName team;
     GfName queue;
+    const GfQueue *queue_in_force; /* NULL: the queue is not there now */
+    const GfCellTeam *team_in_force;
+    TeamUse *use;
     GfJobSpec spec;
     Step *steps;
     size_t step_total;
@@ -160,14 +165,14 @@
     bool slow; /* what it is busy with */
 } Caller;
 
-typedef struct TeamUse {
+struct TeamUse {
     GfName team;
     GfAmounts used;
     GfAmounts by_class[CELL_CLASSES]; /* part of used */
     GfAmounts asked[CELL_CLASSES];    /* what waits, as of the last round */
     GfAmounts peak[CELL_CLASSES];     /* of both together, decaying */
     UT_hash_handle hh;
-} TeamUse;
+};
 
 /* A job that a worker named and that is not known here. */
 typedef struct Lookup {
@@ -221,9 +226,9 @@
 
 /* share.c */
 void CellShare_Update(GfCell *cell, struct timespec now);
-bool CellShare_Allows(GfCell *cell, const Step *step, int64_t times);
-void CellShare_Take(GfCell *cell, const Step *step);
-void CellShare_Give(GfCell *cell, const Step *step);
+bool CellShare_Allows(const Step *step, int64_t times);
+void CellShare_Take(const Step *step);
+void CellShare_Give(const Step *step);
 
 /* place.c */
 bool CellPlace_Eligible(const GfCell *cell, const Worker *w, const Step *step);
@@ -234,7 +239,8 @@
 /* advice.c */
 const Allowed *CellAdvice_Ticket(const Step *step, uint32_t serial,
                                  struct timespec now);
-bool CellAdvice_Wanted(const GfCell *cell, const Step *step);
+bool CellAdvice_Wanted(const GfCell *cell, const Step *step,
+                       struct timespec now);
 void CellAdvice_Ask(GfCell *cell, Step *step, struct timespec now);
 void CellAdvice_Clear(Step *step);
 void CellAdvice_Drop(Step *step, uint32_t serial);
@@ -249,6 +255,7 @@
 void CellJob_List(Step *step);
 void CellJob_Unlist(Step *step);
 bool CellJob_Active(const Job *job);
+void CellJob_Bind(Job *job);
 void CellJob_Free(Job *job);
 bool CellJob_IsAbsent(GfCell *cell, const GfName *id);
 void CellJob_ForgetLookup(GfCell *cell, const GfName *id);
--- a/src/cell/job_state.c
+++ b/src/cell/job_state.c
@@ -212,6 +212,19 @@
     CellJob_ForgetLookup(cell, id);
 }
 
+/* Looks up what the configuration in force says of the job's queue and team,
+ * so that decisions need not. */
+void
+CellJob_Bind(Job *job)
+{
+    const GfCellConfig *config = job->cell->config;
+    job->queue_in_force =
+        config == NULL ? NULL : GfCellConfig_FindQueue(config, &job->queue);
+    job->team_in_force =
+        config == NULL ? NULL : GfCellConfig_FindTeam(config, &job->team);
+    job->use = Cell_TeamUse(job->cell, &job->team);
+}
+
 /* Lays out the steps and tasks of a job. */
 static void
 make_steps(Job *job)
@@ -326,9 +339,8 @@
     job->in_doubt =
         former_term || (!fenced && term_ms < cell->settings.proof_ms);
     make_steps(job);
-    const GfQueue *q = cell->config == NULL
-                           ? NULL
-                           : GfCellConfig_FindQueue(cell->config, queue);
+    CellJob_Bind(job);
+    const GfQueue *q = job->queue_in_force;
     job->objective_ms = objective(job, q);
     job->work_class = q == NULL || q->work_class >= CELL_CLASSES
                           ? CELL_CLASSES - 1
--- a/src/cell/order.c
+++ b/src/cell/order.c
@@ -56,17 +56,17 @@
 
 /* Ranks a step at a time. */
 static Rank
-rank(GfCell *cell, Step *step, struct timespec now)
+rank(Step *step, struct timespec now)
 {
     const Job *job = step->job;
     Rank r = {.step = step};
-    const GfQueue *queue = GfCellConfig_FindQueue(cell->config, &job->queue);
-    const GfCellTeam *team = GfCellConfig_FindTeam(cell->config, &job->team);
+    const GfQueue *queue = job->queue_in_force;
+    const GfCellTeam *team = job->team_in_force;
     r.age_ms = GfTime_DiffMs(now, job->accepted_at);
     r.lateness = lateness(job, r.age_ms, step->spec->lasting);
     r.work_class = queue == NULL ? UINT32_MAX : queue->work_class;
     double weight = team == NULL || team->weight <= 0 ? 1 : team->weight;
-    r.share = (double)Cell_TeamUse(cell, &job->team)->used.mcores / weight;
+    r.share = (double)job->use->used.mcores / weight;
     return r;
 }
 
@@ -96,7 +96,7 @@
     size_t i = 0;
     DL_FOREACH(cell->waiting, step)
     {
-        ranks[i++] = rank(cell, step, now);
+        ranks[i++] = rank(step, now);
     }
     qsort(ranks, count, sizeof(Rank), compare);
     for (i = 0; i < count; i++) {
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -16,6 +16,10 @@
 /* Runs of a term are numbered from here, so that they rise over takeovers
  * without a stored number. */
 #define RUNS_PER_TOKEN 1000000
+/* A round that lasts longer is cut, so that heartbeats are answered in time;
+ * what is first in order is looked at in each. */
+#define ROUND_BUDGET_MS 20
+#define STEPS_PER_LOOK 8
 /* A step that waits longer than this is logged, as often as this. */
 #define WAIT_LOG_MS 1000
 
@@ -50,8 +54,7 @@
 bool
 CellPlace_Eligible(const GfCell *cell, const Worker *w, const Step *step)
 {
-    const GfQueue *queue =
-        GfCellConfig_FindQueue(cell->config, &step->job->queue);
+    const GfQueue *queue = step->job->queue_in_force;
     if (queue == NULL || !w->listed || !w->known || !w->stored ||
         w->info.leaving || w->hold_failures > 0 || !w->has_clock ||
         w->unknown_runs > 0) {
@@ -116,21 +119,41 @@
     return s;
 }
 
-/* Finds the best worker for a task, in the rack only if one is given. */
+/* Tells whether a task of the step may start on a worker now, in the rack
+ * only if one is given. Advice is checked by the caller. */
+static bool
+is_candidate(const GfCell *cell, const Worker *w, const Step *step,
+             const GfName *rack)
+{
+    return CellPlace_HasRoom(w, step) && CellPlace_Eligible(cell, w, step) &&
+           (rack == NULL || GfName_Equal(CellWorker_Rack(w), rack)) &&
+           (step->spec->max_per_worker == 0 ||
+            CellPlace_CountOn(w, step) < step->spec->max_per_worker);
+}
+
+/* Finds the best worker for a task, or NULL. With advice only the allowed
+ * ones are looked at. */
 static Worker *
 choose(GfCell *cell, const Step *step, const Task *task, const GfName *rack,
        bool needs_advice, struct timespec now)
 {
     Worker *best = NULL;
     double best_score = 0;
-    for (Worker *w = cell->workers; w != NULL; w = w->hh.next) {
-        if ((rack != NULL && !GfName_Equal(CellWorker_Rack(w), rack)) ||
-            !CellPlace_HasRoom(w, step) ||
-            !CellPlace_Eligible(cell, w, step) ||
-            (needs_advice &&
-             CellAdvice_Ticket(step, w->serial, now) == NULL) ||
-            (step->spec->max_per_worker > 0 &&
-             CellPlace_CountOn(w, step) >= step->spec->max_per_worker)) {
+    size_t count =
+        needs_advice ? step->allowed_count : HASH_COUNT(cell->workers);
+    Worker *next = cell->workers;
+    for (size_t i = 0; i < count; i++) {
+        Worker *w = next;
+        if (needs_advice) {
+            const Allowed *a = &step->allowed[i];
+            w = GfTime_Before(now, a->expires)
+                    ? CellWorker_Find(cell, a->serial)
+                    : NULL;
+        }
+        else {
+            next = w->hh.next;
+        }
+        if (w == NULL || !is_candidate(cell, w, step, rack)) {
             continue;
         }
         double s = score(w, step, task, now);
@@ -206,7 +229,7 @@
         if (task->done || task->state != TASK_IDLE) {
             continue;
         }
-        if (!CellShare_Allows(cell, step, 1)) {
+        if (!CellShare_Allows(step, 1)) {
             return 0;
         }
         Worker *w = choose(cell, step, task, NULL, needs_advice, now);
@@ -278,15 +301,14 @@
 static void
 place_step(GfCell *cell, Step *step, struct timespec now, int64_t wall_ms)
 {
-    const GfQueue *queue =
-        GfCellConfig_FindQueue(cell->config, &step->job->queue);
+    const GfQueue *queue = step->job->queue_in_force;
     if (queue == NULL || wall_ms < step->due_ms ||
         (step->job->in_doubt && cell->doubt)) {
         return;
     }
     bool unplaced;
     if (step->spec->gang) {
-        if (!CellShare_Allows(cell, step, step->spec->task_count)) {
+        if (!CellShare_Allows(step, step->spec->task_count)) {
             return;
         }
         unplaced = !place_gang(cell, step, queue->needs_advice, now);
@@ -294,7 +316,8 @@
     else {
         unplaced = place_tasks(cell, step, queue->needs_advice, now) > 0;
     }
-    if (unplaced && queue->needs_advice && CellAdvice_Wanted(cell, step)) {
+    if (unplaced && queue->needs_advice &&
+        CellAdvice_Wanted(cell, step, now)) {
         CellAdvice_Ask(cell, step, now);
     }
 }
@@ -337,8 +360,7 @@
           (long long)GfTime_DiffMs(now, longest->idle_since), eligible, roomy,
           tickets, longest->allowed_count, longest->denied_count,
           longest->asking, longest->spec->lasting,
-          CellShare_Allows(cell, longest, 1),
-          longest->job->in_doubt && cell->doubt);
+          CellShare_Allows(longest, 1), longest->job->in_doubt && cell->doubt);
 }
 
 /* Places waiting tasks, in order. */
@@ -354,6 +376,11 @@
     size_t count = CellOrder_Sort(cell, now);
     for (size_t i = 0; i < count; i++) {
         place_step(cell, cell->order[i], now, wall_ms);
+        if (i % STEPS_PER_LOOK == 0 &&
+            GfTime_DiffMs(GfClock_Now(cell->clock), now) > ROUND_BUDGET_MS) {
+            cell->dirty = true;
+            break;
+        }
     }
     log_longest_wait(cell, now);
 }
--- a/src/cell/share.c
+++ b/src/cell/share.c
@@ -54,9 +54,9 @@
 
 /* Counts a task of a step as running. */
 void
-CellShare_Take(GfCell *cell, const Step *step)
+CellShare_Take(const Step *step)
 {
-    TeamUse *use = Cell_TeamUse(cell, &step->job->team);
+    TeamUse *use = step->job->use;
     GfAmounts *own = &use->by_class[step->job->work_class];
     use->used = GfAmounts_Plus(use->used, step->spec->need);
     *own = GfAmounts_Plus(*own, step->spec->need);
@@ -64,9 +64,9 @@
 
 /* Counts a task of a step as ended. */
 void
-CellShare_Give(GfCell *cell, const Step *step)
+CellShare_Give(const Step *step)
 {
-    TeamUse *use = Cell_TeamUse(cell, &step->job->team);
+    TeamUse *use = step->job->use;
     GfAmounts *own = &use->by_class[step->job->work_class];
     use->used = GfAmounts_Minus(use->used, step->spec->need);
     *own = GfAmounts_Minus(*own, step->spec->need);
@@ -85,8 +85,7 @@
         }
     }
     for (const Step *s = cell->waiting; s != NULL; s = s->next) {
-        GfAmounts *asked =
-            &Cell_TeamUse(cell, &s->job->team)->asked[s->job->work_class];
+        GfAmounts *asked = &s->job->use->asked[s->job->work_class];
         *asked = GfAmounts_Plus(*asked, scale(s->spec->need, s->idle));
     }
     for (TeamUse *u = cell->uses; u != NULL; u = u->hh.next) {
@@ -109,14 +108,13 @@
 /* Tells whether the team may run so many more tasks of a step. Tasks that
  * last are held to the limit alone, since they are to be at work always. */
 bool
-CellShare_Allows(GfCell *cell, const Step *step, int64_t times)
+CellShare_Allows(const Step *step, int64_t times)
 {
-    const GfCellTeam *team =
-        GfCellConfig_FindTeam(cell->config, &step->job->team);
+    const GfCellTeam *team = step->job->team_in_force;
     if (team == NULL) {
         return true;
     }
-    const TeamUse *use = Cell_TeamUse(cell, &step->job->team);
+    const TeamUse *use = step->job->use;
     GfAmounts need = scale(step->spec->need, (double)times);
     GfAmounts kept = {0};
     for (uint32_t c = 0; !step->spec->lasting && c < step->job->work_class;
--- a/src/cell/tasks.c
+++ b/src/cell/tasks.c
@@ -104,7 +104,7 @@
     w->used = GfAmounts_Plus(w->used, CellTask_RoomTaken(step));
     w->filling += step->spec->filler;
     w->serving += step->spec->latency_target_ms > 0;
-    CellShare_Take(cell, step);
+    CellShare_Take(step);
     cell->running++;
     step->idle--;
     if (step->idle == 0) {
@@ -125,7 +125,7 @@
     w->used = GfAmounts_Minus(w->used, CellTask_RoomTaken(step));
     w->filling -= step->spec->filler;
     w->serving -= step->spec->latency_target_ms > 0;
-    CellShare_Give(cell, step);
+    CellShare_Give(step);
     cell->running--;
     cell->dirty = true;
     task->state = TASK_IDLE;
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -251,10 +251,7 @@
         return false;
     }
     CellJob_MarkDirty(job);
-    const GfQueue *queue =
-        job->cell->config == NULL
-            ? NULL
-            : GfCellConfig_FindQueue(job->cell->config, &job->queue);
+    const GfQueue *queue = job->queue_in_force;
     if (queue != NULL && !task->done &&
         task->failures >= queue->max_attempts && CellJob_Active(job)) {
         GfLog(GF_LOG_INFO, CELL_PART,
--- a/src/cellentry/entry_private.h
+++ b/src/cellentry/entry_private.h
@@ -87,6 +87,7 @@
 
     Peer *peers;
     Retired *retired;
+    uint64_t members_digest; /* of the owner's list as it was last sent */
     OwnerView owner;
     struct timespec next_beat_at;
     struct timespec claim_at;
--- a/src/cellentry/peers.c
+++ b/src/cellentry/peers.c
@@ -136,6 +136,9 @@
     for (u_int i = 0; i < reply->members.members_len; i++) {
         EntryMembers_FromXdr(entry, &reply->members.members_val[i]);
     }
+    if (reply->owns) {
+        entry->members_digest = reply->members_digest;
+    }
     EntryControl_CompareWithPeer(entry, peer, reply->config_version);
     EntryOwnership_TakeReply(entry, peer, reply);
 }
@@ -149,6 +152,7 @@
     }
     peer->beating = true;
     gfc_beat beat = {.token = (uint64_t)entry->owner.token,
+                     .members_digest = entry->members_digest,
                      .config_version = entry->config == NULL
                                            ? 0
                                            : (uint64_t)entry->config->version,
@@ -160,6 +164,19 @@
                       BEAT_TIMEOUT_MS, on_beat_reply, peer);
 }
 
+/* Digests who was heard, so that lists are sent only when they changed. */
+static uint64_t
+members_digest(GfCellEntry *entry)
+{
+    uint64_t digest = 1;
+    for (const Peer *p = entry->peers; p != NULL; p = p->hh.next) {
+        if (EntryMembers_IsHeard(entry, p)) {
+            digest ^= GfName_Hash(&p->name, p->incarnation + p->strength);
+        }
+    }
+    return digest;
+}
+
 /* Lists the peers that were heard, for a heartbeat's answer. */
 static u_int
 list_members(GfCellEntry *entry, gfc_peer *out)
@@ -214,9 +231,12 @@
             GfTime_DiffMs(GfClock_Now(entry->clock), entry->owner.heard_at);
         reply.owner_silent_ms = silent > INT32_MAX ? INT32_MAX : (u_int)silent;
     }
-    if (entry->term != NULL) {
+    reply.members_digest = entry->term != NULL ? members_digest(entry) : 0;
+    if (entry->term != NULL && beat->members_digest != reply.members_digest) {
         reply.members.members_val = members;
         reply.members.members_len = list_members(entry, members);
+    }
+    if (entry->term != NULL) {
         if (beat->token > reply.token) {
             GfRpcCall_Reply(call, &reply);
             EntryOwnership_Lost(entry, "a peer knows a higher token");
--- a/src/rpc/cell_xdr.c
+++ b/src/rpc/cell_xdr.c
@@ -44,6 +44,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->members_digest))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->stopping))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->has_store))
@@ -88,6 +90,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->config_version))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->members_digest))
+			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, GFC_MAX_MEMBERS,
 			sizeof (gfc_peer), (xdrproc_t) xdr_gfc_peer))
 			 return FALSE;
@@ -123,6 +127,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->config_version))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->members_digest))
+			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, GFC_MAX_MEMBERS,
 			sizeof (gfc_peer), (xdrproc_t) xdr_gfc_peer))
 			 return FALSE;
@@ -149,6 +155,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->members_digest))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, GFC_MAX_MEMBERS,
 		sizeof (gfc_peer), (xdrproc_t) xdr_gfc_peer))
 		 return FALSE;
--- a/src/rpc/cell_xdr.h
+++ b/src/rpc/cell_xdr.h
@@ -34,6 +34,7 @@
 	gfc_peer from;
 	u_quad_t token;
 	u_quad_t config_version;
+	u_quad_t members_digest;
 	bool_t stopping;
 	bool_t has_store;
 };
@@ -50,6 +51,7 @@
 	gfc_peer owner;
 	u_int owner_silent_ms;
 	u_quad_t config_version;
+	u_quad_t members_digest;
 	struct {
 		u_int members_len;
 		gfc_peer *members_val;
--- a/src/rpc/cell_xdr.x
+++ b/src/rpc/cell_xdr.x
@@ -18,6 +18,7 @@
     gfc_peer from;
     unsigned hyper token;
     unsigned hyper config_version;
+    unsigned hyper members_digest;
     bool stopping;
     bool has_store;
 };
@@ -33,6 +34,7 @@
     gfc_peer owner;
     unsigned int owner_silent_ms;
     unsigned hyper config_version;
+    unsigned hyper members_digest;
     gfc_peer members<GFC_MAX_MEMBERS>;
 };
 
