--- a/include/guavaflow/http.h
+++ b/include/guavaflow/http.h
@@ -38,6 +38,7 @@
     uint16_t port;
     enum evhttp_cmd_type method;
     const char *path;
+    const char *host; /* of the Host header; NULL: address and port */
     const GfHttpHeader *headers;
     size_t header_count;
     const char *body;
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -142,7 +142,9 @@
     if (cell->evacuated == NULL) {
         abort();
     }
-    memcpy(cell->evacuated, domains, count * sizeof(GfName));
+    if (count > 0) {
+        memcpy(cell->evacuated, domains, count * sizeof(GfName));
+    }
     cell->evacuated_count = count;
     cell->dirty = true;
 }
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -255,7 +255,7 @@
     struct evkeyvalq *out = evhttp_request_get_output_headers(req);
     char host[ENDPOINT_BYTES];
     snprintf(host, sizeof(host), "%s:%u", call->address, call->port);
-    evhttp_add_header(out, "Host", host);
+    evhttp_add_header(out, "Host", call->host != NULL ? call->host : host);
     for (size_t i = 0; i < call->header_count; i++) {
         evhttp_add_header(out, call->headers[i].name, call->headers[i].value);
     }
--- /dev/null
+++ b/tests/soak/soak.c
@@ -0,0 +1,568 @@
+/* A randomized soak: entries, the stand-in of the platform and relays as
+ * separate processes on loopback. Faults come from outside: signals, cut and
+ * silent connections to the store, a store that is away, slow or loses
+ * answers, workers that crash, fail, are cut off or carry orders out late. It
+ * checks what callers and workers see: nothing accepted is lost, nothing runs
+ * twice, and what was refused is not known. Usage: soak SEED [SECONDS]. */
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <sodium.h>
+
+#include "guavaflow/clock.h"
+#include "guavaflow/http.h"
+
+#define ADDRESS "127.0.0.1"
+#define ENTRIES 4
+#define WORKERS 8
+#define MAX_JOBS 2000
+#define STEP_MS 50
+#define DEFAULT_SECONDS 12
+/* After the last fault: takeover, leases that run out, and the backlog. */
+#define SETTLE_MS 45000
+#define CALL_TIMEOUT_MS 3500
+#define TRIES 6
+#define KEY "key-desk"
+#define HOST "jobs.example"
+
+typedef enum { OPEN, ACCEPTED, REFUSED, UNSETTLED } Outcome;
+
+typedef struct {
+    char id[20];
+    Outcome outcome;
+    int tries;
+    bool uncertain; /* some attempt may have been accepted */
+    bool cancelled;
+    bool cancel_sent;
+    bool may_fail;
+    bool in_call;
+    int64_t next_at;
+    char state[16];
+} SoakJob;
+
+typedef struct {
+    pid_t pid;
+    bool paused;
+    int64_t resume_at;
+    int64_t start_at; /* 0: it runs */
+    int64_t heal_at;  /* of the relay to the store */
+} Entry;
+
+static struct {
+    struct event_base *base;
+    GfHttp *http;
+    uint64_t random;
+    int port;
+    char dir[64];
+    Entry entries[ENTRIES];
+    pid_t others[ENTRIES + 1];
+    SoakJob jobs[MAX_JOBS];
+    int job_count;
+    int64_t store_heal_at;
+    int64_t worker_heal_at[WORKERS];
+    bool worker_down[WORKERS];
+    json_t *report; /* the fleet's last answer */
+    int faults;
+} soak;
+
+static int64_t
+now_ms(void)
+{
+    return GfTime_Ms(GfClock_Now(GfClock_System()));
+}
+
+/* Returns a number below a bound. */
+static int
+pick(int bound)
+{
+    soak.random = soak.random * 6364136223846793005ULL + 1442695040888963407;
+    return (int)((soak.random >> 33U) % (uint64_t)bound);
+}
+
+static int
+entry_port(int entry, int kind)
+{
+    return soak.port + 200 + entry * 10 + kind;
+}
+
+static int
+relay_port(int entry)
+{
+    return soak.port + 100 + entry;
+}
+
+/* Starts a program with its output in a log file. */
+static pid_t
+start(const char *log, char *const argv[])
+{
+    char path[128];
+    snprintf(path, sizeof(path), "%s/%s.log", soak.dir, log);
+    pid_t pid = fork();
+    if (pid == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        int fd = open(path, O_WRONLY | O_CREAT | O_APPEND, 0600);
+        dup2(fd, STDOUT_FILENO);
+        dup2(fd, STDERR_FILENO);
+        execv(argv[0], argv);
+        _exit(127);
+    }
+    return pid;
+}
+
+/* Writes the settings of an entry and starts it. */
+static void
+start_entry(int entry)
+{
+    char path[128];
+    snprintf(path, sizeof(path), "%s/entry-%d.yaml", soak.dir, entry);
+    FILE *file = fopen(path, "w");
+    fprintf(file,
+            "ownership: token\nmember: e%d\nfailure_domain: d%d\n"
+            "front: " ADDRESS ":%d\nready: " ADDRESS ":%d\npeer: " ADDRESS
+            ":%d\nstore: " ADDRESS ":%d\nadvice: " ADDRESS ":%d\n"
+            "seeds: " ADDRESS ":%d," ADDRESS ":%d\nstop_grace_s: 6\n"
+            "longest_lease_ms: 10000\nkeep_finished_s: 120\n",
+            entry, entry % 2, entry_port(entry, 0), entry_port(entry, 1),
+            entry_port(entry, 2), relay_port(entry), soak.port + 1,
+            entry_port(0, 2), entry_port(1, 2));
+    fclose(file);
+    char name[16];
+    snprintf(name, sizeof(name), "entry-%d", entry);
+    char *argv[] = {(char *)GUAVAFLOW_PROGRAM, "entry", "--config", path,
+                    NULL};
+    soak.entries[entry].pid = start(name, argv);
+    soak.entries[entry].start_at = 0;
+}
+
+/* Runs the loop for a while. */
+static void
+run(int ms)
+{
+    struct timeval tv = GfTime_Interval(ms);
+    event_base_loopexit(soak.base, &tv);
+    event_base_dispatch(soak.base);
+}
+
+static void
+on_control(void *arg, const GfHttpResult *result)
+{
+    (void)arg;
+    json_t *body = GfHttp_ParseJson(result);
+    if (json_object_get(body, "breaches") != NULL) {
+        json_decref(soak.report);
+        soak.report = json_incref(body);
+    }
+    json_decref(body);
+}
+
+/* Tells a stand-in something. */
+static void
+control(int port, const char *path, json_t *body)
+{
+    GfHttp_PostJson(soak.http, ADDRESS, (uint16_t)port, path, body, 2000,
+                    on_control, NULL);
+}
+
+/* Writes the operators' configuration. */
+static void
+write_config(int version)
+{
+    json_t *queue = json_pack(
+        "{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:f,s:{s:f,s:f,s:i}}", "name", "quick",
+        "host", HOST, "pathPrefix", "/quick/", "service", "plan", "priority",
+        0, "maxAttempts", 3, "targetLatencyMs", 300, "stretch", 2.0, "advice",
+        "decideMs", 5.0, "eachMs", 0.2, "validMs", 2000);
+    json_t *batch = json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:f}", "name",
+                              "batch", "host", HOST, "pathPrefix", "/batch/",
+                              "service", "plan", "priority", 2, "maxAttempts",
+                              4, "targetLatencyMs", 1000, "stretch", 2.0);
+    json_t *team = json_pack("{s:s,s:[s],s:i,s:{s:i,s:i,s:i}}", "name", "desk",
+                             "apiKeys", KEY, "weight", 5, "maximum", "cpu",
+                             90000, "memMb", 0, "gpu", 0);
+    control(soak.port, "/test/config",
+            json_pack("{s:i,s:[o,o],s:[{s:s,s:b}],s:[o]}", "version", version,
+                      "routes", queue, batch, "services", "name", "plan",
+                      "admissionCheck", 0, "tenants", team));
+}
+
+/* Calls an entry about a job. */
+static void
+call_entry(SoakJob *job, enum evhttp_cmd_type method, GfHttpCallback callback)
+{
+    char path[64];
+    bool quick = (job - soak.jobs) % 3 != 0;
+    snprintf(path, sizeof(path), "/%s/%s", quick ? "quick" : "batch", job->id);
+    const GfHttpHeader headers[] = {{"X-Api-Key", KEY},
+                                    {"Content-Type", "application/json"},
+                                    {"X-Guavaflow-Deadline", "3000"}};
+    char body[256] = "";
+    int number = (int)(job - soak.jobs);
+    if (method == EVHTTP_REQ_POST) {
+        snprintf(body, sizeof(body),
+                 "{\"spec\":\"ms=%d mcores=1500%s\",\"steps\":[{\"count\":%d,"
+                 "\"cpu\":1500,\"memMb\":100,\"estMs\":300},{\"count\":2,"
+                 "\"cpu\":1500,\"memMb\":100,\"estMs\":300,\"after\":[0]}]}",
+                 100 + number % 7 * 60, job->may_fail ? " fail=1" : "",
+                 1 + number % 4);
+    }
+    GfHttpCall call = {.address = ADDRESS,
+                       .port = (uint16_t)entry_port(pick(ENTRIES), 0),
+                       .method = method,
+                       .path = path,
+                       .host = HOST,
+                       .headers = headers,
+                       .header_count = 3,
+                       .body = body,
+                       .body_len = strlen(body),
+                       .timeout_ms = CALL_TIMEOUT_MS};
+    job->in_call = true;
+    GfHttp_Start(soak.http, &call, callback, job);
+}
+
+/* Takes the answer to a job handed in. Only 429 and 503 say that it has not
+ * been accepted. */
+static void
+on_submitted(void *arg, const GfHttpResult *result)
+{
+    SoakJob *job = arg;
+    job->in_call = false;
+    job->next_at = now_ms() + 300;
+    if (result->kind == GF_OK && result->status == 200) {
+        job->outcome = ACCEPTED;
+    }
+    else {
+        bool refused = result->kind == GF_OK &&
+                       (result->status == 503 || result->status == 429);
+        bool unsent = result->kind != GF_OK && !result->sent;
+        job->uncertain = job->uncertain || (!refused && !unsent);
+        if (job->tries >= TRIES) {
+            job->outcome = job->uncertain ? UNSETTLED : REFUSED;
+        }
+    }
+}
+
+static void
+on_cancelled(void *arg, const GfHttpResult *result)
+{
+    SoakJob *job = arg;
+    job->in_call = false;
+    job->next_at = now_ms() + 300;
+    job->cancelled = result->kind == GF_OK && result->status == 200;
+}
+
+static void
+on_state(void *arg, const GfHttpResult *result)
+{
+    SoakJob *job = arg;
+    job->in_call = false;
+    job->next_at = now_ms() + 400;
+    json_t *body = GfHttp_ParseJson(result);
+    const char *state = json_string_value(json_object_get(body, "state"));
+    if (state != NULL) {
+        snprintf(job->state, sizeof(job->state), "%s", state);
+    }
+    else if (result->kind == GF_OK && result->status == 410) {
+        snprintf(job->state, sizeof(job->state), "gone");
+    }
+    json_decref(body);
+}
+
+/* Hands in new jobs and goes on with those that are not settled. */
+static void
+step_jobs(bool more)
+{
+    if (more && pick(2) == 0 && soak.job_count < MAX_JOBS) {
+        SoakJob *job = &soak.jobs[soak.job_count];
+        snprintf(job->id, sizeof(job->id), "%016x", soak.job_count);
+        job->may_fail = pick(12) == 0;
+        soak.job_count++;
+    }
+    for (int i = 0; i < soak.job_count; i++) {
+        SoakJob *job = &soak.jobs[i];
+        if (job->in_call || now_ms() < job->next_at) {
+            continue;
+        }
+        if (job->outcome == OPEN) {
+            job->tries++;
+            call_entry(job, EVHTTP_REQ_POST, on_submitted);
+        }
+        else if (more && job->outcome == ACCEPTED && !job->cancel_sent &&
+                 pick(400) == 0) {
+            job->cancel_sent = true;
+            call_entry(job, EVHTTP_REQ_DELETE, on_cancelled);
+        }
+    }
+}
+
+/* Strikes an entry. */
+static void
+strike_entry(int entry)
+{
+    Entry *e = &soak.entries[entry];
+    if (e->start_at != 0 || e->paused) {
+        return;
+    }
+    switch (pick(5)) {
+    case 0:
+        kill(e->pid, SIGKILL);
+        waitpid(e->pid, NULL, 0);
+        e->start_at = now_ms() + pick(2000);
+        break;
+    case 1:
+        kill(e->pid, SIGTERM);
+        break;
+    case 2:
+        kill(e->pid, SIGSTOP);
+        e->paused = true;
+        e->resume_at = now_ms() + 200 + pick(3000);
+        break;
+    case 3:
+        control(relay_port(entry) + 50, "/",
+                json_pack("{s:b,s:b,s:b}", "cut_forward", pick(2), "cut_back",
+                          1, "refuse", pick(2)));
+        e->heal_at = now_ms() + 500 + pick(4000);
+        break;
+    default:
+        control(relay_port(entry) + 50, "/", json_pack("{s:b}", "silence", 1));
+        break;
+    }
+}
+
+/* Strikes the store or a worker. */
+static void
+strike_platform(void)
+{
+    static const char *const MODES[] = {"away", "slow", "lose_answer"};
+    static const char *const ACTIONS[] = {"crash", "cut", "fail", "late"};
+    if (pick(3) == 0) {
+        control(soak.port, "/test/fault",
+                json_pack("{s:s,s:i,s:s}", "mode", MODES[pick(3)], "slow_ms",
+                          50 + pick(250), "path", "/v1/rows-tx"));
+        soak.store_heal_at = now_ms() + 300 + pick(2500);
+        return;
+    }
+    int worker = pick(WORKERS);
+    if (soak.worker_down[worker]) {
+        return;
+    }
+    control(
+        soak.port, "/test/worker",
+        json_pack("{s:i,s:s}", "index", worker, "action", ACTIONS[pick(4)]));
+    soak.worker_down[worker] = true;
+    soak.worker_heal_at[worker] = now_ms() + 500 + pick(6000);
+}
+
+/* Heals what is due, or all. */
+static void
+heal(bool all)
+{
+    int64_t now = now_ms();
+    for (int i = 0; i < ENTRIES; i++) {
+        Entry *e = &soak.entries[i];
+        if (e->paused && (all || now >= e->resume_at)) {
+            kill(e->pid, SIGCONT);
+            e->paused = false;
+        }
+        if (e->start_at == 0 && waitpid(e->pid, NULL, WNOHANG) == e->pid) {
+            e->start_at = now + 100;
+        }
+        if (e->start_at != 0 && (all || now >= e->start_at)) {
+            start_entry(i);
+        }
+        if (e->heal_at != 0 && (all || now >= e->heal_at)) {
+            control(relay_port(i) + 50, "/",
+                    json_pack("{s:b,s:b,s:b}", "cut_forward", 0, "cut_back", 0,
+                              "refuse", 0));
+            e->heal_at = 0;
+        }
+    }
+    if (soak.store_heal_at != 0 && (all || now >= soak.store_heal_at)) {
+        control(soak.port, "/test/fault", json_pack("{s:s}", "mode", "none"));
+        soak.store_heal_at = 0;
+    }
+    for (int i = 0; i < WORKERS; i++) {
+        if (!soak.worker_down[i] || (!all && now < soak.worker_heal_at[i])) {
+            continue;
+        }
+        static const char *const HEALS[] = {"heal", "join", "restart"};
+        for (int k = 0; k < 3; k++) {
+            control(soak.port, "/test/worker",
+                    json_pack("{s:i,s:s}", "index", i, "action", HEALS[k]));
+        }
+        soak.worker_down[i] = false;
+    }
+}
+
+/* Starts everything. */
+static void
+begin(uint64_t seed)
+{
+    soak.random = seed * 2654435761U + 7;
+    soak.port = 20000 + (int)(seed % 40) * 300;
+    snprintf(soak.dir, sizeof(soak.dir), "soak-%llu",
+             (unsigned long long)seed);
+    mkdir(soak.dir, 0700);
+    soak.base = event_base_new();
+    soak.http = GfHttp_Create(soak.base);
+    char port[16];
+    char workers[16];
+    char text[32];
+    snprintf(port, sizeof(port), "%d", soak.port);
+    snprintf(workers, sizeof(workers), "%d", WORKERS);
+    snprintf(text, sizeof(text), "%llu", (unsigned long long)seed);
+    char *fleet[] = {
+        (char *)STANDIN_PROGRAM, "fleet", ADDRESS, port, workers, text, NULL};
+    soak.others[ENTRIES] = start("fleet", fleet);
+    for (int i = 0; i < ENTRIES; i++) {
+        char from[16];
+        char at[16];
+        char name[16];
+        snprintf(from, sizeof(from), "%d", relay_port(i));
+        snprintf(at, sizeof(at), "%d", relay_port(i) + 50);
+        snprintf(name, sizeof(name), "relay-%d", i);
+        char *relay[] = {
+            (char *)STANDIN_PROGRAM, "relay", ADDRESS, from, port, at, NULL};
+        soak.others[i] = start(name, relay);
+    }
+    run(400);
+    for (int i = 0; i < ENTRIES; i++) {
+        start_entry(i);
+    }
+    write_config(1);
+    run(1200);
+}
+
+/* Tells whether every job has come to its end, and asks for the others. */
+static bool
+all_settled(void)
+{
+    bool settled = true;
+    for (int i = 0; i < soak.job_count; i++) {
+        SoakJob *job = &soak.jobs[i];
+        bool final = strcmp(job->state, "completed") == 0 ||
+                     strcmp(job->state, "failed") == 0 ||
+                     strcmp(job->state, "cancelled") == 0 ||
+                     strcmp(job->state, "gone") == 0;
+        if (job->outcome == OPEN || !final) {
+            settled = false;
+            if (job->outcome != OPEN && !job->in_call &&
+                now_ms() >= job->next_at) {
+                call_entry(job, EVHTTP_REQ_GET, on_state);
+            }
+        }
+    }
+    return settled;
+}
+
+/* Judges what was seen. Returns the number of broken promises. */
+static int
+judge(void)
+{
+    int broken = 0;
+    int counts[4] = {0};
+    for (int i = 0; i < soak.job_count; i++) {
+        const SoakJob *job = &soak.jobs[i];
+        counts[job->outcome]++;
+        const char *wrong = NULL;
+        bool gone = strcmp(job->state, "gone") == 0;
+        if (job->outcome == ACCEPTED && gone) {
+            wrong = "was accepted and is not known";
+        }
+        else if (job->outcome == REFUSED && !gone) {
+            wrong = "was refused and is known";
+        }
+        else if (job->outcome == ACCEPTED && job->cancelled &&
+                 strcmp(job->state, "cancelled") != 0 &&
+                 strcmp(job->state, "completed") != 0 &&
+                 strcmp(job->state, "failed") != 0) {
+            wrong = "was cancelled and goes on";
+        }
+        else if (job->outcome == ACCEPTED && !job->cancel_sent &&
+                 strcmp(job->state, "completed") != 0 &&
+                 strcmp(job->state, "failed") != 0) {
+            wrong = "was accepted and is not done";
+        }
+        if (wrong != NULL) {
+            printf("job %s %s, state %s\n", job->id, wrong, job->state);
+            broken++;
+        }
+    }
+    size_t i;
+    json_t *text;
+    json_array_foreach(json_object_get(soak.report, "breaches"), i, text)
+    {
+        printf("breach: %s\n", json_string_value(text));
+        broken++;
+    }
+    printf(
+        "jobs %d: accepted %d, refused %d, unsettled %d; faults %d, "
+        "starts %lld, broken %d\n",
+        soak.job_count, counts[ACCEPTED], counts[REFUSED], counts[UNSETTLED],
+        soak.faults,
+        (long long)json_integer_value(json_object_get(soak.report, "starts")),
+        broken);
+    if (soak.report == NULL || counts[ACCEPTED] == 0) {
+        printf("nothing was served\n");
+        broken++;
+    }
+    return broken;
+}
+
+int
+main(int argc, char **argv)
+{
+    signal(SIGPIPE, SIG_IGN);
+    if (argc < 2 || sodium_init() < 0) {
+        fprintf(stderr, "usage: soak SEED [SECONDS]\n");
+        return 2;
+    }
+    uint64_t seed = strtoull(argv[1], NULL, 10);
+    int seconds = argc > 2 ? atoi(argv[2]) : DEFAULT_SECONDS;
+    begin(seed);
+    int64_t end = now_ms() + (int64_t)seconds * 1000;
+    int version = 1;
+    while (now_ms() < end) {
+        run(STEP_MS);
+        step_jobs(true);
+        heal(false);
+        if (pick(8) == 0) {
+            soak.faults++;
+            if (pick(2) == 0) {
+                strike_entry(pick(ENTRIES));
+            }
+            else {
+                strike_platform();
+            }
+        }
+        if (pick(60) == 0) {
+            write_config(++version);
+        }
+    }
+    int64_t limit = now_ms() + SETTLE_MS;
+    bool settled = false;
+    while (!settled && now_ms() < limit) {
+        heal(true);
+        step_jobs(false);
+        run(STEP_MS);
+        settled = all_settled();
+    }
+    control(soak.port, "/test/report", json_object());
+    run(300);
+    int broken = judge();
+    for (int i = 0; i < ENTRIES; i++) {
+        kill(soak.entries[i].pid, SIGKILL);
+    }
+    for (int i = 0; i <= ENTRIES; i++) {
+        kill(soak.others[i], SIGKILL);
+    }
+    printf("soak seed %llu: %s\n", (unsigned long long)seed,
+           broken == 0 ? "kept" : "BROKEN");
+    return broken == 0 ? 0 : 1;
+}
--- a/tests/standin/standin.c
+++ b/tests/standin/standin.c
@@ -253,12 +253,14 @@
     } KINDS[] = {{"platform", Platform_Main},
                  {"workers", Workers_Main},
                  {"targets", Targets_Main},
-                 {"relay", Relay_Main}};
+                 {"relay", Relay_Main},
+                 {"fleet", Fleet_Main}};
     for (size_t i = 0; argc > 1 && i < sizeof(KINDS) / sizeof(KINDS[0]); i++) {
         if (strcmp(argv[1], KINDS[i].name) == 0) {
             return KINDS[i].run(argc - 1, argv + 1);
         }
     }
-    fprintf(stderr, "usage: standin platform|workers|targets|relay ...\n");
+    fprintf(stderr,
+            "usage: standin platform|workers|targets|relay|fleet ...\n");
     return 2;
 }
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -31,5 +31,6 @@
 int Workers_Main(int argc, char **argv);
 int Targets_Main(int argc, char **argv);
 int Relay_Main(int argc, char **argv);
+int Fleet_Main(int argc, char **argv);
 
 #endif
