Note what steps wait for; act on news at once; report a late commit

And nothing said what a step that started late had waited for. Ruled out: the claim (10 ms) and the load of the term (54 ms). Change: a commit that is out for 450 ms counts as without the store, grace 450 ms; each step that is placed late is logged with its waiting time by cause; placement rounds run 1.5 ms after news.

--- a/include/guavaflow/cell.h
+++ b/include/guavaflow/cell.h
@@ -235,6 +235,7 @@
                        int64_t valid_ms);
 void GfCell_CommitDone(GfCell *cell, bool committed);
 
+void GfCell_Place(GfCell *cell);
 void GfCell_Tick(GfCell *cell);
 json_t *GfCell_Describe(const GfCell *cell);
 
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -324,6 +324,15 @@
     }
 }
 
+/* Places waiting tasks if anything changed that bears on them. */
+void
+GfCell_Place(GfCell *cell)
+{
+    if (cell->dirty) {
+        CellPlace_Round(cell, GfClock_Now(cell->clock));
+    }
+}
+
 /* Does what is due: calls to workers, lapsed leases, placements, storing. */
 void
 GfCell_Tick(GfCell *cell)
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -47,6 +47,18 @@
     bool stop_acked;
 };
 
+/* Why the idle tasks of a step are not on a worker. */
+typedef enum {
+    WAIT_NONE,
+    WAIT_DUE,
+    WAIT_DOUBT,
+    WAIT_LIMIT,
+    WAIT_CALLER, /* all callers for advice are busy */
+    WAIT_ADVICE,
+    WAIT_ROOM,
+    WAITS
+} WaitCause;
+
 /* A worker that advice allows for a step. */
 typedef struct {
     uint32_t serial;
@@ -74,6 +86,9 @@
     struct timespec next_ask_at;
     struct timespec idle_since;
     bool asking;
+    uint8_t wait_cause;
+    int32_t waited_ms[WAITS]; /* by cause, since it was listed */
+    struct timespec wait_noted_at;
     bool listed; /* in the cell's list of steps that wait */
     Step *next;
     Step *prev;
--- a/src/cell/job_state.c
+++ b/src/cell/job_state.c
@@ -62,6 +62,9 @@
         DL_APPEND(cell->waiting, step);
         step->listed = true;
         step->idle_since = GfClock_Now(cell->clock);
+        step->wait_noted_at = step->idle_since;
+        step->wait_cause = WAIT_NONE;
+        memset(step->waited_ms, 0, sizeof(step->waited_ms));
     }
 }
 
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -20,6 +20,8 @@
  * what is first in order is looked at in each. */
 #define ROUND_BUDGET_MS 20
 #define STEPS_PER_LOOK 8
+/* A step that was placed later than this is logged. */
+#define LATE_START_MS 300
 /* A step that waits longer than this is logged, as often as this. */
 #define WAIT_LOG_MS 1000
 
@@ -297,29 +299,68 @@
 }
 
 /* Places what it can of a step, and asks for advice on more workers if that
- * can help. */
-static void
+ * can help. Returns why tasks stay idle. */
+static WaitCause
 place_step(GfCell *cell, Step *step, struct timespec now, int64_t wall_ms)
 {
     const GfQueue *queue = step->job->queue_in_force;
-    if (queue == NULL || wall_ms < step->due_ms ||
-        (step->job->in_doubt && cell->doubt)) {
-        return;
+    if (queue == NULL || wall_ms < step->due_ms) {
+        return WAIT_DUE;
     }
-    bool unplaced;
-    if (step->spec->gang) {
-        if (!CellShare_Allows(step, step->spec->task_count)) {
-            return;
-        }
-        unplaced = !place_gang(cell, step, queue->needs_advice, now);
+    if (step->job->in_doubt && cell->doubt) {
+        return WAIT_DOUBT;
+    }
+    int64_t at_once = step->spec->gang ? step->spec->task_count : 1;
+    if (!CellShare_Allows(step, at_once)) {
+        return WAIT_LIMIT;
+    }
+    bool placed = step->spec->gang
+                      ? place_gang(cell, step, queue->needs_advice, now)
+                      : place_tasks(cell, step, queue->needs_advice, now) == 0;
+    if (placed) {
+        return step->idle > 0 ? WAIT_LIMIT : WAIT_NONE;
     }
-    else {
-        unplaced = place_tasks(cell, step, queue->needs_advice, now) > 0;
+    if (!queue->needs_advice) {
+        return WAIT_ROOM;
     }
-    if (unplaced && queue->needs_advice &&
-        CellAdvice_Wanted(cell, step, now)) {
+    if (CellAdvice_Wanted(cell, step, now)) {
         CellAdvice_Ask(cell, step, now);
     }
+    if (step->asking) {
+        return WAIT_ADVICE;
+    }
+    return GfTime_Before(now, step->next_ask_at) ? WAIT_ROOM : WAIT_CALLER;
+}
+
+/* Logs a step that got its last idle tasks placed late, with what it waited
+ * for. */
+static void
+log_late_start(const Step *step, struct timespec now)
+{
+    int64_t ms = GfTime_DiffMs(now, step->idle_since);
+    if (ms < LATE_START_MS) {
+        return;
+    }
+    const int32_t *w = step->waited_ms;
+    GfLog(GF_LOG_INFO, CELL_PART,
+          "step placed late id=%s step=%u class=%u waited_ms=%lld due=%d "
+          "doubt=%d limit=%d caller=%d advice=%d room=%d",
+          step->job->id.data, step->number, step->job->work_class,
+          (long long)ms, w[WAIT_DUE], w[WAIT_DOUBT], w[WAIT_LIMIT],
+          w[WAIT_CALLER], w[WAIT_ADVICE], w[WAIT_ROOM]);
+}
+
+/* Charges the time since the last round to what the step waited for. */
+static void
+note_wait(Step *step, struct timespec now, WaitCause cause)
+{
+    step->waited_ms[step->wait_cause] +=
+        (int32_t)GfTime_DiffMs(now, step->wait_noted_at);
+    step->wait_noted_at = now;
+    step->wait_cause = (uint8_t)cause;
+    if (cause == WAIT_NONE) {
+        log_late_start(step, now);
+    }
 }
 
 /* Logs why the step that has waited longest does, at most once a second. */
@@ -375,7 +416,8 @@
     CellShare_Update(cell, now);
     size_t count = CellOrder_Sort(cell, now);
     for (size_t i = 0; i < count; i++) {
-        place_step(cell, cell->order[i], now, wall_ms);
+        Step *step = cell->order[i];
+        note_wait(step, now, place_step(cell, step, now, wall_ms));
         if (i % STEPS_PER_LOOK == 0 &&
             GfTime_DiffMs(GfClock_Now(cell->clock), now) > ROUND_BUDGET_MS) {
             cell->dirty = true;
--- a/src/cellentry/entry_private.h
+++ b/src/cellentry/entry_private.h
@@ -154,6 +154,7 @@
 void EntryTerm_Tick(GfCellEntry *entry, struct timespec now);
 GfCell *EntryTerm_Cell(const GfCellEntry *entry);
 bool EntryTerm_IsReady(const GfCellEntry *entry);
+bool EntryTerm_CommitIsLate(const GfCellEntry *entry);
 void EntryTerm_ConfigChanged(GfCellEntry *entry);
 void EntryTerm_TakeJobRow(GfCellEntry *entry, const char *id,
                           const char *value, size_t len,
--- a/src/cellentry/ownership.c
+++ b/src/cellentry/ownership.c
@@ -28,7 +28,7 @@
 #define CLAIM_MAX_STEPS 5
 /* An owner without the store is left this long; an outage that hits all
  * entries ends for all at once. */
-#define STORELESS_MS 900
+#define STORELESS_MS 450
 #define CLAIM_TIMEOUT_MS 1500
 /* Strength is counted in thousandths of a processor. */
 #define PER_PROCESSOR 1000
--- a/src/cellentry/peers.c
+++ b/src/cellentry/peers.c
@@ -214,7 +214,8 @@
         .claiming = entry->claiming,
         .ready = EntryTerm_IsReady(entry),
         .stopping = EntryOwnership_Yields(entry),
-        .has_store = EntryStore_Answers(entry),
+        .has_store =
+            EntryStore_Answers(entry) && !EntryTerm_CommitIsLate(entry),
         .token = (uint64_t)entry->owner.token,
         .config_version =
             entry->config == NULL ? 0 : (uint64_t)entry->config->version};
--- a/src/cellentry/term.c
+++ b/src/cellentry/term.c
@@ -29,7 +29,10 @@
 #define FOLLOW_WAIT_MS 5000
 #define FOLLOW_PAUSE_MS 250
 /* The store answers within 4 ms, or some 300 ms when it is slow. */
-#define COMMIT_TIMEOUT_MS 1500
+#define COMMIT_TIMEOUT_MS 900
+/* An owner whose commit is out longer than this says that it is without the
+ * store. */
+#define COMMIT_LATE_MS 450
 #define COMMIT_RETRY_MS 120
 /* How often finished jobs are looked for, and how many at once. */
 #define SWEEP_MS 4000
@@ -38,10 +41,13 @@
 #define KEEP_MARGIN_MS 15000
 #define MS_PER_S 1000
 #define SERIALS_PER_TERM (1U << 20)
+/* News that come within this time share one placement round. */
+#define WAKE_US 1500
 
 struct Term {
     GfCellEntry *entry;
     GfCell *cell;
+    struct event *wake;
     int64_t token;
     Load *load;
     bool loaded;
@@ -68,12 +74,35 @@
 
 static void send_commit(Term *term);
 
+/* Plans a placement round soon after news, instead of at the next tick. */
+static void
+wake(Term *term)
+{
+    if (term->loaded && !evtimer_pending(term->wake, NULL)) {
+        struct timeval tv = {.tv_usec = WAKE_US};
+        evtimer_add(term->wake, &tv);
+    }
+}
+
+/* Runs the placement round that news asked for. */
+static void
+on_wake(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    Term *term = arg;
+    if (!term->ended) {
+        GfCell_Place(term->cell);
+    }
+}
+
 /* Frees a term once no call reports to it any more. */
 static void
 free_if_idle(Term *term)
 {
     if (term->ended && term->calls_open == 0) {
         event_free(term->commit_timer);
+        event_free(term->wake);
         free(term->commit_value);
         free(term);
     }
@@ -342,6 +371,7 @@
         }
         GfCell_AdviceDone(term->cell, &q->caller, &q->job, q->occurrence,
                           q->step, kind == GF_OK, tickets, count, valid_ms);
+        wake(term);
     }
     free(q);
 }
@@ -457,7 +487,11 @@
 {
     const GfCellEntry *entry = ctx;
     if (entry->term != NULL) {
-        GfCell_HoldDone(entry->term->cell, serial, sent_at, result, inventory);
+        Term *term = entry->term;
+        GfCell_HoldDone(term->cell, serial, sent_at, result, inventory);
+        if (entry->term == term) {
+            wake(term);
+        }
     }
 }
 
@@ -559,6 +593,7 @@
     term->begun_at = GfClock_Now(entry->clock);
     term->proved_at = term->begun_at;
     term->commit_timer = evtimer_new(entry->base, on_commit_timer, term);
+    term->wake = evtimer_new(entry->base, on_wake, term);
     entry->term_count++;
     int64_t lease = (int64_t)entry->settings->longest_lease_ms;
     lease = lease < LEASE_MS ? lease : LEASE_MS;
@@ -603,6 +638,7 @@
     Follow_Destroy(term->workers);
     Follow_Destroy(term->jobs);
     evtimer_del(term->commit_timer);
+    evtimer_del(term->wake);
     clear_commit(term);
     GfCell_Destroy(term->cell);
     term->cell = NULL;
@@ -610,6 +646,17 @@
     free_if_idle(term);
 }
 
+/* Tells whether a commit has been without an answer for long. */
+bool
+EntryTerm_CommitIsLate(const GfCellEntry *entry)
+{
+    const Term *term = entry->term;
+    return term != NULL && term->commit_open &&
+           (term->commit_uncertain ||
+            GfTime_DiffMs(GfClock_Now(entry->clock), term->commit_sent_at) >
+                COMMIT_LATE_MS);
+}
+
 /* Returns the cell of the term, or NULL. */
 GfCell *
 EntryTerm_Cell(const GfCellEntry *entry)
@@ -676,6 +723,7 @@
     int64_t age = GfTime_WallMs() - accepted;
     GfCell_AddJob(term->cell, &name, &team, &queue, age > 0 ? age : 0, &spec,
                   progress, former_term);
+    wake(term);
     json_decref(row);
 }
 
