Have a peer store a job when the store is out of reach here

Ruled out: the owner (all accepted jobs were done). Change: an entry whose store has failed for 250 ms asks a peer to store the job, or says 503 at once, which lets the caller go elsewhere; an attempt without an answer after 500 ms goes on through a peer. An entry without store and owner is not ready.

--- a/include/guavaflow/cell_entry.h
+++ b/include/guavaflow/cell_entry.h
@@ -18,6 +18,7 @@
     GF_JOB_STATUS,
     GF_JOB_CANCEL,
     GF_JOB_COUNT,
+    GF_JOB_STORE, /* between entries: store a job for one without the store */
     GF_JOB_VERBS
 } GfJobVerb;
 
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -85,6 +85,7 @@
     size_t asked_count;
     struct timespec asked_at;
     struct timespec next_ask_at;
+    struct timespec next_preempt_at;
     struct timespec idle_since;
     bool asking;
     uint8_t wait_cause;
@@ -250,6 +251,10 @@
 void CellShare_Take(const Step *step);
 void CellShare_Give(const Step *step);
 
+/* preempt.c */
+void CellPreempt_MakeRoom(GfCell *cell, Step *step, bool needs_advice,
+                          struct timespec now);
+
 /* place.c */
 bool CellPlace_Eligible(const GfCell *cell, const Worker *w, const Step *step);
 bool CellPlace_HasRoom(const Worker *w, const Step *step);
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -320,6 +320,10 @@
     if (placed) {
         return step->idle > 0 ? WAIT_LIMIT : WAIT_NONE;
     }
+    if (!step->spec->gang && !step->spec->filler &&
+        step->job->work_class + 1 < CELL_CLASSES) {
+        CellPreempt_MakeRoom(cell, step, queue->needs_advice, now);
+    }
     if (!queue->needs_advice) {
         return WAIT_ROOM;
     }
--- a/src/cellentry/entry.c
+++ b/src/cellentry/entry.c
@@ -14,6 +14,8 @@
 #define FOLLOWER_TICK_MS 50
 /* Weight of the newest tick in the smoothed lateness: some thirty ticks. */
 #define LAG_WEIGHT 0.03
+/* An entry without store and owner for this long turns callers away. */
+#define CUT_OFF_MS 900
 /* A failure of the store counts for this long unless a call succeeds. */
 #define STORE_FAILURE_MS 2000
 
@@ -127,11 +129,20 @@
     free(entry);
 }
 
-/* Tells whether new connections are welcome: a configuration is known. */
+/* Tells whether new connections are welcome: a configuration is known, and
+ * the store or the owner is in reach. */
 bool
 GfCellEntry_IsReady(const GfCellEntry *entry)
 {
-    return entry->config != NULL && !entry->stopping;
+    if (entry->config == NULL || entry->stopping) {
+        return false;
+    }
+    /* Cut off from both the store and the owner it can serve nobody. */
+    struct timespec now = GfClock_Now(entry->clock);
+    bool cut = entry->store_failed && entry->term == NULL &&
+               GfTime_DiffMs(now, entry->store_failed_at) > CUT_OFF_MS &&
+               GfTime_DiffMs(now, entry->owner.heard_at) > CUT_OFF_MS;
+    return !cut;
 }
 
 /* Begins a planned stop: others are told, so that one of them takes the cell
--- a/src/cellentry/jobs.c
+++ b/src/cellentry/jobs.c
@@ -19,7 +19,11 @@
 #define RETRY_MS 100
 /* A transaction without an answer after this is sent again; the row's
  * condition makes that safe. */
-#define ACCEPT_TIMEOUT_MS 1000
+#define ACCEPT_TIMEOUT_MS 500
+/* A peer may take one attempt at the store. */
+#define PEER_STORE_MS 900
+/* A store that has failed this long is taken to be away. */
+#define STORE_AWAY_MS 250
 /* The owner answers within some milliseconds, a cancel after a commit. */
 #define STATUS_TIMEOUT_MS 500
 #define CANCEL_TIMEOUT_MS 1500
@@ -45,6 +49,7 @@
     uint32_t hops;
     bool uncertain;
     bool pushed;
+    bool through_peer;
     struct event *timer;
     GfJobAnswerCallback callback;
     void *arg;
@@ -52,6 +57,7 @@
 
 static void ask_owner(Request *r);
 static void accept_job(Request *r);
+static bool store_through_peer(Request *r);
 
 /* Writes the part of the jobs' table that a job's row is in. */
 void
@@ -194,12 +200,79 @@
         return;
     }
     r->uncertain = r->uncertain || result == GF_TABLE_UNKNOWN;
+    if (r->hops == 0 && !r->through_peer && store_through_peer(r)) {
+        return;
+    }
     bool give_up = !r->uncertain && r->tries >= REFUSED_TRIES;
     if (give_up || !retry_later(r)) {
         answer_kind(r, r->uncertain ? GF_TIMEOUT : GF_STORE_UNAVAILABLE);
     }
 }
 
+/* Takes the outcome of a job that a peer was asked to store. */
+static void
+on_stored_by_peer(void *arg, const GfRpcOutcome *outcome)
+{
+    Request *r = arg;
+    int kind = GF_TIMEOUT;
+    if (outcome->kind == GF_OK) {
+        kind = ((const gfc_job_reply *)outcome->result)->kind;
+    }
+    else if (!outcome->sent) {
+        kind = GF_STORE_UNAVAILABLE;
+    }
+    if (kind == GF_OK) {
+        answer_kind(r, GF_OK);
+        return;
+    }
+    r->uncertain = r->uncertain || kind != GF_STORE_UNAVAILABLE;
+    if (!r->uncertain) {
+        answer_kind(r, GF_STORE_UNAVAILABLE);
+    }
+    else if (!retry_later(r)) {
+        answer_kind(r, GF_TIMEOUT);
+    }
+}
+
+/* Has a peer store the job, the owner first. Returns false if none was heard
+ * lately. The row's condition makes it safe beside attempts of our own. */
+static bool
+store_through_peer(Request *r)
+{
+    GfCellEntry *entry = r->entry;
+    Peer *peer = EntryOwnership_Peer(entry);
+    for (Peer *p = entry->peers; p != NULL; p = p->hh.next) {
+        if (peer != NULL && EntryMembers_IsHeard(entry, peer) &&
+            !peer->stopping) {
+            break;
+        }
+        peer = p;
+    }
+    if (peer == NULL || !EntryMembers_IsHeard(entry, peer) ||
+        time_left(r) < PEER_STORE_MS / 2) {
+        return false;
+    }
+    r->through_peer = true;
+    gfc_job_call call = {.verb = GF_JOB_STORE,
+                         .hops = 1,
+                         .job = r->id.data,
+                         .queue = r->queue.data};
+    call.body.body_val = r->row.data;
+    call.body.body_len = (u_int)r->row.len;
+    GfRpcClient_Start(peer->client, GFC_JOB, &call, sizeof(gfc_job_reply),
+                      PEER_STORE_MS, on_stored_by_peer, r);
+    return true;
+}
+
+/* Tells whether the store has failed long enough to say so at once. */
+static bool
+store_is_away(const GfCellEntry *entry)
+{
+    return entry->store_failed &&
+           GfTime_DiffMs(GfClock_Now(entry->clock), entry->store_failed_at) >
+               STORE_AWAY_MS;
+}
+
 /* Stores the row of a job unless one of its id is there. A copy of the
  * transaction that is carried out late meets the row. */
 static void
@@ -411,6 +484,11 @@
         reply_to_peer(rpc, &reply);
         return;
     }
+    if (call->verb == GF_JOB_STORE && store_is_away(entry)) {
+        reply.kind = GF_STORE_UNAVAILABLE;
+        reply_to_peer(rpc, &reply);
+        return;
+    }
     Request *r = calloc(1, sizeof(*r));
     if (r == NULL) {
         abort();
@@ -424,6 +502,13 @@
     r->patience_ms = CANCEL_TIMEOUT_MS + ANSWER_MARGIN_MS;
     r->callback = reply_to_peer;
     r->arg = rpc;
+    if (r->verb == GF_JOB_STORE) {
+        r->verb = GF_JOB_SUBMIT;
+        r->patience_ms = PEER_STORE_MS;
+        r->row = GfStr_Copy(call->body.body_val, call->body.body_len);
+        accept_job(r);
+        return;
+    }
     ask_owner(r);
 }
 
@@ -470,7 +555,12 @@
         answer_kind(r, GF_BAD_REQUEST);
         return;
     }
-    accept_job(r);
+    if (!store_is_away(r->entry)) {
+        accept_job(r);
+    }
+    else if (!store_through_peer(r)) {
+        answer_kind(r, GF_STORE_UNAVAILABLE);
+    }
 }
 
 /* Finds queue, team and id of a request. Returns GF_OK or why not. */
--- a/src/cellentry/ownership.c
+++ b/src/cellentry/ownership.c
@@ -280,6 +280,11 @@
     if (peer->strength != own) {
         return peer->strength > own;
     }
+    if (entry->owner.stopping && peer->incarnation != entry->incarnation) {
+        /* Entries that are stopped in turn: one that was started lately has
+         * its turn behind it. */
+        return peer->incarnation > entry->incarnation;
+    }
     uint64_t seed = (uint64_t)entry->owner.token;
     return GfName_Hash(&peer->name, seed) < GfName_Hash(&entry->self, seed);
 }
