--- a/src/cellentry/entry_private.h
+++ b/src/cellentry/entry_private.h
@@ -167,6 +167,15 @@
 Load *Load_Start(GfCellEntry *entry, GfCell *cell, LoadDone done);
 void Load_Cancel(Load *load);
 
+/* accept.c: storing a job. */
+typedef void (*AcceptDone)(void *arg, GfErrorKind kind);
+void EntryAccept_Start(GfCellEntry *entry, const GfName *id,
+                       const GfName *queue, GfStr row, int64_t patience_ms,
+                       bool for_peer, AcceptDone done, void *arg);
+void EntryAccept_Report(GfCellEntry *entry, const GfName *id,
+                        const GfName *queue, const GfStr *row);
+bool EntryAccept_StoreIsAway(const GfCellEntry *entry);
+
 /* jobs.c: callers' requests. */
 void EntryJobs_HandlePeer(GfCellEntry *entry, const gfc_job_call *call,
                           GfRpcCall *rpc);
--- a/src/cellentry/jobs.c
+++ b/src/cellentry/jobs.c
@@ -17,13 +17,8 @@
 #define ANSWER_MARGIN_MS 250
 /* Pause before another attempt. */
 #define RETRY_MS 100
-/* A transaction without an answer after this is sent again; the row's
- * condition makes that safe. */
-#define ACCEPT_TIMEOUT_MS 500
-/* A peer may take one attempt at the store. */
-#define PEER_STORE_MS 900
-/* A store that has failed this long is taken to be away. */
-#define STORE_AWAY_MS 250
+/* A peer that stores a job for another entry answers within this. */
+#define PEER_PATIENCE_MS 1100
 /* The owner answers within some milliseconds, a cancel after a commit. */
 #define STATUS_TIMEOUT_MS 500
 #define CANCEL_TIMEOUT_MS 1500
@@ -32,8 +27,6 @@
 /* When a caller who was refused should come back: a takeover is over by then,
  * and the store's short outages mostly. */
 #define RETRY_AFTER_MS 1000
-/* A refused transaction is tried this often before the caller is told. */
-#define REFUSED_TRIES 3
 #define MAX_HOPS 1
 
 typedef struct {
@@ -47,17 +40,13 @@
     int64_t patience_ms;
     uint32_t tries;
     uint32_t hops;
-    bool uncertain;
     bool pushed;
-    bool through_peer;
     struct event *timer;
     GfJobAnswerCallback callback;
     void *arg;
 } Request;
 
 static void ask_owner(Request *r);
-static void accept_job(Request *r);
-static bool store_through_peer(Request *r);
 
 /* Writes the part of the jobs' table that a job's row is in. */
 void
@@ -121,12 +110,7 @@
     (void)fd;
     (void)what;
     Request *r = arg;
-    if (r->verb == GF_JOB_SUBMIT) {
-        accept_job(r);
-    }
-    else {
-        ask_owner(r);
-    }
+    ask_owner(r);
 }
 
 /* Plans another attempt if the caller's time allows one. */
@@ -144,156 +128,11 @@
     return true;
 }
 
-/* Drops the outcome of a report to the owner, which finds the row in the
- * store if the report is lost. */
-static void
-on_reported(void *arg, const GfRpcOutcome *outcome)
-{
-    (void)arg;
-    if (outcome->kind != GF_OK) {
-        GfLog(GF_LOG_DEBUG, PART, "job not reported to the owner cause=%s",
-              GfError_Name(outcome->kind));
-    }
-}
-
-/* Tells the owner of a job whose row is stored. */
-static void
-report_job(Request *r)
-{
-    GfCellEntry *entry = r->entry;
-    if (entry->term != NULL) {
-        if (EntryTerm_IsReady(entry)) {
-            EntryTerm_TakeJobRow(entry, r->id.data, r->row.data, r->row.len,
-                                 NULL, false);
-        }
-        return;
-    }
-    Peer *owner = EntryOwnership_Peer(entry);
-    if (owner == NULL) {
-        return;
-    }
-    gfc_job_call call = {
-        .verb = GF_JOB_SUBMIT, .job = r->id.data, .queue = r->queue.data};
-    call.body.body_val = r->row.data;
-    call.body.body_len = (u_int)r->row.len;
-    GfRpcClient_Start(owner->client, GFC_JOB, &call, sizeof(gfc_job_reply),
-                      STATUS_TIMEOUT_MS, on_reported, NULL);
-}
-
-/* Takes the outcome of the transaction that accepts a job. */
+/* Takes the outcome of accepting a job. */
 static void
-on_accepted(void *arg, GfTableResult result, int64_t version,
-            const GfTableRow *rows, size_t count)
+on_accepted(void *arg, GfErrorKind kind)
 {
-    (void)version;
-    (void)rows;
-    (void)count;
-    Request *r = arg;
-    EntryStore_Note(r->entry, result);
-    if (result == GF_TABLE_OK || result == GF_TABLE_CONFLICT) {
-        /* On a conflict the same job was stored by an earlier attempt. */
-        if (result == GF_TABLE_OK) {
-            GfMetrics_Add(GF_METRIC_JOBS_ACCEPTED, 1);
-        }
-        report_job(r);
-        answer_kind(r, GF_OK);
-        return;
-    }
-    r->uncertain = r->uncertain || result == GF_TABLE_UNKNOWN;
-    if (r->hops == 0 && !r->through_peer && store_through_peer(r)) {
-        return;
-    }
-    bool give_up = !r->uncertain && r->tries >= REFUSED_TRIES;
-    if (give_up || !retry_later(r)) {
-        answer_kind(r, r->uncertain ? GF_TIMEOUT : GF_STORE_UNAVAILABLE);
-    }
-}
-
-/* Takes the outcome of a job that a peer was asked to store. */
-static void
-on_stored_by_peer(void *arg, const GfRpcOutcome *outcome)
-{
-    Request *r = arg;
-    int kind = GF_TIMEOUT;
-    if (outcome->kind == GF_OK) {
-        kind = ((const gfc_job_reply *)outcome->result)->kind;
-    }
-    else if (!outcome->sent) {
-        kind = GF_STORE_UNAVAILABLE;
-    }
-    if (kind == GF_OK) {
-        answer_kind(r, GF_OK);
-        return;
-    }
-    r->uncertain = r->uncertain || kind != GF_STORE_UNAVAILABLE;
-    if (!r->uncertain) {
-        answer_kind(r, GF_STORE_UNAVAILABLE);
-    }
-    else if (!retry_later(r)) {
-        answer_kind(r, GF_TIMEOUT);
-    }
-}
-
-/* Has a peer store the job, the owner first. Returns false if none was heard
- * lately. The row's condition makes it safe beside attempts of our own. */
-static bool
-store_through_peer(Request *r)
-{
-    GfCellEntry *entry = r->entry;
-    Peer *peer = EntryOwnership_Peer(entry);
-    for (Peer *p = entry->peers; p != NULL; p = p->hh.next) {
-        if (peer != NULL && EntryMembers_IsHeard(entry, peer) &&
-            !peer->stopping) {
-            break;
-        }
-        peer = p;
-    }
-    if (peer == NULL || !EntryMembers_IsHeard(entry, peer) ||
-        time_left(r) < PEER_STORE_MS / 2) {
-        return false;
-    }
-    r->through_peer = true;
-    gfc_job_call call = {.verb = GF_JOB_STORE,
-                         .hops = 1,
-                         .job = r->id.data,
-                         .queue = r->queue.data};
-    call.body.body_val = r->row.data;
-    call.body.body_len = (u_int)r->row.len;
-    GfRpcClient_Start(peer->client, GFC_JOB, &call, sizeof(gfc_job_reply),
-                      PEER_STORE_MS, on_stored_by_peer, r);
-    return true;
-}
-
-/* Tells whether the store has failed long enough to say so at once. */
-static bool
-store_is_away(const GfCellEntry *entry)
-{
-    return entry->store_failed &&
-           GfTime_DiffMs(GfClock_Now(entry->clock), entry->store_failed_at) >
-               STORE_AWAY_MS;
-}
-
-/* Stores the row of a job unless one of its id is there. A copy of the
- * transaction that is carried out late meets the row. */
-static void
-accept_job(Request *r)
-{
-    r->tries++;
-    char part[8];
-    EntryJobs_PartOf(&r->id, part, sizeof(part));
-    const GfTableExpectation expectation = {ENTRY_JOB_TABLE, part, r->id.data,
-                                            0};
-    const GfTableChange change = {ENTRY_JOB_TABLE, part, r->id.data,
-                                  r->row.data, r->row.len};
-    int64_t left = time_left(r);
-    int64_t limit = left < ACCEPT_TIMEOUT_MS ? left : ACCEPT_TIMEOUT_MS;
-    GfTableTransaction transaction = {
-        .expectations = &expectation,
-        .expectation_count = 1,
-        .changes = &change,
-        .change_count = 1,
-        .timeout_ms = (int)(limit > RETRY_MS ? limit : RETRY_MS)};
-    GfTable_Transact(r->entry->table, &transaction, on_accepted, r);
+    answer_kind(arg, kind);
 }
 
 /* Takes the row of a job that the owner does not know, or that no owner could
@@ -320,7 +159,7 @@
     }
     GfStr_Clear(&r->row);
     r->row = GfStr_Copy(rows[0].value, rows[0].value_len);
-    report_job(r);
+    EntryAccept_Report(r->entry, &r->id, &r->queue, &r->row);
     if (r->verb == GF_JOB_STATUS && r->pushed) {
         GfJobAnswer reply = {.kind = GF_OK, .state = GF_JOB_QUEUED};
         answer(r, &reply);
@@ -484,7 +323,7 @@
         reply_to_peer(rpc, &reply);
         return;
     }
-    if (call->verb == GF_JOB_STORE && store_is_away(entry)) {
+    if (call->verb == GF_JOB_STORE && EntryAccept_StoreIsAway(entry)) {
         reply.kind = GF_STORE_UNAVAILABLE;
         reply_to_peer(rpc, &reply);
         return;
@@ -504,9 +343,9 @@
     r->arg = rpc;
     if (r->verb == GF_JOB_STORE) {
         r->verb = GF_JOB_SUBMIT;
-        r->patience_ms = PEER_STORE_MS;
-        r->row = GfStr_Copy(call->body.body_val, call->body.body_len);
-        accept_job(r);
+        EntryAccept_Start(entry, &id, &queue,
+                          GfStr_Copy(call->body.body_val, call->body.body_len),
+                          PEER_PATIENCE_MS, true, on_accepted, r);
         return;
     }
     ask_owner(r);
@@ -555,12 +394,10 @@
         answer_kind(r, GF_BAD_REQUEST);
         return;
     }
-    if (!store_is_away(r->entry)) {
-        accept_job(r);
-    }
-    else if (!store_through_peer(r)) {
-        answer_kind(r, GF_STORE_UNAVAILABLE);
-    }
+    GfStr row = r->row;
+    r->row = (GfStr){0};
+    EntryAccept_Start(r->entry, &r->id, &r->queue, row, r->patience_ms, false,
+                      on_accepted, r);
 }
 
 /* Finds queue, team and id of a request. Returns GF_OK or why not. */
