Explain failures by lines and distributions; narrow the doubt of a takeover

Causes: (1) entries logged to standard error without a bound, did not log accepted jobs and placed steps, and had no distributions of times. Change: (1) a server writes to standard output, at most 250 lines a second, never waiting, and says how many it left out; one line for each accepted or refused job, placed step, failed run, finished job; histograms of six times. (2) The stored list names the tasks of a worker that misses two calls, and only these are in doubt for a later owner; rounds are made each 100 ms while steps wait, since doubts and due times pass without news.

--- a/include/guavaflow/cell.h
+++ b/include/guavaflow/cell.h
@@ -218,6 +218,8 @@
 void GfCell_SetWorker(GfCell *cell, const GfWorkerInfo *info,
                       int64_t clock_ms);
 void GfCell_AddLeasedWorker(GfCell *cell, const GfWorkerInfo *info);
+void GfCell_AddSilentWorker(GfCell *cell, const GfWorkerInfo *info,
+                            const GfTaskId *tasks, size_t count);
 void GfCell_UnlistWorker(GfCell *cell, const GfName *id);
 void GfCell_UnlistOthers(GfCell *cell, const GfTableRow *rows, size_t count);
 bool GfCell_AllHeard(const GfCell *cell);
@@ -238,6 +240,7 @@
 
 void GfCell_Place(GfCell *cell);
 void GfCell_Tick(GfCell *cell);
+void GfCell_UpdateMetrics(const GfCell *cell);
 json_t *GfCell_Describe(const GfCell *cell);
 
 const char *GfJobState_Name(GfJobState state);
--- a/include/guavaflow/cell_entry.h
+++ b/include/guavaflow/cell_entry.h
@@ -55,6 +55,7 @@
                         GfJobAnswerCallback callback, void *arg);
 bool GfCellEntry_IsReady(const GfCellEntry *entry);
 void GfCellEntry_BeginStop(GfCellEntry *entry);
+void GfCellEntry_UpdateMetrics(const GfCellEntry *entry);
 json_t *GfCellEntry_Describe(const GfCellEntry *entry);
 
 #endif
--- a/include/guavaflow/metrics.h
+++ b/include/guavaflow/metrics.h
@@ -40,9 +40,28 @@
     GF_METRIC_TASKS_RUNNING,
     GF_METRIC_SERVICES_BELOW_COUNT,
     GF_METRIC_LOOP_LAG_MAX_MS,
+    GF_METRIC_JOBS_KNOWN,
+    GF_METRIC_STEPS_WAITING,
+    GF_METRIC_WORKERS_HEARD,
+    GF_METRIC_OWNER_TOKEN,
+    GF_METRIC_TASKS_PREEMPTED,
+    GF_METRIC_ADVICE_ASKED,
+    GF_METRIC_LOG_LINES_LEFT_OUT,
     GF_METRICS
 } GfMetric;
 
+/* Distributions of times in milliseconds. */
+typedef enum {
+    GF_TIME_ACCEPT,
+    GF_TIME_STEP_WAIT,
+    GF_TIME_JOB,
+    GF_TIME_COMMIT,
+    GF_TIME_TAKEOVER,
+    GF_TIME_ADVICE,
+    GF_TIMES
+} GfTimeMetric;
+
+void GfMetrics_Observe(GfTimeMetric metric, int64_t ms);
 void GfMetrics_Add(GfMetric metric, uint64_t amount);
 void GfMetrics_Set(GfMetric metric, uint64_t value);
 uint64_t GfMetrics_Get(GfMetric metric);
--- a/src/cell/advice.c
+++ b/src/cell/advice.c
@@ -8,7 +8,7 @@
 #include <string.h>
 
 #include "cell_private.h"
-#include "guavaflow/log.h"
+#include "guavaflow/metrics.h"
 
 /* A queue is slow if a question takes longer than this without workers. */
 #define SLOW_ADVICE_MS 100.0
@@ -263,6 +263,7 @@
     }
     free(candidates);
     step->asked_count = n;
+    GfMetrics_Add(GF_METRIC_ADVICE_ASKED, 1);
     step->asking = true;
     step->asked_at = now;
     caller->busy = true;
@@ -331,6 +332,8 @@
         return;
     }
     step->asking = false;
+    GfMetrics_Observe(GF_TIME_ADVICE,
+                      GfTime_DiffMs(GfClock_Now(cell->clock), step->asked_at));
     if (!answered || !CellJob_Active(j)) {
         return;
     }
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -11,6 +11,9 @@
 #include "guavaflow/log.h"
 #include "guavaflow/metrics.h"
 
+/* While steps wait a round is made at least this often, as due times, tickets
+ * and doubts pass without any news. */
+#define ROUND_EVERY_MS 100
 /* A worker that refused an order is left alone this long. */
 #define REFUSED_PAUSE_MS 300
 
@@ -100,6 +103,7 @@
         HASH_DELETE(by_serial, cell->workers_by_serial, w);
         HASH_DELETE(hh, cell->workers, w);
         free(w->strays);
+        free(w->carried);
         free(w);
     }
     Lookup *lookup;
@@ -192,6 +196,14 @@
 GfCell_Begin(GfCell *cell)
 {
     cell->begun = true;
+    for (const Worker *w = cell->workers; w != NULL; w = w->hh.next) {
+        for (size_t i = 0; i < w->carried_count; i++) {
+            Task *task = CellJob_Task(cell, &w->carried[i]);
+            if (task != NULL) {
+                task->doubt_serial = w->serial;
+            }
+        }
+    }
     cell->doubt = true;
     cell->dirty = true;
     cell->doubt_until =
@@ -337,12 +349,33 @@
 {
     struct timespec now = GfClock_Now(cell->clock);
     CellWorker_Tick(cell, now);
+    if (cell->waiting != NULL &&
+        GfTime_DiffMs(now, cell->round_at) > ROUND_EVERY_MS) {
+        cell->dirty = true;
+    }
     if (cell->dirty) {
         CellPlace_Round(cell, now);
     }
     CellCommit_Tick(cell, now);
 }
 
+/* Brings the gauges up to date. */
+void
+GfCell_UpdateMetrics(const GfCell *cell)
+{
+    size_t heard = 0;
+    for (const Worker *w = cell->workers; w != NULL; w = w->hh.next) {
+        heard += w->known && w->hold_failures == 0;
+    }
+    size_t waiting = 0;
+    const Step *step;
+    DL_COUNT(cell->waiting, step, waiting);
+    GfMetrics_Set(GF_METRIC_WORKERS_HEARD, heard);
+    GfMetrics_Set(GF_METRIC_STEPS_WAITING, waiting);
+    GfMetrics_Set(GF_METRIC_JOBS_KNOWN, HASH_COUNT(cell->jobs));
+    GfMetrics_Set(GF_METRIC_TASKS_RUNNING, cell->running);
+}
+
 /* Describes the cell for operators. */
 json_t *
 GfCell_Describe(const GfCell *cell)
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -41,6 +41,7 @@
     uint32_t failures;
     uint32_t mark;         /* number of the inventory that listed it last */
     uint32_t avoid_serial; /* the worker that it failed on last */
+    uint32_t doubt_serial; /* the silent worker where it may run */
     uint8_t state;
     bool done;
     bool stopping;
@@ -149,6 +150,10 @@
     bool in_list; /* named in the list of leased workers to be stored */
     bool stored;  /* named in the list as it is stored */
     bool in_commit;
+    bool closed; /* silent: it has only the tasks that the list names */
+    bool closed_in_commit;
+    GfTaskId *carried; /* a former owner's tasks there, while it is silent */
+    size_t carried_count;
     bool hold_in_flight;
     bool peek_in_flight; /* a hold that does not wait */
     bool peek_wanted;
@@ -238,6 +243,7 @@
     size_t commit_count;
     struct timespec commit_at;
     size_t running;
+    struct timespec round_at;
     struct timespec wait_logged_at;
     struct timespec shares_updated_at;
 };
@@ -257,6 +263,8 @@
 
 /* place.c */
 bool CellPlace_Eligible(const GfCell *cell, const Worker *w, const Step *step);
+bool CellPlace_InDoubt(const GfCell *cell, const Task *task,
+                       struct timespec now);
 bool CellPlace_HasRoom(const Worker *w, const Step *step);
 uint32_t CellPlace_CountOn(const Worker *w, const Step *step);
 void CellPlace_Round(GfCell *cell, struct timespec now);
--- a/src/cell/commit.c
+++ b/src/cell/commit.c
@@ -16,6 +16,31 @@
 /* Rows in one transaction; the store takes 100 entries. */
 #define MAX_ROWS 80
 
+/* Names a task in the stored list. */
+static json_t *
+name_task(const GfTaskId *id)
+{
+    return json_pack("[s,i,i,i]", id->job.data, (int)id->occurrence,
+                     (int)id->step, (int)id->index);
+}
+
+/* Names the tasks that a silent worker may run. */
+static json_t *
+tasks_on(const Worker *w)
+{
+    json_t *tasks = json_array();
+    const Task *t;
+    DL_FOREACH(w->tasks, t)
+    {
+        GfTaskId id = CellTask_Id(t);
+        json_array_append_new(tasks, name_task(&id));
+    }
+    for (size_t i = 0; !w->known && i < w->carried_count; i++) {
+        json_array_append_new(tasks, name_task(&w->carried[i]));
+    }
+    return tasks;
+}
+
 /* Describes the workers that may hold a lease, for a later owner. */
 static json_t *
 leased_workers(GfCell *cell)
@@ -26,10 +51,14 @@
         if (!w->in_list) {
             continue;
         }
-        json_array_append_new(list,
-                              json_pack("[s,I,s,i]", w->info.id.data,
-                                        (json_int_t)w->info.lifetime,
-                                        w->info.address, (int)w->info.port));
+        json_t *entry = json_pack("[s,I,s,i]", w->info.id.data,
+                                  (json_int_t)w->info.lifetime,
+                                  w->info.address, (int)w->info.port);
+        w->closed_in_commit = w->closed;
+        if (w->closed) {
+            json_array_append_new(entry, tasks_on(w));
+        }
+        json_array_append_new(list, entry);
     }
     return list;
 }
@@ -129,7 +158,8 @@
 {
     for (Worker *w = cell->workers; cell->commit_had_leased && w != NULL;
          w = w->hh.next) {
-        if (w->in_commit && w->in_list && !w->stored) {
+        if (w->in_commit && w->in_list && !w->stored &&
+            w->closed_in_commit == w->closed) {
             w->stored = true;
             cell->dirty = true;
         }
--- a/src/cell/job_state.c
+++ b/src/cell/job_state.c
@@ -7,6 +7,7 @@
 
 #include "cell_private.h"
 #include "guavaflow/log.h"
+#include "guavaflow/metrics.h"
 
 /* The length of the chain of work counts a question for advice about this
  * many workers a step; the operators' pages define the objective so. */
@@ -108,6 +109,8 @@
         CellJob_Unlist(&job->steps[i]);
         CellAdvice_Clear(&job->steps[i]);
     }
+    GfMetrics_Observe(GF_TIME_JOB,
+                      GfTime_DiffMs(job->finished_at, job->accepted_at));
     GfLog(GF_LOG_INFO, CELL_PART, "job finished id=%s state=%s age_ms=%lld",
           job->id.data, GfJobState_Name(state),
           (long long)GfTime_DiffMs(job->finished_at, job->accepted_at));
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -2,6 +2,7 @@
  * that use idle processors are kept apart, since the latter slow the former
  * by amounts that are not known beforehand. A gang is placed whole or not at
  * all. */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -9,6 +10,7 @@
 
 #include "cell_private.h"
 #include "guavaflow/log.h"
+#include "guavaflow/metrics.h"
 
 /* Fillers share a worker's idle processors; more than one would mostly slow
  * the others. */
@@ -20,11 +22,25 @@
  * what is first in order is looked at in each. */
 #define ROUND_BUDGET_MS 20
 #define STEPS_PER_LOOK 8
+/* Room for the workers in a line about placed tasks; the rest is left out. */
+#define PLACED_BYTES 400
 /* A step that was placed later than this is logged. */
 #define LATE_START_MS 300
 /* A step that waits longer than this is logged, as often as this. */
 #define WAIT_LOG_MS 1000
 
+/* Tells whether a task may still run on a worker that is silent since before
+ * this term. */
+bool
+CellPlace_InDoubt(const GfCell *cell, const Task *task, struct timespec now)
+{
+    if (task->doubt_serial == 0 || !GfTime_Before(now, cell->doubt_until)) {
+        return false;
+    }
+    const Worker *w = CellWorker_Find(cell, task->doubt_serial);
+    return w != NULL && !w->known;
+}
+
 /* Tells whether a domain is taken out of service. */
 static bool
 is_evacuated(const GfCell *cell, const GfName *domain)
@@ -228,7 +244,8 @@
     uint32_t left = step->idle;
     for (uint32_t i = 0; i < step->spec->task_count && left > 0; i++) {
         Task *task = &step->tasks[i];
-        if (task->done || task->state != TASK_IDLE) {
+        if (task->done || task->state != TASK_IDLE ||
+            CellPlace_InDoubt(cell, task, now)) {
             continue;
         }
         if (!CellShare_Allows(step, 1)) {
@@ -282,6 +299,11 @@
     if (step->idle < step->spec->task_count) {
         return true; /* the former run has not ended everywhere */
     }
+    for (uint32_t i = 0; i < step->spec->task_count; i++) {
+        if (CellPlace_InDoubt(cell, &step->tasks[i], now)) {
+            return true;
+        }
+    }
     bool placed = false;
     if (step->spec->same_rack) {
         for (Worker *w = cell->workers; w != NULL && !placed; w = w->hh.next) {
@@ -354,6 +376,30 @@
           w[WAIT_CALLER], w[WAIT_ADVICE], w[WAIT_ROOM]);
 }
 
+/* Logs the tasks of a step that a round has placed, with their workers. */
+static void
+log_placed(const GfCell *cell, const Step *step, uint32_t count)
+{
+    char workers[PLACED_BYTES] = "";
+    size_t len = 0;
+    for (uint32_t i = 0; i < step->spec->task_count; i++) {
+        const Task *t = &step->tasks[i];
+        if (t->state != TASK_STARTING ||
+            len + GF_NAME_MAX_BYTES + 16 > sizeof(workers)) {
+            continue;
+        }
+        len +=
+            (size_t)snprintf(workers + len, sizeof(workers) - len, "%s%u:%s",
+                             len > 0 ? "," : "", i, t->worker->info.id.data);
+    }
+    GfLog(GF_LOG_INFO, CELL_PART,
+          "step placed id=%s step=%u placed=%u idle=%u waited_ms=%lld "
+          "token=%lld on=%s",
+          step->job->id.data, step->number, count, step->idle,
+          (long long)GfTime_DiffMs(GfClock_Now(cell->clock), step->idle_since),
+          (long long)cell->settings.token, workers);
+}
+
 /* Charges the time since the last round to what the step waited for. */
 static void
 note_wait(Step *step, struct timespec now, WaitCause cause)
@@ -363,6 +409,8 @@
     step->wait_noted_at = now;
     step->wait_cause = (uint8_t)cause;
     if (cause == WAIT_NONE) {
+        GfMetrics_Observe(GF_TIME_STEP_WAIT,
+                          GfTime_DiffMs(now, step->idle_since));
         log_late_start(step, now);
     }
 }
@@ -416,12 +464,18 @@
         return;
     }
     cell->dirty = false;
+    cell->round_at = now;
     int64_t wall_ms = GfTime_WallMs();
     CellShare_Update(cell, now);
     size_t count = CellOrder_Sort(cell, now);
     for (size_t i = 0; i < count; i++) {
         Step *step = cell->order[i];
-        note_wait(step, now, place_step(cell, step, now, wall_ms));
+        uint32_t idle = step->idle;
+        WaitCause cause = place_step(cell, step, now, wall_ms);
+        if (step->idle < idle) {
+            log_placed(cell, step, idle - step->idle);
+        }
+        note_wait(step, now, cause);
         if (i % STEPS_PER_LOOK == 0 &&
             GfTime_DiffMs(GfClock_Now(cell->clock), now) > ROUND_BUDGET_MS) {
             cell->dirty = true;
--- a/src/cell/preempt.c
+++ b/src/cell/preempt.c
@@ -8,6 +8,7 @@
 
 #include "cell_private.h"
 #include "guavaflow/log.h"
+#include "guavaflow/metrics.h"
 
 /* A step asks for room again after this; a worker stops a task within 200 ms,
  * and lists the end after that. */
@@ -113,6 +114,7 @@
         }
     }
     if (stopped > 0) {
+        GfMetrics_Add(GF_METRIC_TASKS_PREEMPTED, stopped);
         GfLog(GF_LOG_INFO, CELL_PART,
               "stopped tasks to make room id=%s step=%u class=%u stopped=%u",
               step->job->id.data, step->number, step->job->work_class,
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -21,6 +21,9 @@
 #define HOLD_UNSTORED_MS 900
 /* Pause while runs are being stopped, which takes a worker up to 200 ms. */
 #define HOLD_STRAY_MS 100
+/* A worker that missed so many calls on end gets no tasks, and the stored list
+ * names those that it has. */
+#define CLOSED_AFTER_FAILURES 2
 /* What a lease may outlast its nominal length by transport and timers. */
 #define LEASE_MARGIN_MS 150
 #define PERCENT 100
@@ -176,6 +179,26 @@
     w->suspect = true;
 }
 
+/* Adds a worker that was silent for the former owner, which had these tasks
+ * there and none since; only they are in doubt. */
+void
+GfCell_AddSilentWorker(GfCell *cell, const GfWorkerInfo *info,
+                       const GfTaskId *tasks, size_t count)
+{
+    Worker *w = NULL;
+    HASH_FIND(hh, cell->workers, info->id.data, info->id.len, w);
+    if (w == NULL) {
+        w = add_worker(cell, info);
+    }
+    w->closed = true;
+    w->carried = calloc(count + 1, sizeof(GfTaskId));
+    if (w->carried == NULL) {
+        abort();
+    }
+    memcpy(w->carried, tasks, count * sizeof(GfTaskId));
+    w->carried_count = count;
+}
+
 /* Notes that a worker left the table. What runs there is followed until its
  * lease has run out. */
 void
@@ -315,6 +338,11 @@
     else if (end->how == GF_END_FAILED) {
         Task *counted = counted_task(task);
         if (count_failure(counted, end->run)) {
+            GfLog(GF_LOG_INFO, CELL_PART,
+                  "run failed id=%s step=%u task=%u run=%lld worker=%s "
+                  "failures=%u",
+                  job->id.data, task->step->number, task->index,
+                  (long long)end->run, w->info.id.data, counted->failures);
             task->avoid_serial = w->serial;
             note_outcome(cell, w, counted, true);
         }
@@ -632,6 +660,7 @@
     cell->worker_count--;
     cell->leased_dirty = cell->leased_dirty || w->in_list;
     CellWorker_ClearStrays(cell, w);
+    free(w->carried);
     free(w);
 }
 
@@ -698,7 +727,16 @@
         bool silent = (w->hold_failures > 0 || !w->listed) &&
                       w->tasks == NULL && w->known &&
                       GfTime_Before(w->lease_until, now);
-        bool wanted = w->known ? !silent : w->suspect;
+        bool carried =
+            w->carried != NULL && GfTime_Before(now, cell->doubt_until);
+        bool wanted = w->known ? !silent : w->suspect || carried;
+        bool closed =
+            w->known ? w->hold_failures >= CLOSED_AFTER_FAILURES : w->closed;
+        if (wanted && closed != w->closed) {
+            w->closed = closed;
+            w->stored = false;
+            cell->leased_dirty = true;
+        }
         if (w->in_list != wanted) {
             w->in_list = wanted;
             w->stored = w->stored && wanted;
--- a/src/cellentry/accept.c
+++ b/src/cellentry/accept.c
@@ -69,6 +69,16 @@
     assert(!a->answered);
     a->answered = true;
     evtimer_del(a->timer);
+    int64_t ms = GfTime_DiffMs(GfClock_Now(a->entry->clock), a->began_at);
+    GfMetrics_Observe(GF_TIME_ACCEPT, ms);
+    GfLog(GF_LOG_INFO, PART,
+          "job %s id=%s queue=%s outcome=%s tries=%u through_peer=%d "
+          "for_peer=%d after_ms=%lld config=%lld",
+          kind == GF_OK ? "accepted" : "not accepted", a->id.data,
+          a->queue.data, GfError_Name(kind), a->tries, a->through_peer,
+          a->for_peer, (long long)ms,
+          a->entry->config == NULL ? 0LL
+                                   : (long long)a->entry->config->version);
     a->done(a->arg, kind);
     free_if_idle(a);
 }
--- a/src/cellentry/entry.c
+++ b/src/cellentry/entry.c
@@ -155,6 +155,22 @@
     GfLog(GF_LOG_INFO, PART, "stopping owner=%d", entry->term != NULL);
 }
 
+/* Brings the gauges up to date. */
+void
+GfCellEntry_UpdateMetrics(const GfCellEntry *entry)
+{
+    size_t heard = 0;
+    for (const Peer *p = entry->peers; p != NULL; p = p->hh.next) {
+        heard += EntryMembers_IsHeard(entry, p);
+    }
+    GfMetrics_Set(GF_METRIC_MEMBERS_IN_CONTACT, heard);
+    GfMetrics_Set(GF_METRIC_OWNER_TOKEN, (uint64_t)entry->owner.token);
+    GfCell *cell = EntryTerm_Cell(entry);
+    if (cell != NULL) {
+        GfCell_UpdateMetrics(cell);
+    }
+}
+
 /* Describes the entry for operators. */
 json_t *
 GfCellEntry_Describe(const GfCellEntry *entry)
--- a/src/cellentry/load.c
+++ b/src/cellentry/load.c
@@ -101,6 +101,38 @@
     }
 }
 
+/* Takes a worker that was silent for the former owner, with its tasks. */
+static void
+take_silent(GfCell *cell, const GfWorkerInfo *info, const json_t *list)
+{
+    GfTaskId *tasks = calloc(json_array_size(list) + 1, sizeof(GfTaskId));
+    if (tasks == NULL) {
+        abort();
+    }
+    size_t count = 0;
+    size_t i;
+    json_t *entry;
+    json_array_foreach(list, i, entry)
+    {
+        GfTaskId *id = &tasks[count];
+        id->occurrence =
+            (uint32_t)json_integer_value(json_array_get(entry, 1));
+        id->step = (uint32_t)json_integer_value(json_array_get(entry, 2));
+        id->index = (uint32_t)json_integer_value(json_array_get(entry, 3));
+        if (GfName_SetText(&id->job,
+                           json_string_value(json_array_get(entry, 0)))) {
+            count++;
+        }
+        else {
+            GfLog(GF_LOG_WARNING, PART,
+                  "a task of a silent worker is not "
+                  "readable");
+        }
+    }
+    GfCell_AddSilentWorker(cell, info, tasks, count);
+    free(tasks);
+}
+
 /* Takes the list of workers that the former owner granted leases to. */
 static void
 take_leased(GfCell *cell, const GfTableRow *row)
@@ -123,7 +155,13 @@
             continue;
         }
         snprintf(info.address, sizeof(info.address), "%s", address);
-        GfCell_AddLeasedWorker(cell, &info);
+        const json_t *tasks = json_array_get(entry, 4);
+        if (tasks == NULL) {
+            GfCell_AddLeasedWorker(cell, &info);
+        }
+        else {
+            take_silent(cell, &info, tasks);
+        }
     }
     json_decref(list);
 }
--- a/src/cellentry/term.c
+++ b/src/cellentry/term.c
@@ -172,6 +172,9 @@
     if (committed) {
         term->commit_version = version;
         term->proved_at = term->commit_sent_at;
+        GfMetrics_Observe(GF_TIME_COMMIT,
+                          GfTime_DiffMs(GfClock_Now(term->entry->clock),
+                                        term->commit_sent_at));
         clear_commit(term);
         GfCell_CommitDone(term->cell, true);
         return;
@@ -847,6 +850,8 @@
         (GfCell_AllHeard(term->cell) ||
          GfTime_DiffMs(now, term->loaded_at) > HEAR_MS)) {
         GfCell_Begin(term->cell);
+        GfMetrics_Observe(GF_TIME_TAKEOVER,
+                          GfTime_DiffMs(now, term->begun_at));
         GfLog(GF_LOG_INFO, PART, "scheduling begins token=%lld after_ms=%lld",
               (long long)term->token,
               (long long)GfTime_DiffMs(now, term->begun_at));
--- a/src/cli/cell_entry.c
+++ b/src/cli/cell_entry.c
@@ -92,6 +92,8 @@
     const Process *p = ctx;
     const char *path = GfExchange_Path(exchange);
     if (strcmp(path, "/metrics") == 0) {
+        GfCellEntry_UpdateMetrics(p->entry);
+        GfMetrics_Set(GF_METRIC_LOG_LINES_LEFT_OUT, GfLog_LeftOut());
         GfStr text = GfMetrics_Expose();
         GfExchange_Reply(exchange, STATUS_OK, "text/plain; version=0.0.4",
                          text.data, text.len);
@@ -150,6 +152,7 @@
     GfError error;
     int code = 0;
     GfLog_SetHost(settings->member);
+    GfLog_UseStandardOutput();
     Process p = {.base = event_base_new(), .settings = settings};
     GfHttp *http = GfHttp_Create(p.base);
     GfTable *table = PlatformTable_Create(http, settings->store_at.address,
--- a/src/common/log.c
+++ b/src/common/log.c
@@ -5,17 +5,30 @@
 #include <stdio.h>
 #include <string.h>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include "guavaflow/clock.h"
 
 #define LINE_BYTES 1024
 #define HOST_BYTES 64
 #define MS_PER_S 1000
+/* A server writes this many lines a second at most, in bursts up to twice as
+ * many: some ten for each job at 20 jobs a second. Warnings and errors may
+ * take the burst's second half alone. */
+#define LINES_PER_S 250
+#define BURST_LINES (LINES_PER_S * 2)
 
 static const char *const LEVEL_NAMES[GF_LOG_LEVELS] = {"debug", "info",
                                                        "warning", "error"};
 
 static GfLogLevel threshold = GF_LOG_INFO;
 static char host_name[HOST_BYTES] = "-";
+static bool bounded;
+static double lines_left = BURST_LINES;
+static int64_t refilled_ms;
+static uint64_t left_out;
+static uint64_t left_out_told;
 
 /* Drops lines below the given level from now on. */
 void
@@ -46,6 +59,60 @@
     snprintf(host_name, sizeof(host_name), "%s", host);
 }
 
+/* Writes lines to standard output from now on, bounded and without waiting. */
+void
+GfLog_UseStandardOutput(void)
+{
+    bounded = true;
+}
+
+/* Returns how many lines were left out. */
+uint64_t
+GfLog_LeftOut(void)
+{
+    return left_out;
+}
+
+/* Tells whether a line may be written now, and counts it. */
+static bool
+may_write(GfLogLevel level, int64_t ms)
+{
+    if (ms > refilled_ms) {
+        lines_left +=
+            (double)(ms - refilled_ms) * LINES_PER_S / (double)MS_PER_S;
+        lines_left = lines_left > BURST_LINES ? BURST_LINES : lines_left;
+    }
+    refilled_ms = ms;
+    struct pollfd fd = {.fd = STDOUT_FILENO, .events = POLLOUT};
+    double kept = level >= GF_LOG_WARNING ? 0 : LINES_PER_S;
+    if (lines_left - 1 < kept || poll(&fd, 1, 0) != 1 ||
+        (fd.revents & POLLOUT) == 0) {
+        left_out++;
+        return false;
+    }
+    lines_left--;
+    return true;
+}
+
+/* Writes one finished line; a pipe that takes a part of it only loses the
+ * rest. */
+static void
+put_line(int64_t ms, GfLogLevel level, const char *part, const char *text)
+{
+    char line[LINE_BYTES + HOST_BYTES + HOST_BYTES];
+    int n = snprintf(line, sizeof(line), "%lld.%03d %s %s %s: %s\n",
+                     (long long)(ms / MS_PER_S), (int)(ms % MS_PER_S),
+                     LEVEL_NAMES[level], host_name, part, text);
+    size_t len = n < 0 ? 0 : (size_t)n;
+    len = len < sizeof(line) ? len : sizeof(line) - 1;
+    if (!bounded) {
+        fwrite(line, 1, len, stderr);
+    }
+    else if (write(STDOUT_FILENO, line, len) < (ssize_t)len) {
+        left_out++;
+    }
+}
+
 /* Writes one line: time in seconds, level, process, part, sentence. Control
  * characters become '?', so that input cannot forge a line. */
 void
@@ -65,6 +132,15 @@
         }
     }
     int64_t ms = GfTime_WallMs();
-    fprintf(stderr, "%lld.%03d %s %s %s: %s\n", (long long)(ms / MS_PER_S),
-            (int)(ms % MS_PER_S), LEVEL_NAMES[level], host_name, part, text);
+    if (bounded && !may_write(level, ms)) {
+        return;
+    }
+    if (left_out > left_out_told) {
+        char note[LINE_BYTES];
+        snprintf(note, sizeof(note), "lines left out count=%llu",
+                 (unsigned long long)(left_out - left_out_told));
+        left_out_told = left_out;
+        put_line(ms, GF_LOG_WARNING, "log", note);
+    }
+    put_line(ms, level, part, text);
 }
--- a/src/common/metrics.c
+++ b/src/common/metrics.c
@@ -5,7 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#define EXPOSITION_BYTES 16384
+#define EXPOSITION_BYTES 32768
 
 typedef struct {
     const char *name;
@@ -50,10 +50,42 @@
     {"tasks_running", GAUGE, "Tasks running for jobs owned here."},
     {"services_below_count", GAUGE, "Service jobs below their count."},
     {"loop_lag_max_ms", GAUGE, "Longest time that the loop was held up."},
+    {"jobs_known", GAUGE, "Jobs that the owner knows."},
+    {"steps_waiting", GAUGE, "Steps that wait for workers."},
+    {"workers_heard", GAUGE, "Workers that answered the last call."},
+    {"owner_token", GAUGE, "Highest token of an owner known here."},
+    {"tasks_preempted_total", COUNTER, "Tasks stopped for urgent ones."},
+    {"advice_asked_total", COUNTER, "Questions for advice."},
+    {"log_lines_left_out", GAUGE, "Log lines over the bound."},
 };
 
+/* Upper bounds of the buckets, in milliseconds; the last bucket has none. */
+static const int64_t BOUNDS_MS[] = {2,   5,   10,   25,   50,   100,
+                                    250, 500, 1000, 2500, 5000, 10000};
+#define BUCKETS (sizeof(BOUNDS_MS) / sizeof(BOUNDS_MS[0]))
+
+static const char *const TIME_NAMES[GF_TIMES] = {"accept_ms",   "step_wait_ms",
+                                                 "job_ms",      "commit_ms",
+                                                 "takeover_ms", "advice_ms"};
+
+static uint64_t buckets[GF_TIMES][BUCKETS + 1];
+static uint64_t sums_ms[GF_TIMES];
+
 static uint64_t values[GF_METRICS];
 
+/* Counts a time in its distribution. */
+void
+GfMetrics_Observe(GfTimeMetric metric, int64_t ms)
+{
+    assert(metric < GF_TIMES);
+    size_t at = 0;
+    while (at < BUCKETS && ms > BOUNDS_MS[at]) {
+        at++;
+    }
+    buckets[metric][at]++;
+    sums_ms[metric] += ms > 0 ? (uint64_t)ms : 0;
+}
+
 /* Adds to a counter. */
 void
 GfMetrics_Add(GfMetric metric, uint64_t amount)
@@ -78,6 +110,33 @@
     return values[metric];
 }
 
+/* Writes one distribution. Returns the length, which may exceed the room. */
+static size_t
+expose_times(char *text, size_t room, int metric)
+{
+    const char *name = TIME_NAMES[metric];
+    size_t len =
+        (size_t)snprintf(text, room, "# TYPE guavaflow_%s histogram\n", name);
+    uint64_t count = 0;
+    for (size_t b = 0; b <= BUCKETS && len < room; b++) {
+        count += buckets[metric][b];
+        char bound[24] = "+Inf";
+        if (b < BUCKETS) {
+            snprintf(bound, sizeof(bound), "%" PRId64, BOUNDS_MS[b]);
+        }
+        len += (size_t)snprintf(text + len, room - len,
+                                "guavaflow_%s_bucket{le=\"%s\"} %" PRIu64 "\n",
+                                name, bound, count);
+    }
+    if (len < room) {
+        len += (size_t)snprintf(text + len, room - len,
+                                "guavaflow_%s_sum %" PRIu64
+                                "\nguavaflow_%s_count %" PRIu64 "\n",
+                                name, sums_ms[metric], name, count);
+    }
+    return len;
+}
+
 /* Returns all values as a text; the caller clears it. */
 GfStr
 GfMetrics_Expose(void)
@@ -96,6 +155,9 @@
                      d->name, d->help, d->name, d->type, d->name, values[i]);
         len += n > 0 ? (size_t)n : 0;
     }
+    for (int i = 0; i < GF_TIMES && len < EXPOSITION_BYTES; i++) {
+        len += expose_times(text + len, EXPOSITION_BYTES - len, i);
+    }
     assert(len < EXPOSITION_BYTES);
     return (GfStr){.len = len, .data = text};
 }
--- a/tests/support/cell_world.c
+++ b/tests/support/cell_world.c
@@ -879,7 +879,26 @@
         long number = strtol(id + 1, NULL, 10);
         GfWorkerInfo info = w->workers[number].info;
         info.lifetime = json_integer_value(json_array_get(entry, 1));
-        GfCell_AddLeasedWorker(o->cell, &info);
+        const json_t *tasks = json_array_get(entry, 4);
+        if (tasks == NULL) {
+            GfCell_AddLeasedWorker(o->cell, &info);
+            continue;
+        }
+        GfTaskId named[256];
+        size_t count = json_array_size(tasks);
+        assert(count <= 256);
+        for (size_t t = 0; t < count; t++) {
+            const json_t *task = json_array_get(tasks, t);
+            named[t] = (GfTaskId){
+                .occurrence =
+                    (uint32_t)json_integer_value(json_array_get(task, 1)),
+                .step = (uint32_t)json_integer_value(json_array_get(task, 2)),
+                .index =
+                    (uint32_t)json_integer_value(json_array_get(task, 3))};
+            GfName_SetText(&named[t].job,
+                           json_string_value(json_array_get(task, 0)));
+        }
+        GfCell_AddSilentWorker(o->cell, &info, named, count);
     }
     for (int k = 0; k < w->settings.workers; k++) {
         if (w->workers[k].alive) {
--- a/tests/unit/cell.c
+++ b/tests/unit/cell.c
@@ -250,6 +250,30 @@
     finish(w, config);
 }
 
+/* A worker that was silent before a takeover holds back its own tasks only:
+ * other work goes on at once, and its tasks do not run twice. */
+static void
+test_takeover_with_silent_worker(void)
+{
+    GfCellConfig *config;
+    World *w = begin(&CALM, &config, 0);
+    WorldJob watched = job_of("watch", 6, 2000, 0);
+    watched.step.lasting = true;
+    int lasting = World_Submit(w, &watched);
+    World_Run(w, 300);
+    World_Cut(w, 0, true);
+    World_Run(w, 3000);
+    World_Kill(w, World_Owner(w));
+    WorldJob job = job_of("quick", 4, 2000, 300);
+    int quick = World_Submit(w, &job);
+    World_TakeOver(w);
+    World_Run(w, 1000);
+    CU_ASSERT_EQUAL(World_State(w, quick), GF_JOB_COMPLETED);
+    World_Run(w, 12000);
+    CU_ASSERT_EQUAL(World_RunningOf(w, lasting), 6);
+    finish(w, config);
+}
+
 /* Starts without an answer that are carried out late do not run a task
  * twice, hold no room for good, and delay quick work by less than half a
  * second: they are looked after as soon as an answer is overdue. */
@@ -449,6 +473,7 @@
     {"silent worker", test_silent_worker},
     {"cut worker", test_cut_worker},
     {"unreachable for the new owner", test_unreachable_for_new_owner},
+    {"takeover with a silent worker", test_takeover_with_silent_worker},
     {"late orders", test_late_orders},
     {"cancel", test_cancel},
     {"strays hold room", test_strays_hold_room},
--- a/tests/unit/cell_load.c
+++ b/tests/unit/cell_load.c
@@ -152,8 +152,7 @@
     World_Run(load.world, 6000);
     int completed = 0;
     for (int i = 0; i < load.count; i++) {
-        completed +=
-            World_State(load.world, load.jobs[i]) == GF_JOB_COMPLETED;
+        completed += World_State(load.world, load.jobs[i]) == GF_JOB_COMPLETED;
     }
     CU_ASSERT_TRUE(completed * 100 >= load.count * TARGET_PERCENT);
     finish(&load);
