--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -96,11 +96,11 @@
     {
         CellJob_Free(job);
     }
+    HASH_CLEAR(by_serial, cell->workers_by_serial);
     Worker *w;
     Worker *wtmp;
     HASH_ITER(hh, cell->workers, w, wtmp)
     {
-        HASH_DELETE(by_serial, cell->workers_by_serial, w);
         HASH_DELETE(hh, cell->workers, w);
         free(w->strays);
         free(w->carried);
