Let Retry-After grow with an outage; count a store that answers some calls

Ruled out: load of the owner (0.07 cores). Change: the store counts as out of reach only after 300 ms without any answer; Retry-After is the age of the outage, 1 to 3 s.

--- a/src/cellentry/entry.c
+++ b/src/cellentry/entry.c
@@ -16,8 +16,8 @@
 #define LAG_WEIGHT 0.03
 /* An entry without store and owner for this long turns callers away. */
 #define CUT_OFF_MS 900
-/* A failure of the store counts for this long unless a call succeeds. */
-#define STORE_FAILURE_MS 2000
+/* A store that answered within this time is in reach, whatever fails. */
+#define STORE_SILENT_MS 300
 
 /* Notes the outcome of a call to the store. */
 void
@@ -33,7 +33,9 @@
         entry->store_failed = false;
         entry->store_ok_at = now;
     }
-    else if (!entry->store_failed) {
+    else if (!entry->store_failed &&
+             GfTime_DiffMs(now, entry->store_ok_at) > STORE_SILENT_MS) {
+        /* A single failure beside calls that succeed says nothing. */
         entry->store_failed = true;
         entry->store_failed_at = now;
         GfLog(GF_LOG_WARNING, PART, "the store does not answer cause=%s",
@@ -42,7 +44,7 @@
     GfMetrics_Set(GF_METRIC_STORE_AWAY, entry->store_failed);
 }
 
-/* Tells whether the store answered the last call. */
+/* Tells whether the store is in reach. */
 bool
 EntryStore_Answers(const GfCellEntry *entry)
 {
--- a/src/cellentry/jobs.c
+++ b/src/cellentry/jobs.c
@@ -27,6 +27,7 @@
 /* When a caller who was refused should come back: a takeover is over by then,
  * and the store's short outages mostly. */
 #define RETRY_AFTER_MS 1000
+#define RETRY_AFTER_MAX_MS 3000
 #define MAX_HOPS 1
 
 typedef struct {
@@ -83,13 +84,28 @@
     free(r);
 }
 
+/* Returns when a refused caller should come back. An outage that has lasted
+ * goes on for about as long again; callers who come back too early use up
+ * their attempts. */
+static uint32_t
+retry_after_ms(const GfCellEntry *entry)
+{
+    int64_t ms = RETRY_AFTER_MS;
+    if (entry->store_failed) {
+        int64_t failed =
+            GfTime_DiffMs(GfClock_Now(entry->clock), entry->store_failed_at);
+        ms = failed > ms ? failed : ms;
+    }
+    return (uint32_t)(ms < RETRY_AFTER_MAX_MS ? ms : RETRY_AFTER_MAX_MS);
+}
+
 /* Answers with a kind alone. */
 static void
 answer_kind(Request *r, GfErrorKind kind)
 {
     GfJobAnswer reply = {.kind = kind};
     if (GfError_MayRetry(kind) && GfError_HttpStatus(kind) == 503) {
-        reply.retry_after_ms = RETRY_AFTER_MS;
+        reply.retry_after_ms = retry_after_ms(r->entry);
         GfMetrics_Add(GF_METRIC_REQUESTS_REFUSED, 1);
     }
     answer(r, &reply);
--- a/src/cellentry/term.c
+++ b/src/cellentry/term.c
@@ -65,6 +65,7 @@
     bool commit_uncertain;
     struct timespec proved_at;
     struct timespec commit_sent_at;
+    struct timespec commit_opened_at; /* when its first attempt left */
     struct timespec prove_sent_at;
     bool proving;
     struct timespec sweep_at;
@@ -235,6 +236,7 @@
     Term *term = ctx;
     assert(!term->commit_open);
     term->commit_open = true;
+    term->commit_opened_at = GfClock_Now(term->entry->clock);
     term->pending.count = commit->count;
     GfName *jobs = malloc((commit->count + 1) * sizeof(GfName));
     term->texts = calloc(commit->count + 1, sizeof(char *));
@@ -654,10 +656,12 @@
 EntryTerm_CommitIsLate(const GfCellEntry *entry)
 {
     const Term *term = entry->term;
-    return term != NULL && term->commit_open &&
-           (term->commit_uncertain ||
-            GfTime_DiffMs(GfClock_Now(entry->clock), term->commit_sent_at) >
-                COMMIT_LATE_MS);
+    if (term == NULL || !term->commit_open) {
+        return false;
+    }
+    struct timespec now = GfClock_Now(entry->clock);
+    return GfTime_DiffMs(now, term->commit_opened_at) > COMMIT_LATE_MS &&
+           GfTime_DiffMs(now, entry->store_ok_at) > COMMIT_LATE_MS;
 }
 
 /* Returns the cell of the term, or NULL. */
