See the ends of quick tasks while the store is slow

Ruled out: accepting (170 ms), advice and room (the log of late steps). Change: where quick tasks run such a worker is called again after 90 ms.

--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -19,6 +19,9 @@
 /* Pause while ends are known but not stored; keeps the lease alive while the
  * store is away. */
 #define HOLD_UNSTORED_MS 900
+/* The same where quick tasks run, whose ends must not wait for a slow store.
+ */
+#define HOLD_UNSTORED_QUICK_MS 90
 /* Pause while runs are being stopped, which takes a worker up to 200 ms. */
 #define HOLD_STRAY_MS 100
 /* A worker that missed so many calls on end gets no tasks, and the stored list
@@ -538,6 +541,21 @@
     CellTask_SendStops(w, now);
 }
 
+/* Tells how long a worker may hold a call back. With quick tasks there a lost
+ * call must show soon. */
+static int
+hold_wait_ms(const Worker *w)
+{
+    const Task *t;
+    DL_FOREACH(w->tasks, t)
+    {
+        if (t->step->job->work_class == 0) {
+            return HOLD_QUICK_WAIT_MS;
+        }
+    }
+    return HOLD_WAIT_MS;
+}
+
 /* Takes the outcome of a hold. inventory is set if the result is
  * GF_ORDER_DONE. sent_at is when the call left. */
 void
@@ -589,7 +607,9 @@
     apply_inventory(cell, w, sent_at, inventory);
     w->next_hold_at = now;
     if (w->seen_end > w->acked_end) {
-        w->next_hold_at = GfTime_AddMs(now, HOLD_UNSTORED_MS);
+        bool quick = hold_wait_ms(w) == HOLD_QUICK_WAIT_MS;
+        w->next_hold_at = GfTime_AddMs(now, quick ? HOLD_UNSTORED_QUICK_MS
+                                                  : HOLD_UNSTORED_MS);
     }
     else if (w->stray_count + w->unknown_runs > 0) {
         w->next_hold_at = GfTime_AddMs(now, HOLD_STRAY_MS);
@@ -613,21 +633,6 @@
     cell->ops->hold(cell->ctx, &order);
 }
 
-/* Tells how long a worker may hold a call back. With quick tasks there a lost
- * call must show soon. */
-static int
-hold_wait_ms(const Worker *w)
-{
-    const Task *t;
-    DL_FOREACH(w->tasks, t)
-    {
-        if (t->step->job->work_class == 0) {
-            return HOLD_QUICK_WAIT_MS;
-        }
-    }
-    return HOLD_WAIT_MS;
-}
-
 /* Calls a worker: extends its lease, acknowledges ends, asks what runs. After
  * a failed call nothing is acknowledged, since the worker may have begun
  * another life whose ends have the same numbers. */
