Keep a silent worker of the former owner until nothing can run there

Ruled out: acknowledgements (none was sent), the stored list (it named the worker and its tasks). Change: such a worker is kept until the time of doubt is over; a task whose worker is not known stays in doubt as long.

--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -38,7 +38,7 @@
         return false;
     }
     const Worker *w = CellWorker_Find(cell, task->doubt_serial);
-    return w != NULL && !w->known;
+    return w == NULL || !w->known;
 }
 
 /* Tells whether a domain is taken out of service. */
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -401,8 +401,9 @@
             GfTime_Before(w->lease_until, now)) {
             CellWorker_Lose(w, "lease lapsed");
         }
-        bool lapsed =
-            GfTime_Before(w->lease_until, now) && (w->known || !cell->doubt);
+        bool over = w->carried != NULL ? !GfTime_Before(now, cell->doubt_until)
+                                       : !cell->doubt;
+        bool lapsed = GfTime_Before(w->lease_until, now) && (w->known || over);
         if (!w->listed && w->tasks == NULL && lapsed && !w->hold_in_flight) {
             remove_worker(cell, w);
             continue;
--- a/tests/support/cell_world.c
+++ b/tests/support/cell_world.c
@@ -62,6 +62,7 @@
     bool hanging;
     bool cut[WORLD_OWNERS];
     bool cut_all;
+    bool unlisted;
 } SimWorker;
 
 typedef enum { START, STOP, HOLD, ADVISE, COMMIT, LOOK_UP } Kind;
@@ -917,7 +918,7 @@
         GfCell_AddSilentWorker(o->cell, &info, named, count);
     }
     for (int k = 0; k < w->settings.workers; k++) {
-        if (w->workers[k].alive) {
+        if (w->workers[k].alive && !w->workers[k].unlisted) {
             GfCell_SetWorker(o->cell, &w->workers[k].info, 0);
         }
     }
@@ -1106,6 +1107,23 @@
     }
 }
 
+/* Takes a worker out of the platform's table, or puts it back. */
+void
+World_SetListed(World *w, int worker, bool listed)
+{
+    SimWorker *s = &w->workers[worker];
+    s->unlisted = !listed;
+    if (World_Owner(w) == NULL) {
+        return;
+    }
+    if (listed) {
+        GfCell_SetWorker(World_Owner(w), &s->info, 0);
+    }
+    else {
+        GfCell_UnlistWorker(World_Owner(w), &s->info.id);
+    }
+}
+
 void
 World_SetFailing(World *w, int worker, bool failing)
 {
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -67,6 +67,7 @@
 void World_Restart(World *world, int worker);
 void World_Cut(World *world, int worker, bool cut);
 void World_CutFrom(World *world, int worker, const GfCell *cell, bool cut);
+void World_SetListed(World *world, int worker, bool listed);
 void World_SetFailing(World *world, int worker, bool failing);
 void World_SetHangingStarts(World *world, int worker, bool hanging);
 int World_FillersOn(const World *world, int worker);
--- a/tests/unit/cell.c
+++ b/tests/unit/cell.c
@@ -274,6 +274,35 @@
     finish(w, config);
 }
 
+/* The same with a worker that has left the platform's table meanwhile: what
+ * ended there while it was cut off does not run again. */
+static void
+test_takeover_with_unlisted_worker(void)
+{
+    GfCellConfig *config;
+    World *w = begin(&CALM, &config, 0);
+    WorldJob job = job_of("quick", 12, 4000, 900);
+    int j = World_Submit(w, &job);
+    World_Run(w, 300);
+    World_Cut(w, 0, true);
+    World_Cut(w, 1, true);
+    World_Run(w, 3500);
+    World_SetListed(w, 0, false);
+    World_SetListed(w, 1, false);
+    World_Run(w, 500);
+    World_Kill(w, World_Owner(w));
+    World_TakeOver(w);
+    World_Run(w, 700);
+    World_Cut(w, 0, false);
+    World_Cut(w, 1, false);
+    World_SetListed(w, 0, true);
+    World_SetListed(w, 1, true);
+    World_Run(w, 12000);
+    CU_ASSERT_EQUAL(World_State(w, j), GF_JOB_COMPLETED);
+    CU_ASSERT_EQUAL(World_Starts(w, j), 12);
+    finish(w, config);
+}
+
 /* Starts without an answer that are carried out late do not run a task
  * twice, hold no room for good, and delay quick work by less than half a
  * second: they are looked after as soon as an answer is overdue. */
@@ -474,6 +503,7 @@
     {"cut worker", test_cut_worker},
     {"unreachable for the new owner", test_unreachable_for_new_owner},
     {"takeover with a silent worker", test_takeover_with_silent_worker},
+    {"takeover with an unlisted worker", test_takeover_with_unlisted_worker},
     {"late orders", test_late_orders},
     {"cancel", test_cancel},
     {"strays hold room", test_strays_hold_room},
