Keep the doubt of a takeover from its very start

Ruled out: the stored list (it was read with the worker in it). Change: the doubt and its end are set when the cell is created and checked once it has begun. The simulated world waits for workers before it begins, as the entry does.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -78,6 +78,8 @@
     cell->clock = clock;
     cell->may_extend = true;
     cell->created_at = GfClock_Now(clock);
+    cell->doubt = true;
+    cell->doubt_until = GfTime_AddMs(cell->created_at, settings->doubt_ms);
     cell->next_serial = settings->first_serial;
     return cell;
 }
@@ -204,10 +206,7 @@
             }
         }
     }
-    cell->doubt = true;
     cell->dirty = true;
-    cell->doubt_until =
-        GfTime_AddMs(cell->created_at, cell->settings.doubt_ms);
 }
 
 /* Tells whether the cell places tasks. */
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -370,7 +370,7 @@
 static void
 check_doubt(GfCell *cell, struct timespec now)
 {
-    if (!cell->doubt) {
+    if (!cell->begun || !cell->doubt) {
         return;
     }
     size_t unheard = 0;
--- a/tests/support/cell_world.c
+++ b/tests/support/cell_world.c
@@ -16,6 +16,7 @@
 #define DOUBT_MS 8200
 #define PROOF_MS 1800
 #define PROOF_AGE_MS 1500
+#define HEAR_MS 350
 #define LEASE_MS 6000
 #define LATE_MIN_MS 2000
 #define LATE_SPAN_MS 10000
@@ -110,6 +111,7 @@
     int index;
     GfCell *cell;
     int64_t token;
+    int64_t began_at;
     int64_t followed_at; /* when another owner took over; 0: none has */
 } Owner;
 
@@ -811,6 +813,11 @@
                 GfCell_SetMayExtend(
                     o->cell, World_NowMs(w) < o->followed_at + PROOF_AGE_MS);
             }
+            if (o->cell != NULL && !GfCell_IsReady(o->cell) &&
+                (GfCell_AllHeard(o->cell) ||
+                 World_NowMs(w) > o->began_at + HEAR_MS)) {
+                GfCell_Begin(o->cell);
+            }
             if (o->cell != NULL && o->token != 0) {
                 GfCell_Tick(o->cell);
             }
@@ -927,7 +934,7 @@
             give_job(w, o, &w->jobs[k], true);
         }
     }
-    GfCell_Begin(o->cell);
+    o->began_at = World_NowMs(w);
     return o->cell;
 }
 
