Remove what nothing uses and name the weights of placing

Ruled out: keeping the pace order for a later control of speed; it comes back with the decision that needs it.

Change: the unused order, parameter and flag are gone; weights are named constants with what they outweigh; the spread uses the hash that the other modules use; one function tells whether two times are the same.

--- a/include/guavaflow/cell.h
+++ b/include/guavaflow/cell.h
@@ -134,13 +134,6 @@
     struct timespec sent_at; /* comes back with the outcome */
 } GfHoldOrder;
 
-typedef struct {
-    GfOrderTarget target;
-    GfTaskId task;
-    int64_t run;
-    int percent;
-} GfPaceOrder;
-
 /* A question which of the workers may run a step, put by one of the cell's
  * advice callers. */
 typedef struct {
@@ -171,7 +164,6 @@
     void (*start)(void *ctx, const GfStartOrder *order);
     void (*stop)(void *ctx, const GfStopOrder *order);
     void (*hold)(void *ctx, const GfHoldOrder *order);
-    void (*pace)(void *ctx, const GfPaceOrder *order);
     void (*advise)(void *ctx, const GfAdviceOrder *order);
     void (*commit)(void *ctx, const GfCellCommit *commit);
     /* A worker runs or ran a task of a job that is not known here. The answer
@@ -215,8 +207,7 @@
 size_t GfCell_TakeExpired(GfCell *cell, int64_t keep_ms, GfName *jobs,
                           size_t max);
 
-void GfCell_SetWorker(GfCell *cell, const GfWorkerInfo *info,
-                      int64_t clock_ms);
+void GfCell_SetWorker(GfCell *cell, const GfWorkerInfo *info);
 void GfCell_AddLeasedWorker(GfCell *cell, const GfWorkerInfo *info);
 void GfCell_AddSilentWorker(GfCell *cell, const GfWorkerInfo *info,
                             const GfTaskId *tasks, size_t count);
--- a/include/guavaflow/commands.h
+++ b/include/guavaflow/commands.h
@@ -26,7 +26,6 @@
     void (*start)(GfCommands *commands, const GfStartOrder *order);
     void (*stop)(GfCommands *commands, const GfStopOrder *order);
     void (*hold)(GfCommands *commands, const GfHoldOrder *order);
-    void (*pace)(GfCommands *commands, const GfPaceOrder *order);
     void (*advise)(GfCommands *commands, const char *step,
                    const GfName *workers, size_t count, int timeout_ms,
                    GfAdviceCallback callback, void *arg);
@@ -43,7 +42,7 @@
 typedef struct {
     GfCellConfig *(*config)(const char *data, size_t len, GfError *error);
     bool (*worker)(const char *id, const char *data, size_t len,
-                   GfWorkerInfo *info, int64_t *clock_ms, GfError *error);
+                   GfWorkerInfo *info, GfError *error);
     bool (*job)(const char *data, size_t len, GfJobSpec *spec, GfError *error);
     bool (*evacuation)(const char *key, GfName *domain);
     const char *operator_table;
--- a/src/cell/advice.c
+++ b/src/cell/advice.c
@@ -28,6 +28,12 @@
 #define ASK_SLACK_MS 2500
 /* A step for which no question helps now is looked at again after this. */
 #define ASK_PAUSE_MS 120
+/* Ranks of workers to name, lowest first: those allowed before with room, then
+ * by how many tasks fit, up to a few; those set aside last. */
+#define ROOM_RANK_MAX 4
+#define ALLOWED_RANK 8
+#define AVOID_RANK 16
+#define SPREAD_STEPS 1000
 #define PERCENT 100
 
 typedef struct {
@@ -164,6 +170,15 @@
     return fit;
 }
 
+/* Returns a small number, other for each pair of worker and job, that spreads
+ * questions over workers of equal rank. */
+static double
+spread(const Worker *w, const Step *step)
+{
+    uint64_t hash = GfName_Hash(&step->job->id, w->serial);
+    return (double)(hash % SPREAD_STEPS) / (SPREAD_STEPS * 2.0);
+}
+
 /* Collects the workers worth asking about, best first: those that were
  * allowed before, then those with the most room. Returns how many tasks fit
  * on those that are allowed for sure in *sure. */
@@ -179,17 +194,15 @@
             continue;
         }
         int64_t fit = fitting(w, step);
-        double rank = fit > 0 ? -(double)(fit > 4 ? 4 : fit) : 1;
+        double rank =
+            fit > 0 ? -(double)(fit > ROOM_RANK_MAX ? ROOM_RANK_MAX : fit) : 1;
         if (fit > 0 && find_allowed(step, w->serial) != NULL) {
-            rank -= 8;
+            rank -= ALLOWED_RANK;
         }
         if (GfTime_Before(now, w->avoid_until)) {
-            rank += 16;
+            rank += AVOID_RANK;
         }
-        /* Spreads the questions over workers of equal room. */
-        rank +=
-            (double)((w->serial * 7919U + step->job->id.data[5] * 31U) % 97U) /
-            1000.0;
+        rank += spread(w, step);
         *has_room = *has_room || fit > 0;
         out[count++] = (Candidate){.worker = w, .rank = rank};
     }
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -15,6 +15,11 @@
 /* Fillers share a worker's idle processors; more than one would mostly slow
  * the others. */
 #define FILLERS_PER_WORKER 1
+/* Added to a worker's score, whose own part, the free share of its processors,
+ * is below 1: each outweighs all that follow it. */
+#define AVOID_PENALTY 8
+#define FAILED_HERE_PENALTY 4
+#define OTHER_RACK_PENALTY 2
 /* Runs of a term are numbered from here, so that they rise over takeovers
  * without a stored number. */
 #define RUNS_PER_TOKEN 1000000
@@ -125,14 +130,14 @@
     double s = (double)(w->info.room.mcores - w->used.mcores) /
                (double)(w->info.room.mcores + 1);
     if (GfTime_Before(now, w->avoid_until)) {
-        s += 8;
+        s += AVOID_PENALTY;
     }
     if (task->avoid_serial == w->serial) {
-        s += 4;
+        s += FAILED_HERE_PENALTY;
     }
     if (step->spec->preferred_rack.len > 0 &&
         !GfName_Equal(CellWorker_Rack(w), &step->spec->preferred_rack)) {
-        s += 2;
+        s += OTHER_RACK_PENALTY;
     }
     return s;
 }
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -131,12 +131,10 @@
     return w;
 }
 
-/* Takes a row of the platform's table of workers. clock_ms is the worker's
- * clock when the row was written, which is too old to grant leases by. */
+/* Takes a row of the platform's table of workers. */
 void
-GfCell_SetWorker(GfCell *cell, const GfWorkerInfo *info, int64_t clock_ms)
+GfCell_SetWorker(GfCell *cell, const GfWorkerInfo *info)
 {
-    (void)clock_ms;
     Worker *w = NULL;
     HASH_FIND(hh, cell->workers, info->id.data, info->id.len, w);
     if (w == NULL) {
@@ -252,6 +250,13 @@
     return HOLD_WAIT_MS;
 }
 
+/* Tells whether two times are the same, which tells two calls apart. */
+static bool
+same_time(struct timespec a, struct timespec b)
+{
+    return !GfTime_Before(a, b) && !GfTime_Before(b, a);
+}
+
 /* Takes the outcome of a hold. inventory is set if the result is
  * GF_ORDER_DONE. sent_at is when the call left. */
 void
@@ -270,10 +275,7 @@
     if (GfTime_Before(sent_at, w->life_began_at)) {
         return; /* meant for a life that is over */
     }
-    bool peek = GfTime_DiffMs(sent_at, w->hold_sent_at) != 0 ||
-                !w->hold_in_flight ||
-                sent_at.tv_nsec != w->hold_sent_at.tv_nsec;
-    if (peek) {
+    if (!w->hold_in_flight || !same_time(sent_at, w->hold_sent_at)) {
         w->peek_in_flight = false;
         if (result == GF_ORDER_DONE) {
             CellInventory_Apply(cell, w, sent_at, inventory);
--- a/src/cellentry/entry_private.h
+++ b/src/cellentry/entry_private.h
@@ -162,7 +162,7 @@
 int64_t EntryTerm_Token(const GfCellEntry *entry);
 
 /* load.c: reads what a term begins with. */
-typedef void (*LoadDone)(GfCellEntry *entry, bool loaded, int64_t version);
+typedef void (*LoadDone)(GfCellEntry *entry, int64_t version);
 typedef struct Load Load;
 Load *Load_Start(GfCellEntry *entry, GfCell *cell, LoadDone done);
 void Load_Cancel(Load *load);
--- a/src/cellentry/load.c
+++ b/src/cellentry/load.c
@@ -182,7 +182,7 @@
                                  job->value.len, progress, true);
         }
     }
-    load->done(load->entry, true, load->version);
+    load->done(load->entry, load->version);
 }
 
 static void start_read(Read *read);
@@ -236,12 +236,11 @@
     else {
         for (size_t i = 0; i < count; i++) {
             GfWorkerInfo info;
-            int64_t clock_ms = 0;
             GfError error;
             if (load->entry->decoder->worker(rows[i].key, rows[i].value,
                                              rows[i].value_len, &info,
-                                             &clock_ms, &error)) {
-                GfCell_SetWorker(load->cell, &info, clock_ms);
+                                             &error)) {
+                GfCell_SetWorker(load->cell, &info);
             }
         }
     }
--- a/src/cellentry/term.c
+++ b/src/cellentry/term.c
@@ -84,14 +84,12 @@
     }
     for (size_t i = 0; i < count; i++) {
         GfWorkerInfo info;
-        int64_t clock_ms = 0;
         GfError error;
         GfName id;
         if (!rows[i].deleted && rows[i].value != NULL &&
             entry->decoder->worker(rows[i].key, rows[i].value,
-                                   rows[i].value_len, &info, &clock_ms,
-                                   &error)) {
-            GfCell_SetWorker(term->cell, &info, clock_ms);
+                                   rows[i].value_len, &info, &error)) {
+            GfCell_SetWorker(term->cell, &info);
         }
         else if (GfName_SetText(&id, rows[i].key)) {
             if (!rows[i].deleted) {
@@ -138,11 +136,10 @@
 
 /* Begins to schedule once everything is read. */
 static void
-on_loaded(GfCellEntry *entry, bool loaded, int64_t version)
+on_loaded(GfCellEntry *entry, int64_t version)
 {
     Term *term = entry->term;
-    assert(term != NULL && loaded);
-    (void)loaded;
+    assert(term != NULL);
     term->loaded = true;
     term->loaded_at = GfClock_Now(entry->clock);
     GfLog(GF_LOG_INFO, PART, "term loaded token=%lld jobs=%zu after_ms=%lld",
--- a/src/cellentry/term_orders.c
+++ b/src/cellentry/term_orders.c
@@ -31,13 +31,6 @@
     term->entry->commands->ops->hold(term->entry->commands, order);
 }
 
-static void
-op_pace(void *ctx, const GfPaceOrder *order)
-{
-    const Term *term = ctx;
-    term->entry->commands->ops->pace(term->entry->commands, order);
-}
-
 /* Stands down: a worker has seen a higher token. */
 static void
 op_fenced(void *ctx, const GfName *worker)
@@ -209,7 +202,6 @@
 const GfCellOps TERM_CELL_OPS = {.start = op_start,
                                  .stop = op_stop,
                                  .hold = op_hold,
-                                 .pace = op_pace,
                                  .advise = op_advise,
                                  .commit = Term_Commit,
                                  .look_up = op_look_up,
--- a/tests/support/cell_world.c
+++ b/tests/support/cell_world.c
@@ -263,13 +263,6 @@
     o->world->messages->prev->sent_at = order->sent_at;
 }
 
-static void
-op_pace(void *ctx, const GfPaceOrder *order)
-{
-    (void)ctx;
-    (void)order;
-}
-
 static void
 op_advise(void *ctx, const GfAdviceOrder *order)
 {
@@ -326,7 +319,6 @@
 static const GfCellOps OPS = {.start = op_start,
                               .stop = op_stop,
                               .hold = op_hold,
-                              .pace = op_pace,
                               .advise = op_advise,
                               .commit = op_commit,
                               .look_up = op_look_up,
@@ -926,7 +918,7 @@
     }
     for (int k = 0; k < w->settings.workers; k++) {
         if (w->workers[k].alive && !w->workers[k].unlisted) {
-            GfCell_SetWorker(o->cell, &w->workers[k].info, 0);
+            GfCell_SetWorker(o->cell, &w->workers[k].info);
         }
     }
     for (int k = 0; k < w->job_count; k++) {
@@ -1094,7 +1086,7 @@
     s->alive = true;
     s->info.lifetime++;
     if (World_Owner(w) != NULL) {
-        GfCell_SetWorker(World_Owner(w), &s->info, 0);
+        GfCell_SetWorker(World_Owner(w), &s->info);
     }
 }
 
@@ -1124,7 +1116,7 @@
         return;
     }
     if (listed) {
-        GfCell_SetWorker(World_Owner(w), &s->info, 0);
+        GfCell_SetWorker(World_Owner(w), &s->info);
     }
     else {
         GfCell_UnlistWorker(World_Owner(w), &s->info.id);
