Count what may run unseen against a team's limit

New jobs of a team filled its limit beside what ran, and went on being started by the former owner, in the cut domain: 833,760 MB ran against a limit of 727,100 MB.

Stopping all starts until the doubt is over: it would hold back every team.

Change: `share.c` adds to a team's use what a former owner may have running unseen: the idle tasks of its jobs in doubt, but no more than the workers not heard have room for, and the tasks carried over on silent workers.

A team at its limit pays for a cut around a takeover.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -196,7 +196,8 @@
     GfAmounts used;
     GfAmounts by_class[CELL_CLASSES]; /* part of used */
     GfAmounts asked[CELL_CLASSES];    /* what waits, as of the last round */
-    GfAmounts peak[CELL_CLASSES];     /* of both together, decaying */
+    GfAmounts doubtful; /* may run where this term has not been heard */
+    GfAmounts peak[CELL_CLASSES]; /* of both together, decaying */
     UT_hash_handle hh;
 };
 
--- a/src/cell/share.c
+++ b/src/cell/share.c
@@ -2,7 +2,8 @@
  * keep its quick ones waiting, as the former hold what they have for seconds.
  * A class therefore leaves room under the limit for what the classes before
  * it needed lately. This answers bursts of quick work of teams whose batch
- * work fills their limit. */
+ * work fills their limit. After a takeover what a former owner may have
+ * running on workers not heard yet counts against the limit too. */
 #include <math.h>
 #include <stdlib.h>
 
@@ -72,6 +73,56 @@
     *own = GfAmounts_Minus(*own, step->spec->need);
 }
 
+/* Returns the smaller of each amount. */
+static GfAmounts
+smaller(GfAmounts a, GfAmounts b)
+{
+    return (GfAmounts){
+        .mcores = a.mcores < b.mcores ? a.mcores : b.mcores,
+        .memory_mb = a.memory_mb < b.memory_mb ? a.memory_mb : b.memory_mb,
+        .accelerators =
+            a.accelerators < b.accelerators ? a.accelerators : b.accelerators};
+}
+
+/* Counts for each team what a former owner may have running unseen. Any idle
+ * task of a job in doubt may run, but all together no more than the workers
+ * not heard have room for. Tasks carried over on a silent worker count one by
+ * one. */
+static void
+update_doubtful(GfCell *cell, struct timespec now)
+{
+    for (TeamUse *u = cell->uses; u != NULL; u = u->hh.next) {
+        u->doubtful = (GfAmounts){0};
+    }
+    GfAmounts room = {0};
+    for (const Worker *w = cell->workers; w != NULL; w = w->hh.next) {
+        if (w->suspect && !w->known) {
+            room = GfAmounts_Plus(room, w->info.room);
+        }
+    }
+    for (const Step *s = cell->waiting; cell->doubt && s != NULL;
+         s = s->next) {
+        if (s->job->in_doubt) {
+            GfAmounts *sum = &s->job->use->doubtful;
+            *sum = GfAmounts_Plus(*sum, scale(s->spec->need, s->idle));
+        }
+    }
+    for (TeamUse *u = cell->uses; u != NULL; u = u->hh.next) {
+        u->doubtful = smaller(u->doubtful, room);
+    }
+    for (const Worker *w = cell->workers; w != NULL; w = w->hh.next) {
+        for (size_t i = 0; !w->known && i < w->carried_count; i++) {
+            const Task *task = CellJob_Task(cell, &w->carried[i]);
+            if (task != NULL && task->state == TASK_IDLE &&
+                CellPlace_InDoubt(cell, task, now)) {
+                TeamUse *u = task->step->job->use;
+                u->doubtful =
+                    GfAmounts_Plus(u->doubtful, task->step->spec->need);
+            }
+        }
+    }
+}
+
 /* Brings the peaks up to date with what runs and waits. */
 void
 CellShare_Update(GfCell *cell, struct timespec now)
@@ -79,6 +130,7 @@
     int64_t ms = GfTime_DiffMs(now, cell->shares_updated_at);
     double decay = exp(-(double)ms / PEAK_DECAY_MS);
     cell->shares_updated_at = now;
+    update_doubtful(cell, now);
     for (TeamUse *u = cell->uses; u != NULL; u = u->hh.next) {
         for (int c = 0; c < CELL_CLASSES; c++) {
             u->asked[c] = (GfAmounts){0};
@@ -123,9 +175,10 @@
         kept = GfAmounts_Plus(kept, GfAmounts_Minus(peak, use->by_class[c]));
     }
     const GfAmounts *l = &team->limit;
-    return fits(l->mcores, use->used.mcores, kept.mcores, need.mcores) &&
-           fits(l->memory_mb, use->used.memory_mb, kept.memory_mb,
+    GfAmounts used = GfAmounts_Plus(use->used, use->doubtful);
+    return fits(l->mcores, used.mcores, kept.mcores, need.mcores) &&
+           fits(l->memory_mb, used.memory_mb, kept.memory_mb,
                 need.memory_mb) &&
-           fits(l->accelerators, use->used.accelerators, kept.accelerators,
+           fits(l->accelerators, used.accelerators, kept.accelerators,
                 need.accelerators);
 }
--- a/tests/unit/cell.c
+++ b/tests/unit/cell.c
@@ -250,6 +250,36 @@
     finish(w, config);
 }
 
+/* What runs where the new owner cannot reach counts against its team's limit:
+ * a new job of the team waits, one of another team does not. */
+static void
+test_limit_with_unreachable_runs(void)
+{
+    GfCellConfig *config;
+    World *w = begin(&CALM, &config, 8000);
+    WorldJob job = job_of("batch", 4, 2000, 9000);
+    int j = World_Submit(w, &job);
+    World_Run(w, 500);
+    CU_ASSERT_EQUAL(World_RunningOf(w, j), 4);
+    World_Kill(w, World_Owner(w));
+    GfCell *next = World_TakeOver(w);
+    for (int i = 0; i < CALM.workers - 1; i++) {
+        World_CutFrom(w, i, next, true);
+    }
+    World_Run(w, 3000);
+    int later = World_Submit(w, &job);
+    WorldJob other = job_of("batch", 1, 2000, 500);
+    other.team = "b";
+    int apart = World_Submit(w, &other);
+    World_Run(w, 2000);
+    CU_ASSERT_EQUAL(World_State(w, apart), GF_JOB_COMPLETED);
+    CU_ASSERT_EQUAL(World_RunningOf(w, later), 0);
+    World_Run(w, 30000);
+    CU_ASSERT_EQUAL(World_State(w, j), GF_JOB_COMPLETED);
+    CU_ASSERT_EQUAL(World_State(w, later), GF_JOB_COMPLETED);
+    finish(w, config);
+}
+
 /* A worker that was silent before a takeover holds back its own tasks only:
  * other work goes on at once, and its tasks do not run twice. */
 static void
@@ -502,6 +532,7 @@
     {"silent worker", test_silent_worker},
     {"cut worker", test_cut_worker},
     {"unreachable for the new owner", test_unreachable_for_new_owner},
+    {"limit with unreachable runs", test_limit_with_unreachable_runs},
     {"takeover with a silent worker", test_takeover_with_silent_worker},
     {"takeover with an unlisted worker", test_takeover_with_unlisted_worker},
     {"late orders", test_late_orders},
