Count unseen runs on leased workers that left the table

The stored list of leased workers has no rooms; a worker that left the platform's table before the takeover has its lease and its runs still. The simulated world handed rooms over with that list, so its test could not see it.

Change: without all rooms known there is no such bound. The world no longer gives rooms with the list, and the test is also run with unlisted workers.

--- a/src/cell/share.c
+++ b/src/cell/share.c
@@ -86,8 +86,9 @@
 
 /* Counts for each team what a former owner may have running unseen. Any idle
  * task of a job in doubt may run, but all together no more than the workers
- * not heard have room for. Tasks carried over on a silent worker count one by
- * one. */
+ * not heard have room for, if all of that is known: a leased worker that left
+ * the platform's table is stored without its room. Tasks carried over on a
+ * silent worker count one by one. */
 static void
 update_doubtful(GfCell *cell, struct timespec now)
 {
@@ -95,9 +96,11 @@
         u->doubtful = (GfAmounts){0};
     }
     GfAmounts room = {0};
+    bool room_known = true;
     for (const Worker *w = cell->workers; w != NULL; w = w->hh.next) {
         if (w->suspect && !w->known) {
             room = GfAmounts_Plus(room, w->info.room);
+            room_known = room_known && w->info.room.mcores > 0;
         }
     }
     for (const Step *s = cell->waiting; cell->doubt && s != NULL;
@@ -107,7 +110,7 @@
             *sum = GfAmounts_Plus(*sum, scale(s->spec->need, s->idle));
         }
     }
-    for (TeamUse *u = cell->uses; u != NULL; u = u->hh.next) {
+    for (TeamUse *u = cell->uses; room_known && u != NULL; u = u->hh.next) {
         u->doubtful = smaller(u->doubtful, room);
     }
     for (const Worker *w = cell->workers; w != NULL; w = w->hh.next) {
--- a/tests/support/cell_world.c
+++ b/tests/support/cell_world.c
@@ -895,6 +895,7 @@
         long number = strtol(id + 1, NULL, 10);
         GfWorkerInfo info = w->workers[number].info;
         info.lifetime = json_integer_value(json_array_get(entry, 1));
+        info.room = (GfAmounts){0}; /* only the table of workers has it */
         const json_t *tasks = json_array_get(entry, 4);
         if (tasks == NULL) {
             GfCell_AddLeasedWorker(o->cell, &info);
--- a/tests/unit/cell.c
+++ b/tests/unit/cell.c
@@ -251,9 +251,10 @@
 }
 
 /* What runs where the new owner cannot reach counts against its team's limit:
- * a new job of the team waits, one of another team does not. */
+ * a new job of the team waits, one of another team does not. The workers may
+ * have left the platform's table before the takeover. */
 static void
-test_limit_with_unreachable_runs(void)
+limit_with_unreachable_runs(bool unlisted)
 {
     GfCellConfig *config;
     World *w = begin(&CALM, &config, 8000);
@@ -261,6 +262,9 @@
     int j = World_Submit(w, &job);
     World_Run(w, 500);
     CU_ASSERT_EQUAL(World_RunningOf(w, j), 4);
+    for (int i = 0; unlisted && i < CALM.workers - 1; i++) {
+        World_SetListed(w, i, false);
+    }
     World_Kill(w, World_Owner(w));
     GfCell *next = World_TakeOver(w);
     for (int i = 0; i < CALM.workers - 1; i++) {
@@ -280,6 +284,13 @@
     finish(w, config);
 }
 
+static void
+test_limit_with_unreachable_runs(void)
+{
+    limit_with_unreachable_runs(false);
+    limit_with_unreachable_runs(true);
+}
+
 /* A worker that was silent before a takeover holds back its own tasks only:
  * other work goes on at once, and its tasks do not run twice. */
 static void
