Split the rack by its two jobs

Cause: lease/rack.c held the leases of a rack's workers and the counting of what runs or starts there, 628 lines.

Change: rack_tasks.c has tasks, starts and room; rack.c workers, leases and the term; rack_private.h what both share. No behaviour changes.

--- a/src/lease/rack.c
+++ b/src/lease/rack.c
@@ -1,50 +1,12 @@
-#include "guavaflow/rack.h"
-
+/* The workers of a rack and the leases held on them. */
 #include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include <uthash.h>
+#include "rack_private.h"
 
 #define NEVER_SEEN (-1)
 
-typedef struct {
-    GfName id;
-    GfTask task;
-    UT_hash_handle hh;
-} Known;
-
-typedef struct {
-    GfName id;
-    GfTaskSpec spec;
-    bool accepted;
-    int64_t version;
-    UT_hash_handle hh;
-} Flight;
-
-typedef struct {
-    GfName name;
-    GfRoom capacity;
-    int64_t lease;
-    struct timespec until;
-    GfName boot;
-    int64_t version;
-    struct timespec received_at;
-    struct timespec given_up_at;
-    bool known;
-    bool tainted;
-    Known *tasks;
-    Flight *flights;
-} Worker;
-
-struct GfRack {
-    GfRackConfig config;
-    Worker **workers;
-    size_t worker_count;
-    uint64_t term;
-    bool in_term;
-};
-
 /* Creates a rack without workers. */
 GfRack *
 GfRack_Create(const GfRackConfig *config)
@@ -61,10 +23,10 @@
 
 /* Forgets the tasks seen on a worker. */
 static void
-clear_tasks(Worker *w)
+clear_tasks(RackWorker *w)
 {
-    Known *k;
-    Known *tmp;
+    RackKnown *k;
+    RackKnown *tmp;
     HASH_ITER(hh, w->tasks, k, tmp)
     {
         HASH_DEL(w->tasks, k);
@@ -73,8 +35,8 @@
 }
 
 /* Removes one unanswered start. */
-static void
-delete_flight(Worker *w, Flight *f)
+void
+Rack_DeleteFlight(RackWorker *w, RackFlight *f)
 {
     HASH_DEL(w->flights, f);
     free(f);
@@ -82,14 +44,14 @@
 
 /* Frees a worker's record. */
 static void
-free_worker(Worker *w)
+free_worker(RackWorker *w)
 {
     clear_tasks(w);
-    Flight *f;
-    Flight *tmp;
+    RackFlight *f;
+    RackFlight *tmp;
     HASH_ITER(hh, w->flights, f, tmp)
     {
-        delete_flight(w, f);
+        Rack_DeleteFlight(w, f);
     }
     free(w);
 }
@@ -116,8 +78,8 @@
 }
 
 /* Finds a worker of the rack, or NULL. */
-static Worker *
-find_worker(const GfRack *rack, const GfName *name)
+RackWorker *
+Rack_FindWorker(const GfRack *rack, const GfName *name)
 {
     for (size_t i = 0; i < rack->worker_count; i++) {
         if (GfName_Equal(&rack->workers[i]->name, name)) {
@@ -128,8 +90,8 @@
 }
 
 /* Tells whether the lease of a worker is held at the given time. */
-static bool
-is_held(const Worker *w, struct timespec now)
+bool
+Rack_IsHeld(const RackWorker *w, struct timespec now)
 {
     return w->lease != 0 && GfTime_Before(now, w->until);
 }
@@ -140,21 +102,21 @@
 {
     size_t held = 0;
     for (size_t i = 0; i < rack->worker_count; i++) {
-        held += is_held(rack->workers[i], now);
+        held += Rack_IsHeld(rack->workers[i], now);
     }
     return held;
 }
 
 /* Starts or ends the term by the leases held now. Outside a term what was
  * seen on a worker counts only while its lease lasts. */
-static void
-update_term(GfRack *rack, struct timespec now)
+void
+Rack_UpdateTerm(GfRack *rack, struct timespec now)
 {
     bool major = GfRack_HeldCount(rack, now) * 2 > rack->worker_count;
     if (!major && (rack->config.rules & GF_RACK_FORGET_AFTER_TERM)) {
         for (size_t i = 0; i < rack->worker_count; i++) {
-            Worker *w = rack->workers[i];
-            if (!is_held(w, now)) {
+            RackWorker *w = rack->workers[i];
+            if (!Rack_IsHeld(w, now)) {
                 w->known = false;
                 clear_tasks(w);
             }
@@ -170,13 +132,13 @@
 void
 GfRack_AddWorker(GfRack *rack, const GfName *worker, struct timespec now)
 {
-    if (find_worker(rack, worker) != NULL) {
+    if (Rack_FindWorker(rack, worker) != NULL) {
         return;
     }
-    update_term(rack, now);
-    Worker *w = calloc(1, sizeof(*w));
+    Rack_UpdateTerm(rack, now);
+    RackWorker *w = calloc(1, sizeof(*w));
     size_t bytes = (rack->worker_count + 1) * sizeof(*rack->workers);
-    Worker **grown = realloc(rack->workers, bytes);
+    RackWorker **grown = realloc(rack->workers, bytes);
     if (w == NULL || grown == NULL) {
         abort();
     }
@@ -184,7 +146,7 @@
     w->version = NEVER_SEEN;
     rack->workers = grown;
     rack->workers[rack->worker_count++] = w;
-    update_term(rack, now);
+    Rack_UpdateTerm(rack, now);
 }
 
 /* Removes a worker that the platform calls gone, once no task of it can be
@@ -192,7 +154,7 @@
 void
 GfRack_RemoveWorker(GfRack *rack, const GfName *worker, struct timespec now)
 {
-    update_term(rack, now);
+    Rack_UpdateTerm(rack, now);
     for (size_t i = 0; i < rack->worker_count; i++) {
         if (GfName_Equal(&rack->workers[i]->name, worker)) {
             free_worker(rack->workers[i]);
@@ -200,7 +162,7 @@
             break;
         }
     }
-    update_term(rack, now);
+    Rack_UpdateTerm(rack, now);
 }
 
 /* Returns the number of workers. */
@@ -222,14 +184,15 @@
 bool
 GfRack_HasWorker(const GfRack *rack, const GfName *worker)
 {
-    return find_worker(rack, worker) != NULL;
+    return Rack_FindWorker(rack, worker) != NULL;
 }
 
 /* Tells whether an answer is older than one taken before. Within one boot
  * the lease id and then the inventory version order answers; across boots
  * only an answer to a call sent after the last one arrived is newer. */
 static bool
-is_stale(const Worker *w, const GfLeaseGrant *grant, struct timespec sent_at)
+is_stale(const RackWorker *w, const GfLeaseGrant *grant,
+         struct timespec sent_at)
 {
     if (w->version == NEVER_SEEN) {
         return false;
@@ -245,11 +208,11 @@
 
 /* Replaces what is known of the worker's tasks. */
 static void
-take_inventory(Worker *w, const GfLeaseGrant *grant)
+take_inventory(RackWorker *w, const GfLeaseGrant *grant)
 {
     clear_tasks(w);
     for (size_t i = 0; i < grant->task_count; i++) {
-        Known *k = calloc(1, sizeof(*k));
+        RackKnown *k = calloc(1, sizeof(*k));
         if (k == NULL) {
             abort();
         }
@@ -261,10 +224,10 @@
 }
 
 /* Finds a task in the worker's inventory, or NULL. */
-static Known *
-find_known(const Worker *w, const GfName *id)
+RackKnown *
+Rack_FindKnown(const RackWorker *w, const GfName *id)
 {
-    Known *k;
+    RackKnown *k;
     HASH_FIND(hh, w->tasks, id, sizeof(*id), k);
     return k;
 }
@@ -272,14 +235,14 @@
 /* Drops the starts that the inventory settles: those it lists, those the
  * worker accepted at this version or before, and, under a new lease, all. */
 static void
-settle_flights(Worker *w, int64_t version, bool new_lease,
+settle_flights(RackWorker *w, int64_t version, bool new_lease,
                GfFlightCallback callback, void *ctx)
 {
-    Flight *f;
-    Flight *tmp;
+    RackFlight *f;
+    RackFlight *tmp;
     HASH_ITER(hh, w->flights, f, tmp)
     {
-        bool seen = find_known(w, &f->id) != NULL;
+        bool seen = Rack_FindKnown(w, &f->id) != NULL;
         bool answered = f->accepted && f->version <= version;
         if (!seen && !answered && !new_lease) {
             continue;
@@ -287,7 +250,7 @@
         if (callback != NULL && !f->accepted) {
             callback(ctx, &w->name, &f->spec, seen);
         }
-        delete_flight(w, f);
+        Rack_DeleteFlight(w, f);
     }
 }
 
@@ -300,8 +263,8 @@
                GfFlightCallback callback, void *ctx)
 {
     assert(rack != NULL && worker != NULL && grant != NULL);
-    update_term(rack, now);
-    Worker *w = find_worker(rack, worker);
+    Rack_UpdateTerm(rack, now);
+    RackWorker *w = Rack_FindWorker(rack, worker);
     if (w == NULL) {
         return false;
     }
@@ -338,7 +301,7 @@
     if (new_lease) {
         w->tainted = false;
     }
-    update_term(rack, now);
+    Rack_UpdateTerm(rack, now);
     return true;
 }
 
@@ -346,28 +309,28 @@
 void
 GfRack_GivenUp(GfRack *rack, const GfName *worker, struct timespec now)
 {
-    update_term(rack, now);
-    Worker *w = find_worker(rack, worker);
+    Rack_UpdateTerm(rack, now);
+    RackWorker *w = Rack_FindWorker(rack, worker);
     if (w != NULL) {
         w->until = (struct timespec){0};
         w->given_up_at = now;
     }
-    update_term(rack, now);
+    Rack_UpdateTerm(rack, now);
 }
 
 /* Tells whether the worker's lease is held at the given time. */
 bool
 GfRack_Holds(const GfRack *rack, const GfName *worker, struct timespec now)
 {
-    const Worker *w = find_worker(rack, worker);
-    return w != NULL && is_held(w, now);
+    const RackWorker *w = Rack_FindWorker(rack, worker);
+    return w != NULL && Rack_IsHeld(w, now);
 }
 
 /* Returns the id of the worker's last lease, 0 if there was none. */
 int64_t
 GfRack_Lease(const GfRack *rack, const GfName *worker)
 {
-    const Worker *w = find_worker(rack, worker);
+    const RackWorker *w = Rack_FindWorker(rack, worker);
     return w == NULL ? 0 : w->lease;
 }
 
@@ -375,7 +338,7 @@
 int64_t
 GfRack_SeenVersion(const GfRack *rack, const GfName *worker)
 {
-    const Worker *w = find_worker(rack, worker);
+    const RackWorker *w = Rack_FindWorker(rack, worker);
     return w == NULL || !w->known ? NEVER_SEEN : w->version;
 }
 
@@ -383,7 +346,7 @@
 bool
 GfRack_InTerm(GfRack *rack, struct timespec now)
 {
-    update_term(rack, now);
+    Rack_UpdateTerm(rack, now);
     return rack->in_term || !(rack->config.rules & GF_RACK_NEED_MAJORITY);
 }
 
@@ -399,230 +362,12 @@
 bool
 GfRack_IsComplete(GfRack *rack, struct timespec now)
 {
-    update_term(rack, now);
+    Rack_UpdateTerm(rack, now);
     for (size_t i = 0; i < rack->worker_count; i++) {
-        const Worker *w = rack->workers[i];
-        if (!is_held(w, now) || !w->known || w->tainted) {
+        const RackWorker *w = rack->workers[i];
+        if (!Rack_IsHeld(w, now) || !w->known || w->tainted) {
             return false;
         }
     }
     return rack->in_term;
 }
-
-/* Returns the room of a held worker that neither a task seen nor an
- * unanswered start takes; none if the lease is not held. */
-GfRoom
-GfRack_FreeRoom(const GfRack *rack, const GfName *worker, struct timespec now)
-{
-    const Worker *w = find_worker(rack, worker);
-    if (w == NULL || !is_held(w, now) || !w->known || w->tainted) {
-        return (GfRoom){0};
-    }
-    GfRoom room = w->capacity;
-    for (Known *k = w->tasks; k != NULL; k = k->hh.next) {
-        if (k->task.state == GF_TASK_RUNNING) {
-            room = GfRoom_Minus(&room, &k->task.spec.need);
-        }
-    }
-    for (Flight *f = w->flights; f != NULL; f = f->hh.next) {
-        if (find_known(w, &f->id) == NULL) {
-            room = GfRoom_Minus(&room, &f->spec.need);
-        }
-    }
-    return room;
-}
-
-/* Returns the worker's whole room as it was last reported. */
-GfRoom
-GfRack_Capacity(const GfRack *rack, const GfName *worker)
-{
-    const Worker *w = find_worker(rack, worker);
-    return w == NULL ? (GfRoom){0} : w->capacity;
-}
-
-/* Sums what a team has running or starting on a worker, in millicores. */
-static uint64_t
-use_on(const Worker *w, const GfName *team)
-{
-    uint64_t use = 0;
-    for (Known *k = w->tasks; k != NULL; k = k->hh.next) {
-        if (k->task.state == GF_TASK_RUNNING &&
-            GfName_Equal(&k->task.spec.team, team)) {
-            use += k->task.spec.need.mcores;
-        }
-    }
-    for (Flight *f = w->flights; f != NULL; f = f->hh.next) {
-        if (GfName_Equal(&f->spec.team, team) &&
-            find_known(w, &f->id) == NULL) {
-            use += f->spec.need.mcores;
-        }
-    }
-    return use;
-}
-
-/* Returns the most millicores that a team can have running on the rack. A
- * worker not seen in this term counts as filled by the team; one of unknown
- * size counts as having no limit. */
-uint64_t
-GfRack_TeamUse(GfRack *rack, const GfName *team, struct timespec now)
-{
-    update_term(rack, now);
-    uint64_t use = 0;
-    for (size_t i = 0; i < rack->worker_count; i++) {
-        const Worker *w = rack->workers[i];
-        if (w->known) {
-            use += use_on(w, team);
-        }
-        else if (rack->config.rules & GF_RACK_RESERVE_UNSEEN) {
-            use += w->capacity.mcores > 0 ? w->capacity.mcores : UINT32_MAX;
-        }
-    }
-    return use;
-}
-
-/* Returns the millicores that a team is seen to have running or starting,
- * with nothing in reserve for unseen workers. */
-uint64_t
-GfRack_SeenUse(const GfRack *rack, const GfName *team)
-{
-    uint64_t use = 0;
-    for (size_t i = 0; i < rack->worker_count; i++) {
-        use += use_on(rack->workers[i], team);
-    }
-    return use;
-}
-
-/* Finds a task in the known inventories and the worker that lists it, or
- * returns NULL. */
-const GfTask *
-GfRack_FindTask(const GfRack *rack, const GfName *task, GfName *worker)
-{
-    for (size_t i = 0; i < rack->worker_count; i++) {
-        const Known *k = find_known(rack->workers[i], task);
-        if (k != NULL) {
-            *worker = rack->workers[i]->name;
-            return &k->task;
-        }
-    }
-    return NULL;
-}
-
-/* Tells whether a task is listed on a worker or is being started. */
-bool
-GfRack_HasTask(const GfRack *rack, const GfName *task)
-{
-    for (size_t i = 0; i < rack->worker_count; i++) {
-        const Worker *w = rack->workers[i];
-        Flight *f;
-        HASH_FIND(hh, w->flights, task, sizeof(*task), f);
-        if (f != NULL || find_known(w, task) != NULL) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Tells whether a start for a partition's job is unanswered. */
-bool
-GfRack_HasFlight(const GfRack *rack, uint32_t partition)
-{
-    for (size_t i = 0; i < rack->worker_count; i++) {
-        for (Flight *f = rack->workers[i]->flights; f != NULL;
-             f = f->hh.next) {
-            uint32_t p = 0;
-            if (GfTask_Partition(&f->id, &p) && p == partition) {
-                return true;
-            }
-        }
-    }
-    return false;
-}
-
-/* Notes a start right before it is sent. */
-void
-GfRack_StartSent(GfRack *rack, const GfName *worker, const GfTaskSpec *spec)
-{
-    Worker *w = find_worker(rack, worker);
-    assert(w != NULL);
-    Flight *f = calloc(1, sizeof(*f));
-    if (f == NULL) {
-        abort();
-    }
-    f->id = spec->id;
-    f->spec = *spec;
-    HASH_ADD(hh, w->flights, id, sizeof(f->id), f);
-}
-
-/* Finds a start that is not settled, or NULL. */
-static Flight *
-find_flight(const Worker *w, const GfName *task)
-{
-    Flight *f = NULL;
-    if (w != NULL) {
-        HASH_FIND(hh, w->flights, task, sizeof(*task), f);
-    }
-    return f;
-}
-
-/* Notes that the worker accepted a start at the given inventory version. The
- * start counts until an inventory of that version or a later one is seen. */
-void
-GfRack_StartAccepted(GfRack *rack, const GfName *worker, const GfName *task,
-                     int64_t version)
-{
-    Worker *w = find_worker(rack, worker);
-    Flight *f = find_flight(w, task);
-    if (f == NULL) {
-        return;
-    }
-    f->accepted = true;
-    f->version = version;
-    if (w->known && w->version >= version) {
-        delete_flight(w, f);
-    }
-}
-
-/* Notes that a start did not and will not take effect. */
-void
-GfRack_StartRefused(GfRack *rack, const GfName *worker, const GfName *task)
-{
-    Worker *w = find_worker(rack, worker);
-    Flight *f = find_flight(w, task);
-    if (f != NULL) {
-        delete_flight(w, f);
-    }
-}
-
-/* Notes that a command to the worker got no answer. The lease is to be
- * replaced, so that the command can no longer take effect. */
-void
-GfRack_StartUnanswered(GfRack *rack, const GfName *worker)
-{
-    Worker *w = find_worker(rack, worker);
-    if (w != NULL) {
-        w->tainted = true;
-    }
-}
-
-/* Tells whether the worker's lease is to be replaced by a new one. */
-bool
-GfRack_NeedsFence(const GfRack *rack, const GfName *worker)
-{
-    const Worker *w = find_worker(rack, worker);
-    return w != NULL && w->tainted;
-}
-
-/* Calls back for each task that the known inventories list. */
-void
-GfRack_ForEachTask(const GfRack *rack, GfTaskCallback callback, void *ctx)
-{
-    for (size_t i = 0; i < rack->worker_count; i++) {
-        const Worker *w = rack->workers[i];
-        Known *k;
-        Known *tmp;
-        HASH_ITER(hh, w->tasks, k, tmp)
-        {
-            callback(ctx, &w->name, &k->task);
-        }
-    }
-}
