--- a/include/guavaflow/rpc.h
+++ b/include/guavaflow/rpc.h
@@ -26,6 +26,13 @@
     void (*handle)(void *ctx, GfRpcCall *call, void *args);
 } GfRpcProcedure;
 
+/* One row of a program's table: the types are names of generated ones. */
+#define GF_RPC_PROCEDURE(number, args_type, result_type, handler)             \
+    {                                                                         \
+        number, (xdrproc_t)xdr_##args_type, sizeof(args_type),                \
+            (xdrproc_t)xdr_##result_type, handler                             \
+    }
+
 typedef struct {
     uint32_t program;
     uint32_t version;
--- a/src/cellentry/accept.c
+++ b/src/cellentry/accept.c
@@ -28,6 +28,7 @@
 #define AWAY_MS 250
 /* A refused transaction is tried this often before the caller is told. */
 #define REFUSED_TRIES 3
+/* The owner also follows the table, so a lost report only costs time. */
 #define REPORT_TIMEOUT_MS 500
 
 typedef struct {
--- a/src/cellentry/control.c
+++ b/src/cellentry/control.c
@@ -12,6 +12,7 @@
 #define PART "control"
 /* How long the store holds a call for changes; it allows 30 s. */
 #define FOLLOW_WAIT_MS 20000
+/* A peer answers within some milliseconds; a lost call is made again. */
 #define ASK_TIMEOUT_MS 800
 
 /* Puts a configuration in force if it is newer than the one that is. */
--- a/src/cellentry/jobs.c
+++ b/src/cellentry/jobs.c
@@ -28,6 +28,8 @@
  * and the store's short outages mostly. */
 #define RETRY_AFTER_MS 1000
 #define RETRY_AFTER_MAX_MS 3000
+/* A call passed on to an entry that does not own the cell is not passed on
+ * again. */
 #define MAX_HOPS 1
 
 typedef struct {
--- a/src/cellentry/load.c
+++ b/src/cellentry/load.c
@@ -242,6 +242,10 @@
                                              &error)) {
                 GfCell_SetWorker(load->cell, &info);
             }
+            else {
+                GfLog(GF_LOG_WARNING, PART, "row ignored cause=%s",
+                      error.text);
+            }
         }
     }
     load->left--;
--- a/src/cellentry/ownership.c
+++ b/src/cellentry/ownership.c
@@ -29,9 +29,11 @@
 /* An owner without the store is left this long; an outage that hits all
  * entries ends for all at once. */
 #define STORELESS_MS 450
+/* As for other calls to a slow store. */
 #define CLAIM_TIMEOUT_MS 1500
 /* Strength is counted in thousandths of a processor. */
 #define PER_PROCESSOR 1000
+/* That of a host that does not say it: a quarter of a processor. */
 #define DEFAULT_STRENGTH 250
 /* The owner of 350 workers moves some 10 Mbit/s in bursts. */
 #define NARROW_LINK_MBPS 50
--- a/src/cellentry/peers.c
+++ b/src/cellentry/peers.c
@@ -304,17 +304,13 @@
     GfRpcCall_Reply(call, &reply);
 }
 
-#define PROCEDURE(number, args_type, result_type, handler)                    \
-    {                                                                         \
-        number, (xdrproc_t)xdr_##args_type, sizeof(args_type),                \
-            (xdrproc_t)xdr_##result_type, handler                             \
-    }
-
 static const GfRpcProcedure PROCEDURES[] = {
-    PROCEDURE(GFC_BEAT, gfc_beat, gfc_beat_reply, handle_beat),
-    PROCEDURE(GFC_JOB, gfc_job_call, gfc_job_reply, handle_job),
-    PROCEDURE(GFC_ADVISE, gfc_advice_ask, gfc_advice_reply, handle_advise),
-    PROCEDURE(GFC_CONFIG, gfc_config_ask, gfc_config_reply, handle_config),
+    GF_RPC_PROCEDURE(GFC_BEAT, gfc_beat, gfc_beat_reply, handle_beat),
+    GF_RPC_PROCEDURE(GFC_JOB, gfc_job_call, gfc_job_reply, handle_job),
+    GF_RPC_PROCEDURE(GFC_ADVISE, gfc_advice_ask, gfc_advice_reply,
+                     handle_advise),
+    GF_RPC_PROCEDURE(GFC_CONFIG, gfc_config_ask, gfc_config_reply,
+                     handle_config),
 };
 
 const GfRpcProgram CELL_PEER_PROGRAM = {
--- a/src/entry/peer_service.c
+++ b/src/entry/peer_service.c
@@ -391,22 +391,18 @@
     free(text);
 }
 
-#define PROCEDURE(number, args_type, result_type, handler)                    \
-    {                                                                         \
-        number, (xdrproc_t)xdr_##args_type, sizeof(args_type),                \
-            (xdrproc_t)xdr_##result_type, handler                             \
-    }
-
 static const GfRpcProcedure PROCEDURES[] = {
-    PROCEDURE(GFX_BEAT, gfx_beat, gfx_beat_reply, handle_beat),
-    PROCEDURE(GFX_REQUEST, gfx_request, gfx_answer, handle_request),
-    PROCEDURE(GFX_EXECUTE, gfx_request, gfx_answer, handle_execute),
-    PROCEDURE(GFX_PLACE, gfx_place_args, gfx_place_result, handle_place),
-    PROCEDURE(GFX_EVENTS, gfx_events, gfx_acked, handle_events),
-    PROCEDURE(GFX_FIND, gfx_find, gfx_found, handle_find),
-    PROCEDURE(GFX_STOP, gfx_stop, gfx_answer, handle_stop),
-    PROCEDURE(GFX_JOB, gfx_job_call, gfx_answer, handle_job),
-    PROCEDURE(GFX_CONTROL, gfx_control_ask, gfx_control, handle_control),
+    GF_RPC_PROCEDURE(GFX_BEAT, gfx_beat, gfx_beat_reply, handle_beat),
+    GF_RPC_PROCEDURE(GFX_REQUEST, gfx_request, gfx_answer, handle_request),
+    GF_RPC_PROCEDURE(GFX_EXECUTE, gfx_request, gfx_answer, handle_execute),
+    GF_RPC_PROCEDURE(GFX_PLACE, gfx_place_args, gfx_place_result,
+                     handle_place),
+    GF_RPC_PROCEDURE(GFX_EVENTS, gfx_events, gfx_acked, handle_events),
+    GF_RPC_PROCEDURE(GFX_FIND, gfx_find, gfx_found, handle_find),
+    GF_RPC_PROCEDURE(GFX_STOP, gfx_stop, gfx_answer, handle_stop),
+    GF_RPC_PROCEDURE(GFX_JOB, gfx_job_call, gfx_answer, handle_job),
+    GF_RPC_PROCEDURE(GFX_CONTROL, gfx_control_ask, gfx_control,
+                     handle_control),
 };
 
 const GfRpcProgram ENTRY_PEER_PROGRAM = {
