Test the platform's decoder

Cause: the decoder had no test file of its own; what it leaves out of a configuration and which rows of workers it refuses was only seen through the stand-in.

Figures: 3 tests, 28 asserts. It needs no network.

--- /dev/null
+++ b/tests/unit/decode.c
@@ -0,0 +1,84 @@
+/* What the platform's decoder takes and leaves out. */
+#include <string.h>
+
+#include "guavaflow/log.h"
+#include "platform.h"
+#include "suite.h"
+
+/* Decodes a configuration from text. */
+static GfCellConfig *
+config_of(const char *text, GfError *error)
+{
+    GfLog_SetLevel(GF_LOG_ERROR);
+    return PlatformDecoder()->config(text, strlen(text), error);
+}
+
+/* An entry that is not readable is left out; the others hold, in order. */
+static void
+test_entries_left_out(void)
+{
+    GfError error;
+    GfCellConfig *c = config_of(
+        "{\"version\":7,\"routes\":[{\"name\":\"q1\",\"pathPrefix\":\"/a\"},"
+        "{\"name\":\"q2\"},{\"name\":\"q3\",\"pathPrefix\":\"/c\"}],"
+        "\"tenants\":[{\"weight\":2},{\"name\":\"b\",\"weight\":3,"
+        "\"maximum\":{\"cpu\":500},\"apiKeys\":[\"k1\",5,\"k2\"]}]}",
+        &error);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(c);
+    CU_ASSERT_EQUAL(c->version, 7);
+    CU_ASSERT_EQUAL_FATAL(c->queue_count, 2);
+    CU_ASSERT_STRING_EQUAL(c->queues[0].name.data, "q1");
+    CU_ASSERT_STRING_EQUAL(c->queues[1].name.data, "q3");
+    CU_ASSERT_EQUAL(c->queues[1].max_attempts, 1);
+    CU_ASSERT_EQUAL_FATAL(c->team_count, 1);
+    CU_ASSERT_STRING_EQUAL(c->teams[0].name.data, "b");
+    CU_ASSERT_EQUAL(c->teams[0].limit.mcores, 500);
+    GfCellConfig_Destroy(c);
+}
+
+/* A whole that is not readable gives an error and no configuration. */
+static void
+test_unreadable(void)
+{
+    GfError error;
+    CU_ASSERT_PTR_NULL(config_of("{\"version\":7", &error));
+    CU_ASSERT_EQUAL(error.kind, GF_PROTOCOL);
+    CU_ASSERT_PTR_NULL(config_of("{\"routes\":[]}", &error));
+    CU_ASSERT_PTR_NULL(config_of("", &error));
+}
+
+/* A worker's row needs its state, time of start, room and address. */
+static void
+test_worker(void)
+{
+    static const char GOOD[] =
+        "{\"state\":\"ready\",\"service\":\"s\",\"zone\":\"z\",\"born\":5,"
+        "\"capacity\":{\"cpu\":2000,\"memMb\":512},"
+        "\"address\":\"10.0.0.1:80\"}";
+    static const char *const BAD[] = {
+        "{}", "[]", "",
+        "{\"state\":\"ready\",\"service\":\"s\",\"zone\":\"z\",\"born\":5,"
+        "\"capacity\":{\"cpu\":2000,\"memMb\":512},\"address\":\"10.0.0.1\"}",
+        "{\"state\":\"ready\",\"service\":\"s\",\"zone\":\"z\",\"born\":5,"
+        "\"address\":\"10.0.0.1:80\"}"};
+    const GfDecoder *d = PlatformDecoder();
+    GfWorkerInfo info;
+    GfError error;
+    CU_ASSERT_TRUE_FATAL(
+        d->worker("w1", GOOD, sizeof(GOOD) - 1, &info, &error));
+    CU_ASSERT_STRING_EQUAL(info.address, "10.0.0.1");
+    CU_ASSERT_EQUAL(info.port, 80);
+    CU_ASSERT_EQUAL(info.room.mcores, 2000);
+    CU_ASSERT_FALSE(info.leaving);
+    for (size_t i = 0; i < sizeof(BAD) / sizeof(BAD[0]); i++) {
+        CU_ASSERT_FALSE(
+            d->worker("w1", BAD[i], strlen(BAD[i]), &info, &error));
+        CU_ASSERT_EQUAL(error.kind, GF_PROTOCOL);
+    }
+}
+
+static const SuiteTest TESTS[] = {{"entries left out", test_entries_left_out},
+                                  {"unreadable", test_unreadable},
+                                  {"worker", test_worker}};
+
+SUITE_MAIN("decode", TESTS)
