Spread the rows of new jobs over 64 parts

Cause: at a store some 60 times slower a part works five transactions a second. Change: 64 parts, whose names and number now stand in one place (job_row.h). A takeover reads 48 parts more.

--- a/src/cellentry/accept.c
+++ b/src/cellentry/accept.c
@@ -292,11 +292,10 @@
     a->tries++;
     a->open++;
     a->own_open = true;
-    char part[8];
-    EntryJobs_PartOf(&a->id, part, sizeof(part));
-    const GfTableExpectation expectation = {ENTRY_JOB_TABLE, part, a->id.data,
-                                            0};
-    const GfTableChange change = {ENTRY_JOB_TABLE, part, a->id.data,
+    GfJobRowPart part = GfJobRow_Part(&a->id);
+    const GfTableExpectation expectation = {ENTRY_JOB_TABLE, part.text,
+                                            a->id.data, 0};
+    const GfTableChange change = {ENTRY_JOB_TABLE, part.text, a->id.data,
                                   a->row.data, a->row.len};
     int64_t left = time_left(a);
     int64_t limit = left < ATTEMPT_TIMEOUT_MS ? left : ATTEMPT_TIMEOUT_MS;
--- a/src/cellentry/entry_private.h
+++ b/src/cellentry/entry_private.h
@@ -8,11 +8,9 @@
 
 #include "../rpc/cell_xdr.h"
 #include "guavaflow/cell_entry.h"
+#include "guavaflow/job_row.h"
 #include "guavaflow/rpc.h"
 
-/* Jobs' rows are spread over this many parts of their table, so that a slow
- * store still takes some forty new jobs a second. */
-#define ENTRY_JOB_PARTS 16
 #define ENTRY_CELL_TABLE "cell"
 #define ENTRY_JOB_TABLE "jobs"
 #define ENTRY_PROGRESS_TABLE "progress"
@@ -179,7 +177,6 @@
 /* jobs.c: callers' requests. */
 void EntryJobs_HandlePeer(GfCellEntry *entry, const gfc_job_call *call,
                           GfRpcCall *rpc);
-void EntryJobs_PartOf(const GfName *id, char *part, size_t room);
 
 void EntryStore_Note(GfCellEntry *entry, GfTableResult result);
 bool EntryStore_Answers(const GfCellEntry *entry);
--- a/src/cellentry/jobs.c
+++ b/src/cellentry/jobs.c
@@ -51,14 +51,6 @@
 
 static void ask_owner(Request *r);
 
-/* Writes the part of the jobs' table that a job's row is in. */
-void
-EntryJobs_PartOf(const GfName *id, char *part, size_t room)
-{
-    snprintf(part, room, "j%x",
-             (unsigned)(GfName_Hash(id, 0) % ENTRY_JOB_PARTS));
-}
-
 /* Answers and frees a request. */
 static void
 answer(Request *r, const GfJobAnswer *reply)
@@ -193,9 +185,8 @@
 static void
 ask_store(Request *r)
 {
-    char part[8];
-    EntryJobs_PartOf(&r->id, part, sizeof(part));
-    GfTable_Read(r->entry->table, ENTRY_JOB_TABLE, part, r->id.data,
+    GfJobRowPart part = GfJobRow_Part(&r->id);
+    GfTable_Read(r->entry->table, ENTRY_JOB_TABLE, part.text, r->id.data,
                  on_job_row, r);
 }
 
--- a/src/cellentry/load.c
+++ b/src/cellentry/load.c
@@ -9,7 +9,7 @@
 #include "guavaflow/log.h"
 
 #define PART "owner"
-#define PART_BYTES 8
+#define PART_BYTES GF_JOB_ROW_PART_BYTES
 /* Pause after a read that failed. */
 #define RETRY_MS 150
 /* Progress, leased workers, workers, and the parts of the jobs' table. */
@@ -37,7 +37,7 @@
     json_t *progress;
     JobRow *jobs;
     size_t job_count;
-    Read reads[ENTRY_JOB_PARTS + OTHER_READS];
+    Read reads[GF_JOB_ROW_PARTS + OTHER_READS];
     size_t read_count;
     size_t open; /* reads without an answer, and timers */
     size_t left;
@@ -292,10 +292,8 @@
     add_read(load, ENTRY_PROGRESS_TABLE, ENTRY_OWNER_PART, NULL);
     add_read(load, ENTRY_CELL_TABLE, ENTRY_OWNER_PART, ENTRY_LEASED_KEY);
     add_read(load, entry->decoder->worker_table, "", NULL);
-    for (int i = 0; i < ENTRY_JOB_PARTS; i++) {
-        char part[PART_BYTES];
-        snprintf(part, sizeof(part), "j%x", (unsigned)i);
-        add_read(load, ENTRY_JOB_TABLE, part, NULL);
+    for (uint32_t i = 0; i < GF_JOB_ROW_PARTS; i++) {
+        add_read(load, ENTRY_JOB_TABLE, GfJobRow_PartAt(i).text, NULL);
     }
     load->left = load->read_count;
     for (size_t i = 0; i < load->read_count; i++) {
--- a/src/cellentry/term.c
+++ b/src/cellentry/term.c
@@ -377,10 +377,9 @@
         KEEP_MARGIN_MS;
     size_t count = GfCell_TakeExpired(term->cell, keep, ids, SWEEP_MAX);
     for (size_t i = 0; i < count; i++) {
-        char part[8];
-        EntryJobs_PartOf(&ids[i], part, sizeof(part));
-        const GfTableChange job = {ENTRY_JOB_TABLE, part, ids[i].data, NULL,
-                                   0};
+        GfJobRowPart part = GfJobRow_Part(&ids[i]);
+        const GfTableChange job = {ENTRY_JOB_TABLE, part.text, ids[i].data,
+                                   NULL, 0};
         const GfTableChange progress = {ENTRY_PROGRESS_TABLE, ENTRY_OWNER_PART,
                                         ids[i].data, NULL, 0};
         GfTableTransaction first = {.changes = &job,
--- a/src/cellentry/term_orders.c
+++ b/src/cellentry/term_orders.c
@@ -90,9 +90,8 @@
     s->term = term;
     s->job = *job;
     term->calls_open++;
-    char part[8];
-    EntryJobs_PartOf(job, part, sizeof(part));
-    GfTable_Read(term->entry->table, ENTRY_JOB_TABLE, part, job->data,
+    GfJobRowPart part = GfJobRow_Part(job);
+    GfTable_Read(term->entry->table, ENTRY_JOB_TABLE, part.text, job->data,
                  on_job_found, s);
 }
 
