Replace a lost owner in order, and by its refused connections

Change: the order of candidates is a module of its own (succession.h): the strongest known entry first, a step that grows with the time the owner's last commit took, entries started lately last. The version of the owner's row is its token, so a claim needs no read before it. Two refused heartbeats in a row count as the end of the owner's process, unless a peer heard it since. A new owner tells all entries at once, a stopping one as well.

--- a/src/cellentry/entry.c
+++ b/src/cellentry/entry.c
@@ -155,6 +155,9 @@
     entry->stopping = true;
     entry->next_beat_at = (struct timespec){0};
     GfLog(GF_LOG_INFO, PART, "stopping owner=%d", entry->term != NULL);
+    if (entry->term != NULL) {
+        EntryOwnership_Announce(entry);
+    }
 }
 
 /* Brings the gauges up to date. */
--- a/src/cellentry/entry_private.h
+++ b/src/cellentry/entry_private.h
@@ -44,6 +44,9 @@
     struct timespec heard_at;
     bool heard;
     bool beating;
+    bool listed;             /* in the newest list that an owner sent */
+    uint32_t lost_beats;     /* in a row, its connection refused or lost */
+    struct timespec lost_at; /* the first of them */
     bool stopping;
     uint32_t strength;
     struct timespec known_at;
@@ -60,7 +63,8 @@
     bool storeless;
     bool ready;
     bool stopping;
-    bool disowned; /* it answered that it does not own the cell */
+    bool disowned;    /* it answered that it does not own the cell */
+    int64_t store_ms; /* what its last commit took */
 } OwnerView;
 
 struct GfCellEntry {
@@ -94,6 +98,8 @@
     bool claiming;
     uint64_t claim_nonce;
     int64_t owner_row_version;
+    bool owner_row_known; /* the version is the newest one seen, and no claim
+                           * of ours may have changed it since */
     size_t next_seed;
     size_t next_peer;
     struct timespec other_heard_at; /* a peer hears an owner that we do not */
@@ -141,6 +147,9 @@
 void EntryOwnership_Tick(GfCellEntry *entry, struct timespec now);
 void EntryOwnership_TakeReply(GfCellEntry *entry, Peer *peer,
                               const gfc_beat_reply *reply);
+void EntryOwnership_Announce(GfCellEntry *entry);
+void EntryOwnership_TakeBeat(GfCellEntry *entry, const Peer *peer,
+                             const gfc_beat *beat);
 bool EntryOwnership_Yields(GfCellEntry *entry);
 uint32_t EntryOwnership_Strength(const GfCellEntry *entry);
 void EntryOwnership_Lost(GfCellEntry *entry, const char *cause);
@@ -158,6 +167,7 @@
                           const char *value, size_t len,
                           const json_t *progress, bool former_term);
 int64_t EntryTerm_Token(const GfCellEntry *entry);
+int64_t EntryTerm_StoreMs(const GfCellEntry *entry);
 
 /* load.c: reads what a term begins with. */
 typedef void (*LoadDone)(GfCellEntry *entry, int64_t version);
--- a/src/cellentry/ownership.c
+++ b/src/cellentry/ownership.c
@@ -12,6 +12,7 @@
 #include "entry_private.h"
 #include "guavaflow/log.h"
 #include "guavaflow/metrics.h"
+#include "guavaflow/succession.h"
 
 #define PART "owner"
 /* Pause between heartbeats to the owner. */
@@ -23,9 +24,14 @@
 #define VOUCH_MS 450
 /* How long a peer's word for a silent owner holds back a claim. */
 #define VOUCH_KEEP_MS 400
-/* Candidates wait one after another, so that seldom two claim at once. */
-#define CLAIM_STEP_MS 60
-#define CLAIM_MAX_STEPS 5
+/* An owner that refuses connections this often in a row, and is silent this
+ * long, has no process any more; one reset connection says nothing. */
+#define LOST_BEATS 2
+#define LOST_MS 250
+/* Pause after a claim that failed. */
+#define CLAIM_PAUSE_MS 150
+/* As much of a slow store's time counts for the order of candidates. */
+#define STORE_MS_MAX 500
 /* An owner without the store is left this long; an outage that hits all
  * entries ends for all at once. */
 #define STORELESS_MS 450
@@ -44,10 +50,6 @@
  * known for a while; a takeover costs some 100 ms. */
 #define YIELD_FACTOR 1.4
 #define YIELD_AFTER_MS 1500
-/* An entry weaker than this waits at the first start of all, so that a
- * stronger one, if there is any, comes first. */
-#define FIRST_OWNER_STRENGTH 250
-#define WEAK_DELAY_MS 350
 
 /* Returns the peer that owns the cell, or NULL if it is unknown or this entry
  * itself. */
@@ -72,6 +74,8 @@
     entry->owner =
         (OwnerView){.name = *name, .incarnation = incarnation, .token = token};
     entry->owner.heard_at = GfClock_Now(entry->clock);
+    entry->owner_row_version = token;
+    entry->owner_row_known = true;
     entry->claim_planned = false;
     entry->next_beat_at = (struct timespec){0};
     if (entry->term != NULL && token > EntryTerm_Token(entry)) {
@@ -107,7 +111,8 @@
     if (!GfName_Equal(&peer->name, &entry->owner.name)) {
         if ((int64_t)reply->token == entry->owner.token && !reply->owns &&
             reply->owner_silent_ms < VOUCH_MS) {
-            entry->other_heard_at = now;
+            entry->other_heard_at =
+                GfTime_AddMs(now, -(int64_t)reply->owner_silent_ms);
             entry->relay = peer->name;
         }
         return;
@@ -121,6 +126,7 @@
     }
     entry->owner.disowned = false;
     entry->owner.heard_at = now;
+    entry->owner.store_ms = reply->store_ms;
     entry->owner.ready = reply->ready;
     entry->owner.stopping = reply->stopping;
     if (reply->has_store) {
@@ -132,6 +138,26 @@
     }
 }
 
+/* Tells all entries that may be up of this owner, or that it is stopping. */
+void
+EntryOwnership_Announce(GfCellEntry *entry)
+{
+    for (Peer *p = entry->peers; p != NULL; p = p->hh.next) {
+        if (p->listed || EntryMembers_IsHeard(entry, p)) {
+            EntryMembers_Beat(entry, p);
+        }
+    }
+}
+
+/* Begins a term and tells those that may be up, so that they turn to the new
+ * owner at once and serve it as callers for advice. */
+static void
+begin_term(GfCellEntry *entry, int64_t token)
+{
+    EntryTerm_Begin(entry, token);
+    EntryOwnership_Announce(entry);
+}
+
 /* Takes the owner's row as it stands in the store. */
 static void
 take_row(GfCellEntry *entry, const GfTableRow *row)
@@ -157,7 +183,7 @@
             entry->term == NULL && row->version > entry->owner.token) {
             /* A claim without an answer was carried out. */
             entry->claim_nonce = 0;
-            EntryTerm_Begin(entry, row->version);
+            begin_term(entry, row->version);
         }
         else if (entry->term == NULL) {
             set_owner(entry, &name, 0, row->version, "store");
@@ -173,6 +199,20 @@
     json_decref(json);
 }
 
+/* Takes a heartbeat of an owner: it is new, or is stopping. */
+void
+EntryOwnership_TakeBeat(GfCellEntry *entry, const Peer *peer,
+                        const gfc_beat *beat)
+{
+    if (beat->owns) {
+        set_owner(entry, &peer->name, beat->from.incarnation,
+                  (int64_t)beat->token, "itself");
+        if (GfName_Equal(&peer->name, &entry->owner.name)) {
+            entry->owner.stopping = beat->stopping;
+        }
+    }
+}
+
 /* Takes the outcome of a claim. */
 static void
 on_claim(void *arg, GfTableResult result, int64_t version,
@@ -181,6 +221,10 @@
     GfCellEntry *entry = arg;
     entry->claiming = false;
     entry->claim_planned = false;
+    /* One without an answer may have been carried out: the row tells. */
+    entry->owner_row_known =
+        result == GF_TABLE_OK || result == GF_TABLE_CONFLICT;
+    entry->claim_at = GfTime_AddMs(GfClock_Now(entry->clock), CLAIM_PAUSE_MS);
     EntryStore_Note(entry, result);
     GfLog(GF_LOG_INFO, PART, "claim expected=%lld outcome=%s",
           (long long)entry->owner_row_version, GfTableResult_Name(result));
@@ -188,7 +232,7 @@
         entry->owner_row_version = version;
         entry->claim_nonce = 0;
         if (!entry->stopping) {
-            EntryTerm_Begin(entry, version);
+            begin_term(entry, version);
         }
         return;
     }
@@ -274,49 +318,50 @@
     return false;
 }
 
-/* Tells whether a peer comes before this entry as a candidate. */
+/* Tells whether a peer may be up and take the cell. */
 static bool
-is_better(const GfCellEntry *entry, const Peer *peer)
+may_succeed(const GfCellEntry *entry, const Peer *peer)
 {
-    uint32_t own = EntryOwnership_Strength(entry);
-    if (peer->strength != own) {
-        return peer->strength > own;
-    }
-    if (entry->owner.stopping && peer->incarnation != entry->incarnation) {
-        /* Entries that are stopped in turn: one that was started lately has
-         * its turn behind it. */
-        return peer->incarnation > entry->incarnation;
-    }
-    uint64_t seed = (uint64_t)entry->owner.token;
-    return GfName_Hash(&peer->name, seed) < GfName_Hash(&entry->self, seed);
+    return !GfName_Equal(&peer->name, &entry->owner.name) && !peer->stopping &&
+           (peer->listed || EntryMembers_IsHeard(entry, peer));
 }
 
-/* Returns how long to wait before a claim. Where others are known the better
- * ones go first. Right after a start nobody is; then those that are weaker
- * than the last owner wait for the others. */
-static int64_t
-claim_delay_ms(GfCellEntry *entry)
+/* Plans a claim. */
+static void
+plan_claim(GfCellEntry *entry)
 {
-    int before = 0;
-    size_t heard = 0;
+    GfCandidate *others =
+        calloc(HASH_COUNT(entry->peers) + 1, sizeof(GfCandidate));
+    if (others == NULL) {
+        abort();
+    }
+    GfSuccession s = {
+        .self = {entry->self, EntryOwnership_Strength(entry),
+                 entry->incarnation},
+        .others = others,
+        .token = entry->owner.token,
+        .last_owner_strength = entry->last_owner_strength,
+        .planned = entry->owner.stopping,
+        .store_ms = entry->owner.store_ms < STORE_MS_MAX
+                        ? entry->owner.store_ms
+                        : STORE_MS_MAX,
+        .up_ms = GfTime_DiffMs(GfClock_Now(entry->clock), entry->started_at),
+        .chance = randombytes_random() & UINT16_MAX};
     for (const Peer *p = entry->peers; p != NULL; p = p->hh.next) {
-        if (!GfName_Equal(&p->name, &entry->owner.name) &&
-            EntryMembers_IsHeard(entry, p) && !p->stopping) {
-            heard++;
-            before += is_better(entry, p);
+        if (may_succeed(entry, p)) {
+            others[s.other_count++] =
+                (GfCandidate){p->name, p->strength, p->incarnation};
         }
     }
-    before = before < CLAIM_MAX_STEPS ? before : CLAIM_MAX_STEPS;
-    int64_t ms = (int64_t)before * CLAIM_STEP_MS;
-    uint32_t own = EntryOwnership_Strength(entry);
-    uint32_t wanted = entry->last_owner_strength > 0
-                          ? entry->last_owner_strength
-                          : FIRST_OWNER_STRENGTH;
-    if (heard == 0) {
-        ms += randombytes_uniform(CLAIM_MAX_STEPS) * CLAIM_STEP_MS / 2;
-        ms += own < wanted ? WEAK_DELAY_MS : 0;
-    }
-    return ms;
+    int64_t ms = GfSuccession_DelayMs(&s);
+    free(others);
+    GfLog(GF_LOG_INFO, PART,
+          "claim planned token=%lld in_ms=%lld known=%zu store_ms=%lld "
+          "strength=%u",
+          (long long)entry->owner.token, (long long)ms, s.other_count,
+          (long long)s.store_ms, s.self.strength);
+    entry->claim_planned = true;
+    entry->claim_at = GfTime_AddMs(GfClock_Now(entry->clock), ms);
 }
 
 /* Takes the owner's row, read because the owner seems gone, and plans a claim
@@ -332,6 +377,7 @@
     if (result != GF_TABLE_OK) {
         return;
     }
+    entry->owner_row_known = true;
     int64_t before = entry->owner.token;
     if (count == 0) {
         entry->owner_row_version = 0;
@@ -342,9 +388,7 @@
     bool same = entry->owner.token == before && entry->term == NULL;
     bool own_row = GfName_Equal(&entry->owner.name, &entry->self);
     if ((same || own_row) && !entry->claim_planned && entry->term == NULL) {
-        entry->claim_planned = true;
-        entry->claim_at =
-            GfTime_AddMs(GfClock_Now(entry->clock), claim_delay_ms(entry));
+        plan_claim(entry);
     }
 }
 
@@ -359,9 +403,15 @@
     if (o->disowned) {
         return "it does not own the cell";
     }
-    if (GfTime_DiffMs(now, o->heard_at) > SILENT_MS) {
-        bool vouched =
-            GfTime_DiffMs(now, entry->other_heard_at) < VOUCH_KEEP_MS;
+    int64_t silent = GfTime_DiffMs(now, o->heard_at);
+    const Peer *peer = EntryOwnership_Peer(entry);
+    if (peer != NULL && peer->lost_beats >= LOST_BEATS && silent > LOST_MS &&
+        !GfTime_Before(peer->lost_at, entry->other_heard_at)) {
+        return "its process is gone";
+    }
+    if (silent > SILENT_MS) {
+        bool vouched = GfTime_DiffMs(now, entry->other_heard_at) <
+                       VOUCH_MS + VOUCH_KEEP_MS;
         return vouched ? NULL : "it is silent";
     }
     if (o->stopping) {
@@ -435,11 +485,14 @@
         if (GfTime_Before(now, entry->claim_at)) {
             return;
         }
-        entry->claim_at = GfTime_AddMs(now, BEAT_MS);
-        entry->reading_owner = true;
-        GfTable_Read(entry->table, ENTRY_CELL_TABLE, ENTRY_OWNER_PART,
-                     ENTRY_OWNER_KEY, on_owner_row, entry);
-        return;
+        if (!entry->owner_row_known) {
+            entry->claim_at = GfTime_AddMs(now, CLAIM_PAUSE_MS);
+            entry->reading_owner = true;
+            GfTable_Read(entry->table, ENTRY_CELL_TABLE, ENTRY_OWNER_PART,
+                         ENTRY_OWNER_KEY, on_owner_row, entry);
+            return;
+        }
+        plan_claim(entry);
     }
     if (!GfTime_Before(now, entry->claim_at)) {
         GfLog(GF_LOG_INFO, PART,
--- a/src/cellentry/peers.c
+++ b/src/cellentry/peers.c
@@ -12,8 +12,6 @@
 #define PART "peers"
 /* Several times the pause between heartbeats. */
 #define HEARD_MS 1200
-/* An entry that has been silent this long is forgotten. */
-#define FORGET_MS 20000
 /* A healthy peer answers within some milliseconds; a slowed one within some
  * hundreds. */
 #define BEAT_TIMEOUT_MS 450
@@ -111,6 +109,24 @@
            GfTime_DiffMs(GfClock_Now(entry->clock), peer->heard_at) < HEARD_MS;
 }
 
+/* Takes the owner's list of members, if it sent one. */
+static void
+take_members(GfCellEntry *entry, const gfc_beat_reply *reply)
+{
+    if (reply->members.members_len == 0) {
+        return;
+    }
+    for (Peer *p = entry->peers; p != NULL; p = p->hh.next) {
+        p->listed = false;
+    }
+    for (u_int i = 0; i < reply->members.members_len; i++) {
+        Peer *p = EntryMembers_FromXdr(entry, &reply->members.members_val[i]);
+        if (p != NULL) {
+            p->listed = true;
+        }
+    }
+}
+
 /* Takes the answer to a heartbeat. */
 static void
 on_beat_reply(void *arg, const GfRpcOutcome *outcome)
@@ -119,8 +135,16 @@
     GfCellEntry *entry = peer->entry;
     peer->beating = false;
     if (outcome->kind != GF_OK) {
+        /* A time-out tells nothing of the process, a refusal does. */
+        if (outcome->kind != GF_CONNECTION_LOST) {
+            peer->lost_beats = 0;
+        }
+        else if (peer->lost_beats++ == 0) {
+            peer->lost_at = GfClock_Now(entry->clock);
+        }
         return;
     }
+    peer->lost_beats = 0;
     const gfc_beat_reply *reply = outcome->result;
     if (strcmp(reply->from.member, peer->name.data) != 0) {
         /* A seed, or another entry that has this address now. */
@@ -133,9 +157,7 @@
     peer->heard = true;
     peer->heard_at = GfClock_Now(entry->clock);
     peer->stopping = reply->stopping;
-    for (u_int i = 0; i < reply->members.members_len; i++) {
-        EntryMembers_FromXdr(entry, &reply->members.members_val[i]);
-    }
+    take_members(entry, reply);
     if (reply->owns) {
         entry->members_digest = reply->members_digest;
     }
@@ -156,6 +178,7 @@
                      .config_version = entry->config == NULL
                                            ? 0
                                            : (uint64_t)entry->config->version,
+                     .owns = entry->term != NULL,
                      .stopping = entry->stopping,
                      .has_store = EntryStore_Answers(entry)};
     EntryMembers_ToXdr(entry, &beat.from);
@@ -207,6 +230,7 @@
         peer->heard_at = GfClock_Now(entry->clock);
         peer->stopping = beat->stopping;
         EntryControl_CompareWithPeer(entry, peer, beat->config_version);
+        EntryOwnership_TakeBeat(entry, peer, beat);
     }
     gfc_peer members[GFC_MAX_MEMBERS];
     gfc_beat_reply reply = {
@@ -216,6 +240,7 @@
         .stopping = EntryOwnership_Yields(entry),
         .has_store =
             EntryStore_Answers(entry) && !EntryTerm_CommitIsLate(entry),
+        .store_ms = (u_int)EntryTerm_StoreMs(entry),
         .token = (uint64_t)entry->owner.token,
         .config_version =
             entry->config == NULL ? 0 : (uint64_t)entry->config->version};
--- a/src/cellentry/term.c
+++ b/src/cellentry/term.c
@@ -226,6 +226,13 @@
                                                        : entry->term->cell;
 }
 
+/* Returns what the term's last transaction took, in ms; 0 without a term. */
+int64_t
+EntryTerm_StoreMs(const GfCellEntry *entry)
+{
+    return entry->term == NULL ? 0 : entry->term->store_ms;
+}
+
 /* Returns the token of the term. */
 int64_t
 EntryTerm_Token(const GfCellEntry *entry)
--- a/src/cellentry/term_commit.c
+++ b/src/cellentry/term_commit.c
@@ -82,9 +82,9 @@
     if (committed) {
         term->commit_version = version;
         term->proved_at = term->commit_sent_at;
-        GfMetrics_Observe(GF_TIME_COMMIT,
-                          GfTime_DiffMs(GfClock_Now(term->entry->clock),
-                                        term->commit_sent_at));
+        term->store_ms = GfTime_DiffMs(GfClock_Now(term->entry->clock),
+                                       term->commit_sent_at);
+        GfMetrics_Observe(GF_TIME_COMMIT, term->store_ms);
         Term_ClearCommit(term);
         GfCell_CommitDone(term->cell, true);
         return;
--- a/src/rpc/cell_xdr.c
+++ b/src/rpc/cell_xdr.c
@@ -46,6 +46,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->members_digest))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->owns))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->stopping))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->has_store))
@@ -62,7 +64,7 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_gfc_peer (xdrs, &objp->from))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->owns))
 				 return FALSE;
@@ -74,6 +76,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->has_store))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->store_ms))
+				 return FALSE;
 
 		} else {
 		IXDR_PUT_BOOL(buf, objp->owns);
@@ -81,6 +85,7 @@
 		IXDR_PUT_BOOL(buf, objp->ready);
 		IXDR_PUT_BOOL(buf, objp->stopping);
 		IXDR_PUT_BOOL(buf, objp->has_store);
+		IXDR_PUT_U_LONG(buf, objp->store_ms);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->token))
 			 return FALSE;
@@ -99,7 +104,7 @@
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_gfc_peer (xdrs, &objp->from))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->owns))
 				 return FALSE;
@@ -111,6 +116,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->has_store))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->store_ms))
+				 return FALSE;
 
 		} else {
 		objp->owns = IXDR_GET_BOOL(buf);
@@ -118,6 +125,7 @@
 		objp->ready = IXDR_GET_BOOL(buf);
 		objp->stopping = IXDR_GET_BOOL(buf);
 		objp->has_store = IXDR_GET_BOOL(buf);
+		objp->store_ms = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->token))
 			 return FALSE;
@@ -147,6 +155,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->has_store))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->store_ms))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->token))
 		 return FALSE;
 	 if (!xdr_gfc_peer (xdrs, &objp->owner))
--- a/src/rpc/cell_xdr.h
+++ b/src/rpc/cell_xdr.h
@@ -35,6 +35,7 @@
 	u_quad_t token;
 	u_quad_t config_version;
 	u_quad_t members_digest;
+	bool_t owns;
 	bool_t stopping;
 	bool_t has_store;
 };
@@ -47,6 +48,7 @@
 	bool_t ready;
 	bool_t stopping;
 	bool_t has_store;
+	u_int store_ms;
 	u_quad_t token;
 	gfc_peer owner;
 	u_int owner_silent_ms;
--- a/src/rpc/cell_xdr.x
+++ b/src/rpc/cell_xdr.x
@@ -19,6 +19,7 @@
     unsigned hyper token;
     unsigned hyper config_version;
     unsigned hyper members_digest;
+    bool owns;
     bool stopping;
     bool has_store;
 };
@@ -30,6 +31,7 @@
     bool ready;
     bool stopping;
     bool has_store;
+    unsigned int store_ms;
     unsigned hyper token;
     gfc_peer owner;
     unsigned int owner_silent_ms;
