Order waiting work by when it can be done at best

Cause: a step counted as in time until its job's objective had passed, so that with more quick work than the fleet can do each job was started when its time was nearly over, and ended late. A load of 67 quick jobs a second on a fleet for 53 had 38 of 100 done in time. Ruled out: the teams' shares, which were equal. Change: what remains of a job, the longest chain of steps from the waiting one on and the time until its end is stored, counts as well (GfJobSpec_RemainingMs).

--- a/include/guavaflow/job_spec.h
+++ b/include/guavaflow/job_spec.h
@@ -51,6 +51,8 @@
 
 bool GfJobSpec_Check(const GfJobSpec *spec, GfError *error);
 int64_t GfJobSpec_LongestChainMs(const GfJobSpec *spec, int64_t per_step_ms);
+void GfJobSpec_RemainingMs(const GfJobSpec *spec, int64_t per_step_ms,
+                           int64_t *remaining_ms);
 bool GfJobSpec_Lasts(const GfJobSpec *spec);
 void GfJobSpec_Clear(GfJobSpec *spec);
 
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -74,10 +74,11 @@
     Task *tasks;
     uint32_t occurrence;
     uint32_t number;
-    uint32_t blockers; /* prerequisites that are not done */
-    uint32_t left;     /* tasks that are not done */
-    uint32_t idle;     /* tasks neither done nor on a worker */
-    int64_t due_ms;    /* wall clock */
+    uint32_t blockers;    /* prerequisites that are not done */
+    uint32_t left;        /* tasks that are not done */
+    uint32_t idle;        /* tasks neither done nor on a worker */
+    int64_t due_ms;       /* wall clock */
+    int64_t remaining_ms; /* estimated, of the longest chain from here on */
     Allowed *allowed;
     size_t allowed_count;
     uint32_t *denied; /* serials of workers that advice does not allow */
--- a/src/cell/job_spec.c
+++ b/src/cell/job_spec.c
@@ -140,6 +140,47 @@
     return longest;
 }
 
+/* Lengthens the chains of the steps that one step waits for. Returns whether
+ * any of them changed. */
+static bool
+add_followers(const GfJobSpec *spec, size_t at, int64_t per_step_ms,
+              int64_t *remaining_ms)
+{
+    const GfStepSpec *step = &spec->steps[at];
+    bool changed = false;
+    for (size_t k = 0; k < step->prerequisite_count; k++) {
+        uint32_t before = step->prerequisites[k];
+        int64_t ms =
+            spec->steps[before].estimate_ms + per_step_ms + remaining_ms[at];
+        if (remaining_ms[before] < ms) {
+            remaining_ms[before] = ms;
+            changed = true;
+        }
+    }
+    return changed;
+}
+
+/* Writes for each step the estimated milliseconds of the longest chain that
+ * begins with it, with a fixed addition for each step. The spec has been
+ * checked; remaining_ms has room for all steps. */
+void
+GfJobSpec_RemainingMs(const GfJobSpec *spec, int64_t per_step_ms,
+                      int64_t *remaining_ms)
+{
+    for (size_t i = 0; i < spec->step_count; i++) {
+        remaining_ms[i] = spec->steps[i].estimate_ms + per_step_ms;
+    }
+    /* Most prerequisites are earlier steps, so that one pass from the last
+     * step settles them; any other order takes some passes more. */
+    bool changed = true;
+    while (changed) {
+        changed = false;
+        for (size_t i = spec->step_count; i-- > 0;) {
+            changed |= add_followers(spec, i, per_step_ms, remaining_ms);
+        }
+    }
+}
+
 /* Tells whether any step runs until the job is cancelled. */
 bool
 GfJobSpec_Lasts(const GfJobSpec *spec)
--- a/src/cell/job_state.c
+++ b/src/cell/job_state.c
@@ -268,12 +268,12 @@
 }
 
 /* Works out by when the job should be completed, in milliseconds from its
- * acceptance. */
-static int64_t
-objective(const Job *job, const GfQueue *queue)
+ * acceptance, and how much of that its steps need. */
+static void
+set_objective(Job *job, const GfQueue *queue)
 {
     if (queue == NULL) {
-        return 0;
+        return;
     }
     int64_t per_step = 0;
     if (queue->needs_advice) {
@@ -281,8 +281,13 @@
                                                     OBJECTIVE_ADVICE_WORKERS);
     }
     int64_t chain = GfJobSpec_LongestChainMs(&job->spec, per_step);
-    return (int64_t)(queue->stretch * (double)chain) +
-           queue->latency_target_ms;
+    job->objective_ms =
+        (int64_t)(queue->stretch * (double)chain) + queue->latency_target_ms;
+    int64_t remaining[GF_JOB_MAX_STEPS];
+    GfJobSpec_RemainingMs(&job->spec, per_step, remaining);
+    for (size_t i = 0; i < job->step_total; i++) {
+        job->steps[i].remaining_ms = remaining[job->steps[i].number];
+    }
 }
 
 /* Takes over a job that had finished in a former term; its spec is not
@@ -347,7 +352,7 @@
     make_steps(job);
     CellJob_Bind(job);
     const GfQueue *q = job->queue_in_force;
-    job->objective_ms = objective(job, q);
+    set_objective(job, q);
     job->work_class = q == NULL || q->work_class >= CELL_CLASSES
                           ? CELL_CLASSES - 1
                           : q->work_class;
--- a/src/cell/order.c
+++ b/src/cell/order.c
@@ -13,6 +13,9 @@
 /* Work is late beyond its objective and is of no use to its caller beyond
  * three times that; the operators' pages define it so. */
 #define USELESS_FACTOR 3
+/* From the end of a job's last task until its end is stored and shown: an
+ * answer of the worker, the gathering of changes, a transaction. */
+#define SHOWN_MS 60
 
 typedef struct {
     Step *step;
@@ -43,15 +46,19 @@
     return 0;
 }
 
-/* Classes the lateness of a job: 0 in time, 1 late, 2 of no use any more.
- * Work that lasts is never late: each moment at work counts. */
+/* Classes the lateness of a step that has not started, by when its job can
+ * be done at best: 0 in time, 1 late, 2 of no use any more. Work that lasts is
+ * never late: each moment at work counts. */
 static uint32_t
-lateness(const Job *job, int64_t age_ms, bool lasting)
+lateness(const Step *step, int64_t age_ms)
 {
-    if (lasting || job->objective_ms == 0 || age_ms <= job->objective_ms) {
+    const Job *job = step->job;
+    int64_t done_ms = age_ms + step->remaining_ms + SHOWN_MS;
+    if (step->spec->lasting || job->objective_ms == 0 ||
+        done_ms <= job->objective_ms) {
         return 0;
     }
-    return age_ms <= job->objective_ms * USELESS_FACTOR ? 1 : 2;
+    return done_ms <= job->objective_ms * USELESS_FACTOR ? 1 : 2;
 }
 
 /* Ranks a step at a time. */
@@ -63,7 +70,7 @@
     const GfQueue *queue = job->queue_in_force;
     const GfCellTeam *team = job->team_in_force;
     r.age_ms = GfTime_DiffMs(now, job->accepted_at);
-    r.lateness = lateness(job, r.age_ms, step->spec->lasting);
+    r.lateness = lateness(step, r.age_ms);
     r.work_class = queue == NULL ? UINT32_MAX : queue->work_class;
     double weight = team == NULL || team->weight <= 0 ? 1 : team->weight;
     r.share = (double)job->use->used.mcores / weight;
--- a/src/cellentry/ownership.c
+++ b/src/cellentry/ownership.c
@@ -328,7 +328,7 @@
 
 /* Plans a claim. */
 static void
-plan_claim(GfCellEntry *entry)
+plan_claim(GfCellEntry *entry, const char *cause)
 {
     GfCandidate *others =
         calloc(HASH_COUNT(entry->peers) + 1, sizeof(GfCandidate));
@@ -357,9 +357,9 @@
     free(others);
     GfLog(GF_LOG_INFO, PART,
           "claim planned token=%lld in_ms=%lld known=%zu store_ms=%lld "
-          "strength=%u",
+          "strength=%u cause=%s",
           (long long)entry->owner.token, (long long)ms, s.other_count,
-          (long long)s.store_ms, s.self.strength);
+          (long long)s.store_ms, s.self.strength, cause);
     entry->claim_planned = true;
     entry->claim_at = GfTime_AddMs(GfClock_Now(entry->clock), ms);
 }
@@ -388,7 +388,7 @@
     bool same = entry->owner.token == before && entry->term == NULL;
     bool own_row = GfName_Equal(&entry->owner.name, &entry->self);
     if ((same || own_row) && !entry->claim_planned && entry->term == NULL) {
-        plan_claim(entry);
+        plan_claim(entry, "as its row says");
     }
 }
 
@@ -492,7 +492,7 @@
                          ENTRY_OWNER_KEY, on_owner_row, entry);
             return;
         }
-        plan_claim(entry);
+        plan_claim(entry, fault);
     }
     if (!GfTime_Before(now, entry->claim_at)) {
         GfLog(GF_LOG_INFO, PART,
--- a/tests/unit/cell_load.c
+++ b/tests/unit/cell_load.c
@@ -11,6 +11,9 @@
 #include "suite.h"
 
 #define TARGET_PERCENT 70
+/* Blind placing would spoil the part of the starts that falls on failing
+ * workers, a quarter here; setting them aside is to save at least half. */
+#define LOST_WORK_PERCENT 12
 #define MAX_TRACKED 600
 
 static const WorldSettings FLEET = {.workers = 24,
@@ -116,6 +119,45 @@
     finish(&load);
 }
 
+/* A team at its limit with batch work hands in quick jobs from time to time:
+ * the room that a class leaves for those before it (share.c). */
+static void
+test_quick_bursts_of_team_at_limit(void)
+{
+    Load load = begin(&FLEET, 200000);
+    for (int i = 0; i < 200; i++) {
+        if (i % 2 == 0) {
+            submit(&load, false, "batch", "a", 4, 5000, 9000);
+        }
+        for (int k = 0; i % 25 == 0 && k < 5; k++) {
+            submit(&load, i >= 50, "quick", "a", 4, 5000, 500);
+        }
+        World_Run(load.world, 120);
+    }
+    World_Run(load.world, 5000);
+    CU_ASSERT_TRUE(percent_within(&load, 1000) >= TARGET_PERCENT);
+    finish(&load);
+}
+
+/* More quick work comes than the fleet can do: what can still be in time goes
+ * before what cannot, so that most of what the fleet can do is in time
+ * (order.c). */
+static void
+test_more_than_the_fleet(void)
+{
+    Load load = begin(&FLEET, 0);
+    for (int i = 0; i < 420; i++) {
+        submit(&load, true, "quick", i % 2 == 0 ? "a" : "b", 6, 4000, 600);
+        if (i % 2 == 0) {
+            World_Run(load.world, 30);
+        }
+    }
+    World_Run(load.world, 6000);
+    /* 67 jobs a second of 14.4 core seconds come to 768 processors. */
+    CU_ASSERT_TRUE(percent_within(&load, 1150) >= 79 * TARGET_PERCENT / 100);
+    finish(&load);
+}
+
 /* One team sends eight times as much as another: the latter keeps being
  * served (order.c). */
 static void
@@ -137,7 +179,8 @@
 }
 
 /* Some workers fail all that they start: they are set aside after two
- * failures, so that jobs do not run out of attempts (workers.c). */
+ * failures, so that jobs do not run out of attempts, and little work is done
+ * twice (inventory.c). */
 static void
 test_failing_workers(void)
 {
@@ -155,6 +198,9 @@
         completed += World_State(load.world, load.jobs[i]) == GF_JOB_COMPLETED;
     }
     CU_ASSERT_TRUE(completed * 100 >= load.count * TARGET_PERCENT);
+    int tasks = load.count * 8;
+    int again = World_CountStarts(load.world) - tasks;
+    CU_ASSERT_TRUE(again * 100 <= tasks * LOST_WORK_PERCENT);
     finish(&load);
 }
 
@@ -176,11 +222,35 @@
     finish(&load);
 }
 
+/* The same with two callers, wide slow steps, and quick jobs so short that
+ * their questions decide. */
+static void
+test_many_slow_questions(void)
+{
+    WorldSettings settings = FLEET;
+    settings.callers = 2;
+    Load load = begin(&settings, 0);
+    for (int i = 0; i < 150; i++) {
+        submit(&load, false, "batch-advised", "a", 12, 1000, 3000);
+        submit(&load, true, "quick-advised", "b", 4, 2000, 100);
+        World_Run(load.world, 80);
+    }
+    World_Run(load.world, 4000);
+    /* The objective: one and a half times 100 ms and a question's 27 ms, and
+     * 250 ms. */
+    CU_ASSERT_TRUE(percent_within(&load, 440) >= TARGET_PERCENT);
+    finish(&load);
+}
+
 static const SuiteTest TESTS[] = {
     {"quick burst on a full fleet", test_quick_burst_on_full_fleet},
     {"quick jobs of a team at its limit", test_quick_jobs_of_team_at_limit},
+    {"quick bursts of a team at its limit",
+     test_quick_bursts_of_team_at_limit},
+    {"more than the fleet can do", test_more_than_the_fleet},
     {"hot team", test_hot_team},
     {"failing workers", test_failing_workers},
-    {"slow advice beside quick", test_slow_advice_beside_quick}};
+    {"slow advice beside quick", test_slow_advice_beside_quick},
+    {"many slow questions", test_many_slow_questions}};
 
 SUITE_MAIN("cell_load", TESTS)
