Show operators the cell with the commands they have

Cause: on the users' platform an entry's state was one raw JSON document. Change: guavaflow cell shows the owner, since when and by which token, the workers, jobs by state, each team's use and limit, and which steps have waited longest and for what. member list and domain list work against an entry of a cell too. What is shown stands in files of its own (describe.c). Ruled out: a second interface for operators; the paths are those of the product's own.

--- a/include/guavaflow/cell_entry.h
+++ b/include/guavaflow/cell_entry.h
@@ -57,5 +57,7 @@
 void GfCellEntry_BeginStop(GfCellEntry *entry);
 void GfCellEntry_UpdateMetrics(const GfCellEntry *entry);
 json_t *GfCellEntry_Describe(const GfCellEntry *entry);
+json_t *GfCellEntry_DescribeMembers(const GfCellEntry *entry);
+json_t *GfCellEntry_DescribeControl(const GfCellEntry *entry);
 
 #endif
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -5,8 +5,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <utlist.h>
-
 #include "cell_private.h"
 #include "guavaflow/log.h"
 #include "guavaflow/metrics.h"
@@ -357,53 +355,3 @@
     }
     CellCommit_Tick(cell, now);
 }
-
-/* Brings the gauges up to date. */
-void
-GfCell_UpdateMetrics(const GfCell *cell)
-{
-    size_t heard = 0;
-    for (const Worker *w = cell->workers; w != NULL; w = w->hh.next) {
-        heard += w->known && w->hold_failures == 0;
-    }
-    size_t waiting = 0;
-    const Step *step;
-    DL_COUNT(cell->waiting, step, waiting);
-    GfMetrics_Set(GF_METRIC_WORKERS_HEARD, heard);
-    GfMetrics_Set(GF_METRIC_STEPS_WAITING, waiting);
-    GfMetrics_Set(GF_METRIC_JOBS_KNOWN, HASH_COUNT(cell->jobs));
-    GfMetrics_Set(GF_METRIC_TASKS_RUNNING, cell->running);
-}
-
-/* Describes the cell for operators. */
-json_t *
-GfCell_Describe(const GfCell *cell)
-{
-    int states[GF_JOB_STATES] = {0};
-    for (const Job *j = cell->jobs; j != NULL; j = j->hh.next) {
-        states[j->state]++;
-    }
-    json_t *jobs = json_object();
-    for (int i = 0; i < GF_JOB_STATES; i++) {
-        json_object_set_new(jobs, STATE_NAMES[i], json_integer(states[i]));
-    }
-    int listed = 0;
-    int known = 0;
-    for (const Worker *w = cell->workers; w != NULL; w = w->hh.next) {
-        listed += w->listed;
-        known += w->known && w->hold_failures == 0;
-    }
-    json_t *teams = json_object();
-    for (const TeamUse *u = cell->uses; u != NULL; u = u->hh.next) {
-        json_object_set_new(teams, u->team.data, json_integer(u->used.mcores));
-    }
-    size_t waiting = 0;
-    Step *step;
-    DL_COUNT(cell->waiting, step, waiting);
-    return json_pack("{s:I,s:o,s:i,s:i,s:I,s:I,s:o,s:b}", "token",
-                     (json_int_t)cell->settings.token, "jobs", jobs,
-                     "workers_listed", listed, "workers_heard", known,
-                     "tasks_running", (json_int_t)cell->running,
-                     "steps_waiting", (json_int_t)waiting, "mcores_by_team",
-                     teams, "in_doubt", cell->doubt);
-}
--- a/src/cellentry/control.c
+++ b/src/cellentry/control.c
@@ -128,6 +128,7 @@
 {
     uint64_t own =
         entry->config == NULL ? 0 : (uint64_t)entry->config->version;
+    peer->config_version = version;
     if (version <= own || entry->asking_config) {
         return;
     }
--- /dev/null
+++ b/src/cellentry/describe.c
@@ -0,0 +1,83 @@
+/* What operators see of an entry: gauges, the owner, the members, and which
+ * configuration and failure domains are in force. */
+#include <jansson.h>
+
+#include "entry_private.h"
+#include "guavaflow/metrics.h"
+
+/* Brings the gauges up to date. */
+void
+GfCellEntry_UpdateMetrics(const GfCellEntry *entry)
+{
+    size_t heard = 0;
+    for (const Peer *p = entry->peers; p != NULL; p = p->hh.next) {
+        heard += EntryMembers_IsHeard(entry, p);
+    }
+    GfMetrics_Set(GF_METRIC_MEMBERS_IN_CONTACT, heard);
+    GfMetrics_Set(GF_METRIC_OWNER_TOKEN, (uint64_t)entry->owner.token);
+    GfCell *cell = EntryTerm_Cell(entry);
+    if (cell != NULL) {
+        GfCell_UpdateMetrics(cell);
+    }
+}
+
+/* Returns the version of the configuration in force; 0 if there is none. */
+static json_int_t
+config_version(const GfCellEntry *entry)
+{
+    return entry->config == NULL ? 0 : (json_int_t)entry->config->version;
+}
+
+/* Describes the entry, and the cell if the entry owns it. */
+json_t *
+GfCellEntry_Describe(const GfCellEntry *entry)
+{
+    struct timespec now = GfClock_Now(entry->clock);
+    json_t *all =
+        json_pack("{s:s,s:s,s:I,s:I,s:I,s:b,s:b}", "member", entry->self.data,
+                  "owner", entry->owner.name.data, "token",
+                  (json_int_t)entry->owner.token, "owner_silent_ms",
+                  (json_int_t)GfTime_DiffMs(now, entry->owner.heard_at),
+                  "config_version", config_version(entry), "store_answers",
+                  EntryStore_Answers(entry), "stopping", entry->stopping);
+    GfCell *cell = EntryTerm_Cell(entry);
+    if (cell != NULL) {
+        json_object_set_new(all, "owner_for_ms",
+                            json_integer(EntryTerm_AgeMs(entry)));
+        json_object_set_new(all, "cell", GfCell_Describe(cell));
+    }
+    return all;
+}
+
+/* Describes the members as this entry sees them; the owner hears all. */
+json_t *
+GfCellEntry_DescribeMembers(const GfCellEntry *entry)
+{
+    json_t *list = json_array();
+    json_array_append_new(
+        list, json_pack("{s:s,s:b,s:b,s:I}", "name", entry->self.data,
+                        "in_contact", 1, "leaving", (int)entry->stopping,
+                        "control_version", config_version(entry)));
+    for (const Peer *p = entry->peers; p != NULL; p = p->hh.next) {
+        json_array_append_new(
+            list, json_pack("{s:s,s:s,s:i,s:b,s:b,s:I}", "name", p->name.data,
+                            "address", p->address, "port", (int)p->port,
+                            "in_contact", (int)EntryMembers_IsHeard(entry, p),
+                            "leaving", (int)p->stopping, "control_version",
+                            (json_int_t)p->config_version));
+    }
+    return json_pack("{s:o,s:[{s:s,s:s}]}", "members", list, "racks", "rack",
+                     "cell", "holder", entry->owner.name.data);
+}
+
+/* Describes the configuration and the failure domains that are out. */
+json_t *
+GfCellEntry_DescribeControl(const GfCellEntry *entry)
+{
+    json_t *out = json_array();
+    for (size_t i = 0; i < entry->evacuated_count; i++) {
+        json_array_append_new(out, json_string(entry->evacuated[i].data));
+    }
+    return json_pack("{s:I,s:o}", "version", config_version(entry),
+                     "domains_out", out);
+}
--- a/src/cellentry/entry_private.h
+++ b/src/cellentry/entry_private.h
@@ -49,6 +49,7 @@
     struct timespec lost_at; /* the first of them */
     bool stopping;
     uint32_t strength;
+    uint64_t config_version; /* the newest that it said it has */
     struct timespec known_at;
     UT_hash_handle hh;
 };
@@ -167,6 +168,7 @@
                           const char *value, size_t len,
                           const json_t *progress, bool former_term);
 int64_t EntryTerm_Token(const GfCellEntry *entry);
+int64_t EntryTerm_AgeMs(const GfCellEntry *entry);
 int64_t EntryTerm_StoreMs(const GfCellEntry *entry);
 
 /* load.c: reads what a term begins with. */
--- a/src/cellentry/term.c
+++ b/src/cellentry/term.c
@@ -226,6 +226,16 @@
                                                        : entry->term->cell;
 }
 
+/* Returns for how long this entry has owned the cell, in ms; 0 if it does
+ * not. */
+int64_t
+EntryTerm_AgeMs(const GfCellEntry *entry)
+{
+    return entry->term == NULL ? 0
+                               : GfTime_DiffMs(GfClock_Now(entry->clock),
+                                               entry->term->begun_at);
+}
+
 /* Returns what the term's last transaction took, in ms; 0 without a term. */
 int64_t
 EntryTerm_StoreMs(const GfCellEntry *entry)
--- a/src/cli/cell_entry.c
+++ b/src/cli/cell_entry.c
@@ -85,12 +85,37 @@
     GfLog(GF_LOG_INFO, PART, "reload asked for, settings are kept");
 }
 
+/* What operators may ask an entry, as JSON. */
+typedef struct {
+    const char *path;
+    json_t *(*describe)(const GfCellEntry *entry);
+} View;
+
+static const View VIEWS[] = {
+    {"/state", GfCellEntry_Describe},
+    {"/v1/admin/members", GfCellEntry_DescribeMembers},
+    {"/v1/admin/control", GfCellEntry_DescribeControl},
+};
+
+/* Finds what is served under a path, or returns NULL. */
+static const View *
+find_view(const char *path)
+{
+    for (size_t i = 0; i < sizeof(VIEWS) / sizeof(VIEWS[0]); i++) {
+        if (strcmp(path, VIEWS[i].path) == 0) {
+            return &VIEWS[i];
+        }
+    }
+    return NULL;
+}
+
 /* Serves counters and, for operators, the state of this entry. */
 static void
 on_metrics(void *ctx, GfExchange *exchange)
 {
     const Process *p = ctx;
     const char *path = GfExchange_Path(exchange);
+    const View *view = find_view(path);
     if (strcmp(path, "/metrics") == 0) {
         GfCellEntry_UpdateMetrics(p->entry);
         GfMetrics_Set(GF_METRIC_LOG_LINES_LEFT_OUT, GfLog_LeftOut());
@@ -99,9 +124,8 @@
                          text.data, text.len);
         GfStr_Clear(&text);
     }
-    else if (strcmp(path, "/state") == 0) {
-        GfExchange_ReplyJson(exchange, STATUS_OK,
-                             GfCellEntry_Describe(p->entry));
+    else if (view != NULL) {
+        GfExchange_ReplyJson(exchange, STATUS_OK, view->describe(p->entry));
     }
     else {
         GfExchange_Reply(exchange, STATUS_NOT_FOUND, "text/plain", "", 0);
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -56,6 +56,7 @@
 int CmdCancel_Run(int argc, const char **argv);
 int CmdBundle_Run(int argc, const char **argv);
 int CmdDomain_Run(int argc, const char **argv);
+int CmdCell_Run(int argc, const char **argv);
 int CmdMember_Run(int argc, const char **argv);
 int CmdAudit_Run(int argc, const char **argv);
 int CmdKey_Run(int argc, const char **argv);
--- /dev/null
+++ b/src/cli/cmd_cell.c
@@ -0,0 +1,112 @@
+/* Shows the cell on the users' platform: guavaflow cell --entry HOST:PORT,
+ * where the port is that of the counters. */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "cli.h"
+
+static struct poptOption options[] = {
+    {NULL, 0, POPT_ARG_INCLUDE_TABLE, cli_target_options, 0, "Call:", NULL},
+    POPT_AUTOHELP POPT_TABLEEND};
+
+/* Returns a text member, or a dash. */
+static const char *
+text_of(const json_t *body, const char *name)
+{
+    const char *text = json_string_value(json_object_get(body, name));
+    return text == NULL || text[0] == '\0' ? "-" : text;
+}
+
+/* Returns a number. */
+static long long
+number_of(const json_t *body, const char *name)
+{
+    return (long long)json_integer_value(json_object_get(body, name));
+}
+
+/* Prints counts by name on one line. */
+static void
+print_counts(const json_t *counts)
+{
+    const char *name;
+    json_t *count;
+    json_object_foreach((json_t *)counts, name, count)
+    {
+        printf(" %s %lld", name, (long long)json_integer_value(count));
+    }
+    printf("\n");
+}
+
+/* Prints what the owner knows of the cell. */
+static void
+print_cell(const json_t *cell)
+{
+    printf("workers  %lld listed, %lld heard%s\n",
+           number_of(cell, "workers_listed"), number_of(cell, "workers_heard"),
+           json_is_true(json_object_get(cell, "in_doubt"))
+               ? ", some in doubt since the last takeover"
+               : "");
+    printf("running  %lld tasks\njobs    ", number_of(cell, "tasks_running"));
+    print_counts(json_object_get(cell, "jobs"));
+    size_t i;
+    json_t *item;
+    json_array_foreach(json_object_get(cell, "teams"), i, item)
+    {
+        const json_t *used = json_object_get(item, "used");
+        const json_t *limit = json_object_get(item, "limit");
+        printf("team     %-20s mcores %lld of %lld, memory_mb %lld of %lld, "
+               "jobs",
+               text_of(item, "team"), number_of(used, "mcores"),
+               number_of(limit, "mcores"), number_of(used, "memory_mb"),
+               number_of(limit, "memory_mb"));
+        print_counts(json_object_get(item, "jobs"));
+    }
+    printf("waiting  %lld steps\n", number_of(cell, "steps_waiting"));
+    json_array_foreach(json_object_get(cell, "waiting"), i, item)
+    {
+        printf("  job %s step %lld: %lld tasks of %s for %lld ms, for %s\n",
+               text_of(item, "job"), number_of(item, "step"),
+               number_of(item, "tasks"), text_of(item, "team"),
+               number_of(item, "waited_ms"), text_of(item, "waits_for"));
+    }
+}
+
+/* Shows who owns the cell since when and by which token and, at the owner,
+ * its workers, jobs, teams and what waits. */
+int
+CmdCell_Run(int argc, const char **argv)
+{
+    int code = 0;
+    CliReply reply;
+    GfError error;
+    poptContext popt = Cli_Parse("cell", argc, argv, options, "", &code);
+    if (popt == NULL) {
+        return code;
+    }
+    poptFreeContext(popt);
+    if (!Cli_Call("GET", "/state", NULL, NULL, &reply, &error)) {
+        return Cli_Fail(&error);
+    }
+    if (Cli_WantsJson() || json_object_get(reply.body, "member") == NULL) {
+        return Cli_Show(&reply);
+    }
+    const json_t *cell = json_object_get(reply.body, "cell");
+    printf("entry    %s, configuration %lld, store %s\n",
+           text_of(reply.body, "member"),
+           number_of(reply.body, "config_version"),
+           json_is_true(json_object_get(reply.body, "store_answers"))
+               ? "answers"
+               : "does not answer");
+    printf("owner    %s, token %lld, ", text_of(reply.body, "owner"),
+           number_of(reply.body, "token"));
+    if (cell == NULL) {
+        printf("last heard %lld ms ago; ask it for jobs and workers\n",
+               number_of(reply.body, "owner_silent_ms"));
+    }
+    else {
+        printf("for %lld ms\n", number_of(reply.body, "owner_for_ms"));
+        print_cell(cell);
+    }
+    json_decref(reply.body);
+    return 0;
+}
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -16,6 +16,7 @@
     {"bundle", "check, compare, sign and propose bundles", CmdBundle_Run},
     {"domain", "take failure domains out and in", CmdDomain_Run},
     {"key", "make keys", CmdKey_Run},
+    {"cell", "show the cell on the users' platform", CmdCell_Run},
     {"member", "list entries and racks", CmdMember_Run},
     {"audit", "show and verify the audit trail", CmdAudit_Run},
     {"load", "generate load and measure it", CmdLoad_Run},
--- a/tests/unit/cell.c
+++ b/tests/unit/cell.c
@@ -432,6 +432,36 @@
     finish(w, config);
 }
 
+/* Operators see what a team has of its limit, and what waits for it. */
+static void
+test_describe(void)
+{
+    GfCellConfig *config;
+    World *w = begin(&CALM, &config, 8000);
+    WorldJob job = job_of("batch", 4, 4000, 20000);
+    World_Submit(w, &job);
+    World_Run(w, 1500);
+    json_t *cell = GfCell_Describe(World_Owner(w));
+    const json_t *team = json_array_get(json_object_get(cell, "teams"), 0);
+    const json_t *used = json_object_get(team, "used");
+    const json_t *limit = json_object_get(team, "limit");
+    const json_t *jobs = json_object_get(team, "jobs");
+    const json_t *wait = json_array_get(json_object_get(cell, "waiting"), 0);
+    CU_ASSERT_STRING_EQUAL(json_string_value(json_object_get(team, "team")),
+                           "a");
+    CU_ASSERT_EQUAL(json_integer_value(json_object_get(used, "mcores")), 8000);
+    CU_ASSERT_EQUAL(json_integer_value(json_object_get(limit, "mcores")),
+                    8000);
+    CU_ASSERT_EQUAL(json_integer_value(json_object_get(jobs, "started")), 1);
+    CU_ASSERT_EQUAL(json_integer_value(json_object_get(wait, "tasks")), 2);
+    CU_ASSERT_STRING_EQUAL(
+        json_string_value(json_object_get(wait, "waits_for")), "limit");
+    CU_ASSERT_TRUE(json_integer_value(json_object_get(wait, "waited_ms")) >
+                   1000);
+    json_decref(cell);
+    finish(w, config);
+}
+
 /* Lasting tasks with a limit a worker are restarted when one ends, with
  * advice: workers that cannot take another are not asked for again and
  * again. */
@@ -550,6 +580,7 @@
     {"cancel", test_cancel},
     {"strays hold room", test_strays_hold_room},
     {"limit", test_limit},
+    {"describe", test_describe},
     {"lasting apart", test_lasting_apart},
     {"fillers", test_fillers},
     {"random", test_random}};
