Refuse at once what cannot be served

Cause: a job with a task larger than any worker was taken in and waited for ever, and a team could hand in tasks until the owner's memory was gone. The owner sends what it knows with its heartbeats; it begins 3 s after a takeover, and what is not known refuses nothing. Before a refusal the store is asked for an earlier attempt of the same job, which stays accepted. Ruled out: refusing by expected wait. What is late is still to be done for its callers, and the order already serves first what can be in time.

--- a/include/guavaflow/cell.h
+++ b/include/guavaflow/cell.h
@@ -10,6 +10,7 @@
 
 #include <jansson.h>
 
+#include "guavaflow/admission.h"
 #include "guavaflow/cell_config.h"
 #include "guavaflow/clock.h"
 #include "guavaflow/job_spec.h"
@@ -231,6 +232,7 @@
 
 void GfCell_Place(GfCell *cell);
 void GfCell_Tick(GfCell *cell);
+void GfCell_UpdateAdmission(GfCell *cell, GfAdmission *admission);
 void GfCell_UpdateMetrics(const GfCell *cell);
 json_t *GfCell_Describe(const GfCell *cell);
 
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -197,7 +197,9 @@
     GfAmounts used;
     GfAmounts by_class[CELL_CLASSES]; /* part of used */
     GfAmounts asked[CELL_CLASSES];    /* what waits, as of the last round */
-    GfAmounts doubtful; /* may run where this term has not been heard */
+    uint32_t starts;     /* since its backlog was looked at last */
+    double starts_per_s; /* smoothed */
+    GfAmounts doubtful;  /* may run where this term has not been heard */
     GfAmounts peak[CELL_CLASSES]; /* of both together, decaying */
     UT_hash_handle hh;
 };
@@ -248,6 +250,7 @@
     struct timespec round_at;
     struct timespec wait_logged_at;
     struct timespec shares_updated_at;
+    struct timespec backlogs_updated_at;
 };
 
 /* order.c */
--- a/src/cell/share.c
+++ b/src/cell/share.c
@@ -14,6 +14,9 @@
 /* Of the limit, no more than this is kept free for the classes before. */
 #define MAX_RESERVE_PERCENT 50
 #define PERCENT 100
+/* Weight of the last second in a team's rate of starts. */
+#define RATE_WEIGHT 0.3
+#define MS_PER_S 1000
 
 /* Returns what a team has running, with a new entry if there is none. */
 TeamUse *
@@ -60,6 +63,7 @@
     TeamUse *use = step->job->use;
     GfAmounts *own = &use->by_class[step->job->work_class];
     use->used = GfAmounts_Plus(use->used, step->spec->need);
+    use->starts++;
     *own = GfAmounts_Plus(*own, step->spec->need);
 }
 
@@ -126,6 +130,45 @@
     }
 }
 
+/* Counts what a team has waiting. */
+static uint32_t
+count_waiting(const GfCell *cell, const TeamUse *use)
+{
+    uint32_t count = 0;
+    for (const Step *s = cell->waiting; s != NULL; s = s->next) {
+        count += s->job->use == use ? s->idle : 0;
+    }
+    return count;
+}
+
+/* Brings what decides on the admission of jobs up to date; meant to be called
+ * about once a second by an owner that hears its workers. */
+void
+GfCell_UpdateAdmission(GfCell *cell, GfAdmission *admission)
+{
+    struct timespec now = GfClock_Now(cell->clock);
+    int64_t ms = GfTime_DiffMs(now, cell->backlogs_updated_at);
+    cell->backlogs_updated_at = now;
+    for (const Worker *w = cell->workers; w != NULL; w = w->hh.next) {
+        if (w->known) {
+            GfAdmission_AddRoom(admission, &w->info.service, w->info.room);
+        }
+    }
+    GfTeamBacklog backlogs[GF_ADMISSION_MAX_TEAMS];
+    size_t count = 0;
+    for (TeamUse *u = cell->uses; u != NULL; u = u->hh.next) {
+        double rate = ms > 0 ? u->starts * MS_PER_S / (double)ms : 0;
+        u->starts = 0;
+        u->starts_per_s += (rate - u->starts_per_s) * RATE_WEIGHT;
+        uint32_t waiting = count_waiting(cell, u);
+        if (waiting > 0 && count < GF_ADMISSION_MAX_TEAMS) {
+            backlogs[count++] =
+                (GfTeamBacklog){u->team, waiting, u->starts_per_s};
+        }
+    }
+    GfAdmission_SetBacklogs(admission, backlogs, count);
+}
+
 /* Brings the peaks up to date with what runs and waits. */
 void
 CellShare_Update(GfCell *cell, struct timespec now)
--- a/src/cellentry/accept.c
+++ b/src/cellentry/accept.c
@@ -45,6 +45,7 @@
     bool own_open;
     bool uncertain; /* an attempt may have stored the row, or may yet */
     bool answered;
+    GfErrorKind refusal; /* why the job is to be refused; GF_OK: it is not */
     struct event *timer;
     AcceptDone done;
     void *arg;
@@ -309,14 +310,10 @@
     GfTable_Transact(a->entry->table, &transaction, on_stored, a);
 }
 
-/* Stores a job's row, whose reference it takes. done is called once: with
- * GF_OK, with GF_STORE_UNAVAILABLE if surely nothing was or will be stored, or
- * with GF_TIMEOUT if that is open. for_peer: a peer asks, and is not asked in
- * turn. */
-void
-EntryAccept_Start(GfCellEntry *entry, const GfName *id, const GfName *queue,
-                  GfStr row, int64_t patience_ms, bool for_peer,
-                  AcceptDone done, void *arg)
+/* Makes an acceptance, which takes the row's reference. */
+static Acceptance *
+make_acceptance(GfCellEntry *entry, const GfName *id, const GfName *queue,
+                GfStr row, int64_t patience_ms, AcceptDone done, void *arg)
 {
     Acceptance *a = calloc(1, sizeof(*a));
     if (a == NULL) {
@@ -328,14 +325,68 @@
                       .row = row,
                       .began_at = GfClock_Now(entry->clock),
                       .patience_ms = patience_ms,
-                      .for_peer = for_peer,
                       .done = done,
                       .arg = arg};
     a->timer = evtimer_new(entry->base, on_timer, a);
-    if (!EntryAccept_StoreIsAway(entry)) {
+    return a;
+}
+
+/* Begins to store the row. */
+static void
+begin(Acceptance *a)
+{
+    if (!EntryAccept_StoreIsAway(a->entry)) {
         attempt(a);
     }
     else if (!ask_peer(a)) {
         finish(a, GF_STORE_UNAVAILABLE);
     }
 }
+
+/* Stores a job's row, whose reference it takes. done is called once: with
+ * GF_OK, with GF_STORE_UNAVAILABLE if surely nothing was or will be stored, or
+ * with GF_TIMEOUT if that is open. for_peer: a peer asks, and is not asked in
+ * turn. */
+void
+EntryAccept_Start(GfCellEntry *entry, const GfName *id, const GfName *queue,
+                  GfStr row, int64_t patience_ms, bool for_peer,
+                  AcceptDone done, void *arg)
+{
+    Acceptance *a =
+        make_acceptance(entry, id, queue, row, patience_ms, done, arg);
+    a->for_peer = for_peer;
+    begin(a);
+}
+
+/* Takes the row that a refused job may have from an earlier attempt. */
+static void
+on_earlier_row(void *arg, GfTableResult result, int64_t version,
+               const GfTableRow *rows, size_t count)
+{
+    (void)version;
+    Acceptance *a = arg;
+    EntryStore_Note(a->entry, result);
+    if (result == GF_TABLE_OK && (count == 0 || rows[0].value == NULL)) {
+        finish(a, a->refusal);
+        return;
+    }
+    /* It was accepted before, or that cannot be known now. */
+    begin(a);
+}
+
+/* Refuses a job, unless an earlier attempt of its caller was accepted: that
+ * is still one job. done is called as by EntryAccept_Start, or with the
+ * refusal. */
+void
+EntryAccept_Refuse(GfCellEntry *entry, const GfName *id, const GfName *queue,
+                   GfStr row, int64_t patience_ms, GfErrorKind refusal,
+                   AcceptDone done, void *arg)
+{
+    assert(refusal != GF_OK);
+    Acceptance *a =
+        make_acceptance(entry, id, queue, row, patience_ms, done, arg);
+    a->refusal = refusal;
+    GfJobRowPart part = GfJobRow_Part(id);
+    GfTable_Read(entry->table, ENTRY_JOB_TABLE, part.text, id->data,
+                 on_earlier_row, a);
+}
--- a/src/cellentry/entry_private.h
+++ b/src/cellentry/entry_private.h
@@ -110,6 +110,8 @@
     struct timespec store_failed_at;
     bool store_failed;
 
+    GfAdmission admission; /* as the owner has it */
+
     Term *term;
     uint32_t term_count;
     bool stopping;
@@ -179,6 +181,9 @@
 
 /* accept.c: storing a job. */
 typedef void (*AcceptDone)(void *arg, GfErrorKind kind);
+void EntryAccept_Refuse(GfCellEntry *entry, const GfName *id,
+                        const GfName *queue, GfStr row, int64_t patience_ms,
+                        GfErrorKind refusal, AcceptDone done, void *arg);
 void EntryAccept_Start(GfCellEntry *entry, const GfName *id,
                        const GfName *queue, GfStr row, int64_t patience_ms,
                        bool for_peer, AcceptDone done, void *arg);
--- a/src/cellentry/jobs.c
+++ b/src/cellentry/jobs.c
@@ -24,10 +24,6 @@
 #define CANCEL_TIMEOUT_MS 1500
 /* After this long without an owner the store is asked instead. */
 #define OWNER_WAIT_MS 700
-/* When a caller who was refused should come back: a takeover is over by then,
- * and the store's short outages mostly. */
-#define RETRY_AFTER_MS 1000
-#define RETRY_AFTER_MAX_MS 3000
 /* A call passed on to an entry that does not own the cell is not passed on
  * again. */
 #define MAX_HOPS 1
@@ -43,6 +39,7 @@
     int64_t patience_ms;
     uint32_t tries;
     uint32_t hops;
+    uint32_t retry_after_ms; /* of a refusal for the team's backlog */
     bool pushed;
     struct event *timer;
     GfJobAnswerCallback callback;
@@ -78,19 +75,16 @@
     free(r);
 }
 
-/* Returns when a refused caller should come back. An outage that has lasted
- * goes on for about as long again; callers who come back too early use up
- * their attempts. */
+/* Returns when a caller should come back who is refused as the store or the
+ * owner is away. */
 static uint32_t
-retry_after_ms(const GfCellEntry *entry)
+outage_retry_ms(const GfCellEntry *entry)
 {
-    int64_t ms = RETRY_AFTER_MS;
-    if (entry->store_failed) {
-        int64_t failed =
-            GfTime_DiffMs(GfClock_Now(entry->clock), entry->store_failed_at);
-        ms = failed > ms ? failed : ms;
-    }
-    return (uint32_t)(ms < RETRY_AFTER_MAX_MS ? ms : RETRY_AFTER_MAX_MS);
+    int64_t away =
+        entry->store_failed
+            ? GfTime_DiffMs(GfClock_Now(entry->clock), entry->store_failed_at)
+            : 0;
+    return GfAdmission_OutageRetryMs(away);
 }
 
 /* Answers with a kind alone. */
@@ -98,8 +92,12 @@
 answer_kind(Request *r, GfErrorKind kind)
 {
     GfJobAnswer reply = {.kind = kind};
-    if (GfError_MayRetry(kind) && GfError_HttpStatus(kind) == 503) {
-        reply.retry_after_ms = retry_after_ms(r->entry);
+    if (kind == GF_LIMIT_REACHED) {
+        reply.retry_after_ms = r->retry_after_ms;
+        GfMetrics_Add(GF_METRIC_REQUESTS_REFUSED, 1);
+    }
+    else if (GfError_MayRetry(kind) && GfError_HttpStatus(kind) == 503) {
+        reply.retry_after_ms = outage_retry_ms(r->entry);
         GfMetrics_Add(GF_METRIC_REQUESTS_REFUSED, 1);
     }
     answer(r, &reply);
@@ -397,6 +395,11 @@
         answer_kind(r, GF_BAD_REQUEST);
         return;
     }
+    const GfQueue *queue = GfCellConfig_FindQueue(r->entry->config, &r->queue);
+    assert(queue != NULL); /* resolved just now */
+    GfErrorKind refusal =
+        GfAdmission_Check(&r->entry->admission, &queue->service, &r->team,
+                          &spec, &r->retry_after_ms);
     GfJobSpec_Clear(&spec);
     r->row = make_row(r, request);
     if (r->row.data == NULL) {
@@ -405,6 +408,16 @@
     }
     GfStr row = r->row;
     r->row = (GfStr){0};
+    if (refusal != GF_OK) {
+        GfLog(GF_LOG_INFO, PART,
+              "job not admitted id=%s queue=%s team=%s cause=%s "
+              "retry_after_ms=%u owner_token=%lld",
+              r->id.data, r->queue.data, r->team.data, GfError_Name(refusal),
+              r->retry_after_ms, (long long)r->entry->owner.token);
+        EntryAccept_Refuse(r->entry, &r->id, &r->queue, row, r->patience_ms,
+                           refusal, on_accepted, r);
+        return;
+    }
     EntryAccept_Start(r->entry, &r->id, &r->queue, row, r->patience_ms, false,
                       on_accepted, r);
 }
--- a/src/cellentry/peers.c
+++ b/src/cellentry/peers.c
@@ -127,6 +127,30 @@
     }
 }
 
+/* Takes what the owner refuses. */
+static void
+take_admission(GfCellEntry *entry, const gfc_beat_reply *reply)
+{
+    GfAdmission *a = &entry->admission;
+    for (u_int i = 0; i < reply->rooms.rooms_len; i++) {
+        const gfc_room *room = &reply->rooms.rooms_val[i];
+        GfName service;
+        if (GfName_SetText(&service, room->service)) {
+            GfAdmission_AddRoom(a, &service,
+                                (GfAmounts){room->mcores, room->memory_mb,
+                                            room->accelerators});
+        }
+    }
+    a->full_count = 0;
+    for (u_int i = 0; i < reply->full.full_len; i++) {
+        GfFullTeam *full = &a->full[a->full_count];
+        if (GfName_SetText(&full->team, reply->full.full_val[i].team)) {
+            full->retry_after_ms = reply->full.full_val[i].retry_after_ms;
+            a->full_count++;
+        }
+    }
+}
+
 /* Takes the answer to a heartbeat. */
 static void
 on_beat_reply(void *arg, const GfRpcOutcome *outcome)
@@ -158,8 +182,9 @@
     peer->heard_at = GfClock_Now(entry->clock);
     peer->stopping = reply->stopping;
     take_members(entry, reply);
-    if (reply->owns) {
+    if (reply->owns && entry->term == NULL) {
         entry->members_digest = reply->members_digest;
+        take_admission(entry, reply);
     }
     EntryControl_CompareWithPeer(entry, peer, reply->config_version);
     EntryOwnership_TakeReply(entry, peer, reply);
@@ -218,6 +243,28 @@
     return count;
 }
 
+/* Says in a heartbeat's answer what this owner refuses. */
+static void
+give_admission(GfAdmission *a, gfc_room *rooms, gfc_full_team *full,
+               gfc_beat_reply *reply)
+{
+    for (size_t i = 0; i < a->room_count; i++) {
+        const GfAmounts *l = &a->rooms[i].largest;
+        rooms[i] = (gfc_room){.service = a->rooms[i].service.data,
+                              .mcores = l->mcores,
+                              .memory_mb = l->memory_mb,
+                              .accelerators = l->accelerators};
+    }
+    for (size_t i = 0; i < a->full_count; i++) {
+        full[i] = (gfc_full_team){.team = a->full[i].team.data,
+                                  .retry_after_ms = a->full[i].retry_after_ms};
+    }
+    reply->rooms.rooms_val = rooms;
+    reply->rooms.rooms_len = (u_int)a->room_count;
+    reply->full.full_val = full;
+    reply->full.full_len = (u_int)a->full_count;
+}
+
 /* Answers a heartbeat. */
 static void
 handle_beat(void *ctx, GfRpcCall *call, void *args)
@@ -262,7 +309,10 @@
         reply.members.members_val = members;
         reply.members.members_len = list_members(entry, members);
     }
+    gfc_room rooms[GFC_MAX_SERVICES];
+    gfc_full_team full[GFC_MAX_TEAMS];
     if (entry->term != NULL) {
+        give_admission(&entry->admission, rooms, full, &reply);
         if (beat->token > reply.token) {
             GfRpcCall_Reply(call, &reply);
             EntryOwnership_Lost(entry, "a peer knows a higher token");
--- a/src/cellentry/term.c
+++ b/src/cellentry/term.c
@@ -22,6 +22,10 @@
 #define PROOF_MARGIN_MS 300
 /* Without other calls the ownership is proved by a read this often. */
 #define PROVE_EVERY_MS 600
+/* Refusals begin when all workers that are up have surely been heard, and
+ * what they rest on is looked at this often. */
+#define ADMISSION_AFTER_MS 3000
+#define ADMISSION_EVERY_MS 1000
 /* A new owner waits this long for workers to answer before it places tasks of
  * new jobs. */
 #define HEAR_MS 350
@@ -410,6 +414,19 @@
     }
 }
 
+/* Brings up to date which jobs are refused, once the workers have had the time
+ * to answer. */
+static void
+update_admission(Term *term, struct timespec now)
+{
+    if (GfCell_IsReady(term->cell) && GfCell_AllHeard(term->cell) &&
+        GfTime_DiffMs(now, term->loaded_at) > ADMISSION_AFTER_MS &&
+        GfTime_DiffMs(now, term->admission_at) >= ADMISSION_EVERY_MS) {
+        term->admission_at = now;
+        GfCell_UpdateAdmission(term->cell, &term->entry->admission);
+    }
+}
+
 /* Does what is due in the term. */
 void
 EntryTerm_Tick(GfCellEntry *entry, struct timespec now)
@@ -433,5 +450,6 @@
     GfCell_Tick(term->cell);
     if (entry->term == term) {
         sweep(term, now);
+        update_admission(term, now);
     }
 }
--- a/src/cellentry/term_private.h
+++ b/src/cellentry/term_private.h
@@ -24,6 +24,7 @@
     bool commit_open;
     bool commit_uncertain;
     struct timespec proved_at;
+    struct timespec admission_at;
     struct timespec commit_sent_at;
     int64_t store_ms;                 /* what the last transaction took */
     struct timespec commit_opened_at; /* when its first attempt left */
--- a/src/rpc/cell_xdr.c
+++ b/src/rpc/cell_xdr.c
@@ -55,6 +55,34 @@
 	return TRUE;
 }
 
+bool_t
+xdr_gfc_room (XDR *xdrs, gfc_room *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_gfc_name (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->mcores))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->memory_mb))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->accelerators))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gfc_full_team (XDR *xdrs, gfc_full_team *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_gfc_name (xdrs, &objp->team))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_gfc_beat_reply (XDR *xdrs, gfc_beat_reply *objp)
 {
@@ -100,6 +128,12 @@
 		 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, GFC_MAX_MEMBERS,
 			sizeof (gfc_peer), (xdrproc_t) xdr_gfc_peer))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->rooms.rooms_val, (u_int *) &objp->rooms.rooms_len, GFC_MAX_SERVICES,
+			sizeof (gfc_room), (xdrproc_t) xdr_gfc_room))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->full.full_val, (u_int *) &objp->full.full_len, GFC_MAX_TEAMS,
+			sizeof (gfc_full_team), (xdrproc_t) xdr_gfc_full_team))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_gfc_peer (xdrs, &objp->from))
@@ -140,6 +174,12 @@
 		 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, GFC_MAX_MEMBERS,
 			sizeof (gfc_peer), (xdrproc_t) xdr_gfc_peer))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->rooms.rooms_val, (u_int *) &objp->rooms.rooms_len, GFC_MAX_SERVICES,
+			sizeof (gfc_room), (xdrproc_t) xdr_gfc_room))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->full.full_val, (u_int *) &objp->full.full_len, GFC_MAX_TEAMS,
+			sizeof (gfc_full_team), (xdrproc_t) xdr_gfc_full_team))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -170,6 +210,12 @@
 	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, GFC_MAX_MEMBERS,
 		sizeof (gfc_peer), (xdrproc_t) xdr_gfc_peer))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rooms.rooms_val, (u_int *) &objp->rooms.rooms_len, GFC_MAX_SERVICES,
+		sizeof (gfc_room), (xdrproc_t) xdr_gfc_room))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->full.full_val, (u_int *) &objp->full.full_len, GFC_MAX_TEAMS,
+		sizeof (gfc_full_team), (xdrproc_t) xdr_gfc_full_team))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/rpc/cell_xdr.h
+++ b/src/rpc/cell_xdr.h
@@ -18,6 +18,8 @@
 #define GFC_BODY_BYTES 1048576
 #define GFC_MAX_MEMBERS 512
 #define GFC_MAX_WORKERS 128
+#define GFC_MAX_SERVICES 16
+#define GFC_MAX_TEAMS 64
 
 typedef char *gfc_name;
 
@@ -41,6 +43,20 @@
 };
 typedef struct gfc_beat gfc_beat;
 
+struct gfc_room {
+	gfc_name service;
+	quad_t mcores;
+	quad_t memory_mb;
+	quad_t accelerators;
+};
+typedef struct gfc_room gfc_room;
+
+struct gfc_full_team {
+	gfc_name team;
+	u_int retry_after_ms;
+};
+typedef struct gfc_full_team gfc_full_team;
+
 struct gfc_beat_reply {
 	gfc_peer from;
 	bool_t owns;
@@ -58,6 +74,14 @@
 		u_int members_len;
 		gfc_peer *members_val;
 	} members;
+	struct {
+		u_int rooms_len;
+		gfc_room *rooms_val;
+	} rooms;
+	struct {
+		u_int full_len;
+		gfc_full_team *full_val;
+	} full;
 };
 typedef struct gfc_beat_reply gfc_beat_reply;
 
@@ -161,6 +185,8 @@
 extern  bool_t xdr_gfc_name (XDR *, gfc_name*);
 extern  bool_t xdr_gfc_peer (XDR *, gfc_peer*);
 extern  bool_t xdr_gfc_beat (XDR *, gfc_beat*);
+extern  bool_t xdr_gfc_room (XDR *, gfc_room*);
+extern  bool_t xdr_gfc_full_team (XDR *, gfc_full_team*);
 extern  bool_t xdr_gfc_beat_reply (XDR *, gfc_beat_reply*);
 extern  bool_t xdr_gfc_job_call (XDR *, gfc_job_call*);
 extern  bool_t xdr_gfc_job_reply (XDR *, gfc_job_reply*);
@@ -174,6 +200,8 @@
 extern bool_t xdr_gfc_name ();
 extern bool_t xdr_gfc_peer ();
 extern bool_t xdr_gfc_beat ();
+extern bool_t xdr_gfc_room ();
+extern bool_t xdr_gfc_full_team ();
 extern bool_t xdr_gfc_beat_reply ();
 extern bool_t xdr_gfc_job_call ();
 extern bool_t xdr_gfc_job_reply ();
--- a/src/rpc/cell_xdr.x
+++ b/src/rpc/cell_xdr.x
@@ -3,6 +3,8 @@
 const GFC_BODY_BYTES = 1048576;
 const GFC_MAX_MEMBERS = 512;
 const GFC_MAX_WORKERS = 128;
+const GFC_MAX_SERVICES = 16;
+const GFC_MAX_TEAMS = 64;
 
 typedef string gfc_name<GFC_NAME_BYTES>;
 
@@ -24,6 +26,18 @@
     bool has_store;
 };
 
+struct gfc_room {
+    gfc_name service;
+    hyper mcores;
+    hyper memory_mb;
+    hyper accelerators;
+};
+
+struct gfc_full_team {
+    gfc_name team;
+    unsigned int retry_after_ms;
+};
+
 struct gfc_beat_reply {
     gfc_peer from;
     bool owns;
@@ -38,6 +52,8 @@
     unsigned hyper config_version;
     unsigned hyper members_digest;
     gfc_peer members<GFC_MAX_MEMBERS>;
+    gfc_room rooms<GFC_MAX_SERVICES>;
+    gfc_full_team full<GFC_MAX_TEAMS>;
 };
 
 struct gfc_job_call {
--- a/tests/fault/cell_commands.c
+++ b/tests/fault/cell_commands.c
@@ -1,11 +1,13 @@
 /* The operators' commands against a running entry of a cell, over the
  * stand-in of the platform. */
+#include <arpa/inet.h>
 #include <signal.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -121,6 +123,71 @@
     CU_ASSERT_PTR_NOT_NULL(strstr(output, "no failure domain is out"));
 }
 
+/* Makes a call and returns the status of the answer, or 0. */
+static int
+http(uint16_t port, const char *method, const char *path, const char *body)
+{
+    struct sockaddr_in sin = {.sin_family = AF_INET, .sin_port = htons(port)};
+    inet_pton(AF_INET, ADDRESS, &sin.sin_addr);
+    char text[2048];
+    int len = snprintf(text, sizeof(text),
+                       "%s %s HTTP/1.1\r\nHost: jobs.example\r\n"
+                       "X-Api-Key: key-desk\r\n"
+                       "Content-Type: application/json\r\n"
+                       "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
+                       method, path, strlen(body), body);
+    int status = 0;
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0 &&
+        write(fd, text, (size_t)len) == len) {
+        ssize_t got = read(fd, text, sizeof(text) - 1);
+        text[got > 0 ? got : 0] = '\0';
+        sscanf(text, "HTTP/1.1 %d", &status);
+    }
+    close(fd);
+    return status;
+}
+
+/* A job that no worker is large enough for is refused once the workers are
+ * known; one that fits is taken in, and so is its repeat. */
+static void
+test_never_fits(void)
+{
+    static const char CONFIG[] =
+        "{\"version\":1,\"routes\":[{\"name\":\"quick\",\"host\":"
+        "\"jobs.example\",\"pathPrefix\":\"/quick/\",\"service\":\"plan\","
+        "\"priority\":0,\"maxAttempts\":3,\"targetLatencyMs\":300,"
+        "\"stretch\":2.0}],\"services\":[{\"name\":\"plan\"}],"
+        "\"tenants\":[{\"name\":\"desk\",\"apiKeys\":[\"key-desk\"],"
+        "\"weight\":1,\"maximum\":{}}]}";
+    static const char FITS[] =
+        "{\"spec\":\"ms=50 mcores=100\",\"steps\":[{\"count\":1,"
+        "\"cpu\":100,\"memMb\":10,\"estMs\":50}]}";
+    static const char TOO_LARGE[] =
+        "{\"spec\":\"ms=50 mcores=100\",\"steps\":[{\"count\":1,"
+        "\"cpu\":900000000,\"memMb\":10,\"estMs\":50}]}";
+    CU_ASSERT_EQUAL(http(PLATFORM_PORT, "POST", "/test/config", CONFIG), 200);
+    int status = 0;
+    for (int i = 0; i < TRIES && status != 422; i++) {
+        usleep(PAUSE_US);
+        char path[64];
+        snprintf(path, sizeof(path), "/quick/%016x", 100 + i);
+        status = http(ENTRY_PORT, "POST", path, TOO_LARGE);
+    }
+    CU_ASSERT_EQUAL(status, 422);
+    CU_ASSERT_EQUAL(
+        http(ENTRY_PORT, "POST", "/quick/00000000000000aa", TOO_LARGE), 422);
+    CU_ASSERT_EQUAL(http(ENTRY_PORT, "GET", "/quick/00000000000000aa", ""),
+                    410);
+    CU_ASSERT_EQUAL(http(ENTRY_PORT, "POST", "/quick/00000000000000bb", FITS),
+                    200);
+    CU_ASSERT_EQUAL(http(ENTRY_PORT, "POST", "/quick/00000000000000bb", FITS),
+                    200);
+    /* A repeat of a job that was accepted is that job, whatever it says. */
+    CU_ASSERT_EQUAL(
+        http(ENTRY_PORT, "POST", "/quick/00000000000000bb", TOO_LARGE), 200);
+}
+
 /* A call to a port that nobody serves ends with an error, not with nothing. */
 static void
 test_no_entry(void)
@@ -142,6 +209,7 @@
 static const SuiteTest TESTS[] = {
     {"cell", test_cell},
     {"members and domains", test_members_and_domains},
+    {"never fits", test_never_fits},
     {"no entry", test_no_entry},
 };
 
