Start nothing on a worker that the stored list names as silent

An owner that had been replaced but did not know it yet heard a worker for the first time that the stored list named as silent, with the tasks it may have. It placed tasks there in the round before the one that takes the worker off that state, which it could not have stored any more. The new owner had read the list, expected no other runs there, and placed the same tasks elsewhere. Ruled out: proof of ownership, which lasted as it should (1.35 s); the list of leased workers, which was stored in time. Change: a worker gets tasks only while the stored list does not name it as silent. Test: silent worker back for the former owner; without the change a task runs twice.

--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -78,7 +78,7 @@
 CellPlace_Eligible(const GfCell *cell, const Worker *w, const Step *step)
 {
     const GfQueue *queue = step->job->queue_in_force;
-    if (queue == NULL || !w->listed || !w->known || !w->stored ||
+    if (queue == NULL || !w->listed || !w->known || !w->stored || w->closed ||
         w->info.leaving || w->hold_failures > 0 || !w->has_clock ||
         w->unknown_runs > 0) {
         return false;
--- a/tests/unit/cell.c
+++ b/tests/unit/cell.c
@@ -432,6 +432,30 @@
     finish(w, config);
 }
 
+/* A worker that the stored list names as silent, with no tasks, is heard for
+ * the first time by an owner that has been replaced: the new owner does not
+ * expect runs there, so there are none until the list says that it is back. */
+static void
+test_silent_worker_back_for_former_owner(void)
+{
+    GfCellConfig *config;
+    World *w = begin(&CALM, &config, 0);
+    World_Cut(w, 0, true);
+    World_Run(w, 2000);
+    GfCell *former = World_TakeOver(w);
+    World_Run(w, 500);
+    for (int i = 1; i < CALM.workers; i++) {
+        World_CutFrom(w, i, former, true);
+    }
+    World_Run(w, 1200);
+    World_CutFrom(w, 0, World_TakeOver(w), true);
+    World_Cut(w, 0, false);
+    WorldJob job = job_of("batch", 3, 4000, 2000);
+    World_Submit(w, &job);
+    World_Run(w, 2500);
+    finish(w, config);
+}
+
 /* Operators see what a team has of its limit, and what waits for it. */
 static void
 test_describe(void)
@@ -580,6 +604,8 @@
     {"cancel", test_cancel},
     {"strays hold room", test_strays_hold_room},
     {"limit", test_limit},
+    {"silent worker back for the former owner",
+     test_silent_worker_back_for_former_owner},
     {"describe", test_describe},
     {"lasting apart", test_lasting_apart},
     {"fillers", test_fillers},
