Cut entries off from one another in the soak, and remove more rules in the fuzz

Cause: the soak could cut an entry from the store only, and the fuzz target of the cell left out one mechanism of four. Change: an entry's settings may name the address that other entries call (peer_advertised); the soak puts a relay there, cuts it one way, makes it refuse, or silences open connections. fuzz_cell can leave out tokens at workers, the store's condition, and the wait for storing. Ruled out: a second relay program; the one in the stand-ins serves both. Conclusion: clock faults are still missing in the soak.

--- a/include/guavaflow/cell_settings.h
+++ b/include/guavaflow/cell_settings.h
@@ -19,6 +19,7 @@
     char *front;
     char *ready;
     char *peer;
+    char *peer_advertised; /* what other entries call; as peer if empty */
     char *store;
     char *advice;
     char *seeds;
@@ -32,6 +33,7 @@
     GfEndpoint front_at;
     GfEndpoint ready_at;
     GfEndpoint peer_at;
+    GfEndpoint peer_advertised_at;
     GfEndpoint store_at;
     GfEndpoint advice_at; /* port 0: none */
     GfEndpoint seed_at[GF_MAX_SEEDS];
--- a/src/cellentry/ownership.c
+++ b/src/cellentry/ownership.c
@@ -252,9 +252,9 @@
     entry->claim_nonce >>= 16U; /* stays exact in JSON */
     json_t *row =
         json_pack("{s:s,s:s,s:I,s:I,s:I,s:I}", "member", entry->self.data,
-                  "address", entry->settings->peer_at.address, "port",
-                  (json_int_t)entry->settings->peer_at.port, "incarnation",
-                  (json_int_t)entry->incarnation, "nonce",
+                  "address", entry->settings->peer_advertised_at.address,
+                  "port", (json_int_t)entry->settings->peer_advertised_at.port,
+                  "incarnation", (json_int_t)entry->incarnation, "nonce",
                   (json_int_t)entry->claim_nonce, "strength",
                   (json_int_t)EntryOwnership_Strength(entry));
     char *text = json_dumps(row, JSON_COMPACT);
@@ -455,8 +455,9 @@
             &entry->settings
                  ->seed_at[entry->next_seed++ % entry->settings->seed_count];
         GfName name = GfName_Format("seed-%s:%u", seed->address, seed->port);
-        if (strcmp(seed->address, entry->settings->peer_at.address) != 0 ||
-            seed->port != entry->settings->peer_at.port) {
+        if (strcmp(seed->address,
+                   entry->settings->peer_advertised_at.address) != 0 ||
+            seed->port != entry->settings->peer_advertised_at.port) {
             Peer *p = EntryMembers_Get(entry, &name, seed->address,
                                        (uint16_t)seed->port, 0);
             EntryMembers_Beat(entry, p);
--- a/src/cellentry/peers.c
+++ b/src/cellentry/peers.c
@@ -95,8 +95,8 @@
 EntryMembers_ToXdr(GfCellEntry *entry, gfc_peer *self)
 {
     self->member = entry->self.data;
-    self->address = entry->settings->peer_at.address;
-    self->port = entry->settings->peer_at.port;
+    self->address = entry->settings->peer_advertised_at.address;
+    self->port = entry->settings->peer_advertised_at.port;
     self->incarnation = entry->incarnation;
     self->strength = EntryOwnership_Strength(entry);
 }
--- a/src/config/cell_settings.c
+++ b/src/config/cell_settings.c
@@ -26,6 +26,7 @@
     TEXT_FIELD(front, CYAML_FLAG_DEFAULT),
     TEXT_FIELD(ready, CYAML_FLAG_DEFAULT),
     TEXT_FIELD(peer, CYAML_FLAG_DEFAULT),
+    TEXT_FIELD(peer_advertised, CYAML_FLAG_OPTIONAL),
     TEXT_FIELD(store, CYAML_FLAG_DEFAULT),
     TEXT_FIELD(advice, CYAML_FLAG_OPTIONAL),
     TEXT_FIELD(seeds, CYAML_FLAG_OPTIONAL),
@@ -144,6 +145,10 @@
                            "warning, error",
                            path, s->log_level);
     }
+    const char *called = s->peer_advertised;
+    if (called == NULL || called[0] == '\0') {
+        called = s->peer;
+    }
     bool has_advice = s->advice != NULL && s->advice[0] != '\0';
     return check_name(path, "member", s->member, error) &&
            check_name(path, "failure_domain", s->failure_domain, error) &&
@@ -153,6 +158,8 @@
                          &s->ready_at, error) &&
            read_endpoint(path, "peer", s->peer, strlen(s->peer), &s->peer_at,
                          error) &&
+           read_endpoint(path, "peer_advertised", called, strlen(called),
+                         &s->peer_advertised_at, error) &&
            read_endpoint(path, "store", s->store, strlen(s->store),
                          &s->store_at, error) &&
            (!has_advice ||
@@ -200,6 +207,7 @@
     free(settings->front_at.address);
     free(settings->ready_at.address);
     free(settings->peer_at.address);
+    free(settings->peer_advertised_at.address);
     free(settings->store_at.address);
     free(settings->advice_at.address);
     for (size_t i = 0; i < settings->seed_count; i++) {
--- a/tests/fuzz/fuzz_cell.c
+++ b/tests/fuzz/fuzz_cell.c
@@ -2,8 +2,11 @@
  * cell: up to four owners after one another, or at once, workers that crash,
  * start anew, are cut off from all or from one owner, orders that are lost or
  * carried out late, a store that is away, cancels. The variable
- * GUAVAFLOW_WITHOUT_RULE=doubt leaves out the wait of a new owner for what a
- * former one may run; then a breach must be found. */
+ * GUAVAFLOW_WITHOUT_RULE leaves out a mechanism; then a breach must be found:
+ * doubt, the wait of a new owner for what a former one may run; fence, that
+ * workers obey the highest token only; condition, that the store takes no
+ * commit of a former owner; storing, that ends are acknowledged only once
+ * their commit is stored. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -16,6 +19,14 @@
 #define STEPS 60
 #define MAX_JOBS 40
 
+/* Tells whether a mechanism is to be left out. */
+static bool
+is_without(const char *rule)
+{
+    const char *without = getenv("GUAVAFLOW_WITHOUT_RULE");
+    return without != NULL && strcmp(without, rule) == 0;
+}
+
 /* Does one random thing. */
 static void
 act(World *w, Choice *c, int *jobs, int *count)
@@ -79,7 +90,6 @@
 {
     GfLog_SetLevel(GF_LOG_ERROR);
     Choice choice = choice_make(data, size);
-    const char *without = getenv("GUAVAFLOW_WITHOUT_RULE");
     WorldSettings settings = {.workers = WORKERS,
                               .mcores = 8000,
                               .memory_mb = 64000,
@@ -90,8 +100,10 @@
                               .lose_order = 0.03,
                               .lose_answer = 0.03,
                               .late_order = 0.03,
-                              .without_doubt = without != NULL &&
-                                               strcmp(without, "doubt") == 0};
+                              .without_doubt = is_without("doubt"),
+                              .without_fence = is_without("fence"),
+                              .without_condition = is_without("condition"),
+                              .without_storing = is_without("storing")};
     GfCellConfig *config = World_MakeConfig(20000);
     World *w = World_Create(&settings, config);
     World_TakeOver(w);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -51,8 +51,9 @@
     pid_t pid;
     bool paused;
     int64_t resume_at;
-    int64_t start_at; /* 0: it runs */
-    int64_t heal_at;  /* of the relay to the store */
+    int64_t start_at;     /* 0: it runs */
+    int64_t heal_at;      /* of the relay to the store */
+    int64_t peer_heal_at; /* of the relay from the other entries */
 } Entry;
 
 static struct {
@@ -62,7 +63,7 @@
     int port;
     char dir[64];
     Entry entries[ENTRIES];
-    pid_t others[ENTRIES + 1];
+    pid_t others[2 * ENTRIES + 1];
     SoakJob jobs[MAX_JOBS];
     int job_count;
     int64_t store_heal_at;
@@ -98,6 +99,13 @@
     return soak.port + 100 + entry;
 }
 
+/* The relay through which the other entries reach this one. */
+static int
+peer_relay_port(int entry)
+{
+    return soak.port + 110 + entry;
+}
+
 /* Starts a program with its output in a log file. */
 static pid_t
 start(const char *log, char *const argv[])
@@ -127,11 +135,12 @@
             "ownership: token\nmember: e%d\nfailure_domain: d%d\n"
             "front: " ADDRESS ":%d\nready: " ADDRESS ":%d\npeer: " ADDRESS
             ":%d\nstore: " ADDRESS ":%d\nadvice: " ADDRESS ":%d\n"
+            "peer_advertised: " ADDRESS ":%d\n"
             "seeds: " ADDRESS ":%d," ADDRESS ":%d\nstop_grace_s: 6\n"
             "longest_lease_ms: 10000\nkeep_finished_s: 120\n",
             entry, entry % 2, entry_port(entry, 0), entry_port(entry, 1),
             entry_port(entry, 2), relay_port(entry), soak.port + 1,
-            entry_port(0, 2), entry_port(1, 2));
+            peer_relay_port(entry), peer_relay_port(0), peer_relay_port(1));
     fclose(file);
     char name[16];
     snprintf(name, sizeof(name), "entry-%d", entry);
@@ -309,7 +318,7 @@
     if (e->start_at != 0 || e->paused) {
         return;
     }
-    switch (pick(5)) {
+    switch (pick(7)) {
     case 0:
         kill(e->pid, SIGKILL);
         waitpid(e->pid, NULL, 0);
@@ -329,12 +338,32 @@
                           1, "refuse", pick(2)));
         e->heal_at = now_ms() + 500 + pick(4000);
         break;
+    case 4:
+        /* The others do not reach this entry, or do not hear it. */
+        control(peer_relay_port(entry) + 50, "/",
+                json_pack("{s:b,s:b,s:b}", "cut_forward", pick(2), "cut_back",
+                          1, "refuse", pick(2)));
+        e->peer_heal_at = now_ms() + 500 + pick(4000);
+        break;
+    case 5:
+        control(peer_relay_port(entry) + 50, "/",
+                json_pack("{s:b}", "silence", 1));
+        break;
     default:
         control(relay_port(entry) + 50, "/", json_pack("{s:b}", "silence", 1));
         break;
     }
 }
 
+/* Ends the cuts of a relay. */
+static void
+heal_relay(int port)
+{
+    control(port + 50, "/",
+            json_pack("{s:b,s:b,s:b}", "cut_forward", 0, "cut_back", 0,
+                      "refuse", 0));
+}
+
 /* Strikes the store or a worker. */
 static void
 strike_platform(void)
@@ -377,11 +406,13 @@
             start_entry(i);
         }
         if (e->heal_at != 0 && (all || now >= e->heal_at)) {
-            control(relay_port(i) + 50, "/",
-                    json_pack("{s:b,s:b,s:b}", "cut_forward", 0, "cut_back", 0,
-                              "refuse", 0));
+            heal_relay(relay_port(i));
             e->heal_at = 0;
         }
+        if (e->peer_heal_at != 0 && (all || now >= e->peer_heal_at)) {
+            heal_relay(peer_relay_port(i));
+            e->peer_heal_at = 0;
+        }
     }
     if (soak.store_heal_at != 0 && (all || now >= soak.store_heal_at)) {
         control(soak.port, "/test/fault", json_pack("{s:s}", "mode", "none"));
@@ -400,6 +431,26 @@
     }
 }
 
+/* Starts a relay from a port to another one; its control is 50 above. */
+static pid_t
+start_relay(const char *name, int from, int to)
+{
+    char from_text[16];
+    char to_text[16];
+    char at_text[16];
+    snprintf(from_text, sizeof(from_text), "%d", from);
+    snprintf(to_text, sizeof(to_text), "%d", to);
+    snprintf(at_text, sizeof(at_text), "%d", from + 50);
+    char *argv[] = {(char *)STANDIN_PROGRAM,
+                    "relay",
+                    ADDRESS,
+                    from_text,
+                    to_text,
+                    at_text,
+                    NULL};
+    return start(name, argv);
+}
+
 /* Starts everything. */
 static void
 begin(uint64_t seed)
@@ -419,17 +470,14 @@
     snprintf(text, sizeof(text), "%llu", (unsigned long long)seed);
     char *fleet[] = {
         (char *)STANDIN_PROGRAM, "fleet", ADDRESS, port, workers, text, NULL};
-    soak.others[ENTRIES] = start("fleet", fleet);
+    soak.others[2 * ENTRIES] = start("fleet", fleet);
     for (int i = 0; i < ENTRIES; i++) {
-        char from[16];
-        char at[16];
-        char name[16];
-        snprintf(from, sizeof(from), "%d", relay_port(i));
-        snprintf(at, sizeof(at), "%d", relay_port(i) + 50);
+        char name[24];
         snprintf(name, sizeof(name), "relay-%d", i);
-        char *relay[] = {
-            (char *)STANDIN_PROGRAM, "relay", ADDRESS, from, port, at, NULL};
-        soak.others[i] = start(name, relay);
+        soak.others[i] = start_relay(name, relay_port(i), soak.port);
+        snprintf(name, sizeof(name), "peer-relay-%d", i);
+        soak.others[ENTRIES + i] =
+            start_relay(name, peer_relay_port(i), entry_port(i, 2));
     }
     run(400);
     for (int i = 0; i < ENTRIES; i++) {
@@ -559,7 +607,7 @@
     for (int i = 0; i < ENTRIES; i++) {
         kill(soak.entries[i].pid, SIGKILL);
     }
-    for (int i = 0; i <= ENTRIES; i++) {
+    for (int i = 0; i <= 2 * ENTRIES; i++) {
         kill(soak.others[i], SIGKILL);
     }
     printf("soak seed %llu: %s\n", (unsigned long long)seed,
--- a/tests/support/cell_world.c
+++ b/tests/support/cell_world.c
@@ -568,7 +568,7 @@
     if (m->lifetime != s->info.lifetime) {
         return answer(w, m, GF_ORDER_OTHER_LIFE);
     }
-    if (m->token < s->fence) {
+    if (m->token < s->fence && !w->settings.without_fence) {
         return answer(w, m, GF_ORDER_FENCED);
     }
     s->fence = m->token;
@@ -600,10 +600,10 @@
 apply_commit(World *w, const Message *m)
 {
     Owner *o = &w->owners[m->owner];
-    bool holds = m->token == w->token;
+    bool holds = m->token == w->token || w->settings.without_condition;
     if (!w->store_up) {
         if (o->cell != NULL && o->token != 0) {
-            GfCell_CommitDone(o->cell, false);
+            GfCell_CommitDone(o->cell, w->settings.without_storing);
         }
         return;
     }
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -22,11 +22,14 @@
     int callers;
     int latency_ms;
     uint32_t seed;
-    double lose_order;  /* share of orders that never arrive */
-    double lose_answer; /* share of answers that never arrive */
-    double late_order;  /* share carried out 2 to 12 s later, unanswered */
-    double fail_run;    /* share of runs that fail */
-    bool without_doubt; /* new owners do not wait for former ones */
+    double lose_order;      /* share of orders that never arrive */
+    double lose_answer;     /* share of answers that never arrive */
+    double late_order;      /* share carried out 2 to 12 s later, unanswered */
+    double fail_run;        /* share of runs that fail */
+    bool without_doubt;     /* new owners do not wait for former ones */
+    bool without_fence;     /* workers take orders of lower tokens */
+    bool without_condition; /* the store takes commits of former owners */
+    bool without_storing;   /* a failed commit counts as done */
 } WorldSettings;
 
 typedef struct {
