Bound the time that a failing worker is set aside without a shift

Cause: the check in a fresh clone failed once, cell_load, workers turn bad, under the sanitizer: 1500 shifted by 53 places, since the count of failures in a row has no bound. On a worker that fails 66 runs in a row the shift can come out short, and the worker gets work again. Ruled out: the test itself; it does what a third of failing workers do. Change: the time is doubled up to its bound. Test: workers turn bad, which failed with the sanitizer and passes now; cell and cell_load rerun with it.

--- a/src/cell/inventory.c
+++ b/src/cell/inventory.c
@@ -32,9 +32,12 @@
     }
     w->failures_in_row++;
     if (w->failures_in_row >= AVOID_AFTER_FAILURES) {
-        int64_t ms = (int64_t)AVOID_MS
-                     << (w->failures_in_row - AVOID_AFTER_FAILURES);
-        ms = ms > AVOID_MAX_MS || ms <= 0 ? AVOID_MAX_MS : ms;
+        int64_t ms = AVOID_MS;
+        for (uint32_t i = AVOID_AFTER_FAILURES;
+             i < w->failures_in_row && ms < AVOID_MAX_MS; i++) {
+            ms *= 2;
+        }
+        ms = ms < AVOID_MAX_MS ? ms : AVOID_MAX_MS;
         w->avoid_until = GfTime_AddMs(GfClock_Now(cell->clock), ms);
         GfLog(GF_LOG_WARNING, CELL_PART,
               "worker set aside worker=%s failures=%u for_ms=%lld",
