--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -225,7 +225,11 @@
 GfCell_StartPlacement(GfCell *cell)
 {
     cell->placement_started = true;
+    size_t closed = 0;
+    size_t tasks = 0;
     for (const Worker *w = cell->workers; w != NULL; w = w->hh.next) {
+        closed += w->inherited != NULL && !w->contacted;
+        tasks += w->contacted ? 0 : w->inherited_count;
         for (size_t i = 0; i < w->inherited_count; i++) {
             Task *task = CellJob_Task(cell, &w->inherited[i]);
             if (task != NULL) {
@@ -233,6 +237,12 @@
             }
         }
     }
+    GfLog(GF_LOG_INFO, CELL_PART,
+          "placement started token=%lld closed_unheard=%zu tasks_unseen=%zu "
+          "uncertain_ms=%lld",
+          (long long)cell->settings.token, closed, tasks,
+          (long long)GfTime_DiffMs(cell->uncertain_until,
+                                   GfClock_Now(cell->clock)));
     cell->dirty = true;
 }
 
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -487,6 +487,20 @@
     }
 }
 
+/* Returns how many idle tasks of a step may still run on a worker that has not
+ * answered in this term. */
+static uint32_t
+count_uncertain(const GfCell *cell, const Step *step, struct timespec now)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < step->spec->task_count; i++) {
+        const Task *t = &step->tasks[i];
+        count += !t->done && t->state == TASK_IDLE &&
+                 CellPlace_IsUncertain(cell, t, now);
+    }
+    return count;
+}
+
 /* Logs the step that has waited longest, with the likely causes, if it has
  * waited for WAIT_LOG_MS; at most once in that time. */
 static void
@@ -521,13 +535,14 @@
     GfLog(GF_LOG_INFO, CELL_PART,
           "step waits id=%s step=%u idle=%u since_ms=%lld eligible=%d "
           "with_room=%d tickets=%d allowed=%zu denied=%zu asking=%d "
-          "lasting=%d in_limit=%d in_doubt=%d",
+          "lasting=%d in_limit=%d in_doubt=%d unseen=%u",
           longest->job->id.data, longest->number, longest->idle,
           (long long)GfTime_DiffMs(now, longest->idle_since), eligible,
           with_capacity, tickets, longest->allowed_count,
           longest->denied_count, longest->asking, longest->spec->long_running,
           CellShare_Allows(longest, 1),
-          longest->job->uncertain && cell->in_uncertainty_period);
+          longest->job->uncertain && cell->in_uncertainty_period,
+          count_uncertain(cell, longest, now));
 }
 
 /* Runs a placement round: places the tasks of the waiting steps in order,
--- a/src/cellentry/ownership.c
+++ b/src/cellentry/ownership.c
@@ -365,6 +365,21 @@
            (peer->is_member || EntryMembers_IsInContact(entry, peer));
 }
 
+/* Returns how long ago any other entry was last heard from directly, in ms; -1
+ * if none ever was. */
+static int64_t
+all_silent_ms(const GfCellEntry *entry, struct timespec now)
+{
+    int64_t least = -1;
+    for (const Peer *p = entry->peers; p != NULL; p = p->hh.next) {
+        int64_t ms = GfTime_DiffMs(now, p->last_contact_at);
+        if (p->contacted && (least < 0 || ms < least)) {
+            least = ms;
+        }
+    }
+    return least;
+}
+
 /* Schedules a claim after the delay that this entry's place in the takeover
  * order gives. cause is only logged. */
 static void
@@ -395,13 +410,18 @@
     }
     int64_t ms = GfSuccession_ClaimDelayMs(&s);
     free(others);
+    struct timespec now = GfClock_Now(entry->clock);
     GfLog(GF_LOG_INFO, PART,
           "claim planned token=%lld in_ms=%lld known=%zu store_ms=%lld "
-          "strength=%u cause=%s",
+          "strength=%u owner_silent_ms=%lld all_silent_ms=%lld "
+          "store_silent_ms=%lld cause=%s",
           (long long)entry->owner.token, (long long)ms, s.other_count,
-          (long long)s.store_ms, s.self.strength, cause);
+          (long long)s.store_ms, s.self.strength,
+          (long long)GfTime_DiffMs(now, entry->owner.last_contact_at),
+          (long long)all_silent_ms(entry, now),
+          (long long)GfTime_DiffMs(now, entry->store_answered_at), cause);
     entry->claim_scheduled = true;
-    entry->claim_at = GfTime_AddMs(GfClock_Now(entry->clock), ms);
+    entry->claim_at = GfTime_AddMs(now, ms);
 }
 
 /* Handles the read of the owner's row, made because the owner has to be
