--- a/include/guavaflow/cell.h
+++ b/include/guavaflow/cell.h
@@ -234,6 +234,7 @@
                              size_t count);
 void GfCell_SetMayGrantLeases(GfCell *cell, bool may_grant_leases);
 void GfCell_SetWorkersCurrent(GfCell *cell, bool current);
+void GfCell_SetSharedClock(GfCell *cell, const GfTableClock *reading);
 
 bool GfCell_AddJob(GfCell *cell, const GfName *id, const GfName *team,
                    const GfName *queue, int64_t age_ms, GfJobSpec *spec,
@@ -253,7 +254,8 @@
 void GfCell_SetWorker(GfCell *cell, const GfWorkerInfo *info);
 void GfCell_AddLeasedWorker(GfCell *cell, const GfWorkerInfo *info);
 void GfCell_AddClosedWorker(GfCell *cell, const GfWorkerInfo *info,
-                            const GfTaskId *tasks, size_t count);
+                            const GfTaskId *tasks, size_t count,
+                            int64_t expires_ms);
 void GfCell_UnlistWorker(GfCell *cell, const GfName *id);
 void GfCell_UnlistMissingWorkers(GfCell *cell, const GfTableRow *rows,
                                  size_t count);
--- a/include/guavaflow/table.h
+++ b/include/guavaflow/table.h
@@ -9,6 +9,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <time.h>
 
 /* A client of the store. Its functions take the name of a table in name. */
 typedef struct GfTable GfTable;
@@ -71,7 +72,16 @@
                                 int64_t version, const GfTableRow *rows,
                                 size_t count);
 
-/* The operations of an implementation; the functions below describe them. */
+/* A reading of the store's steady clock, which all clients of the store share:
+ * it showed ms at some time between earliest and latest on the local clock. */
+typedef struct {
+    int64_t ms;
+    struct timespec earliest;
+    struct timespec latest;
+} GfTableClock;
+
+/* The operations of an implementation; the functions below describe them.
+ * read_clock may be NULL if the store has no clock. */
 typedef struct {
     void (*transact)(GfTable *table, const GfTableTransaction *transaction,
                      GfTableCallback callback, void *arg);
@@ -80,6 +90,7 @@
     void (*follow)(GfTable *table, const char *name, int64_t after,
                    int wait_ms, GfTableCallback callback, void *arg);
     void (*abandon_older)(GfTable *table);
+    bool (*read_clock)(const GfTable *table, GfTableClock *reading);
     void (*destroy)(GfTable *table);
 } GfTableOps;
 
@@ -95,6 +106,7 @@
 void GfTable_Follow(GfTable *table, const char *name, int64_t after,
                     int wait_ms, GfTableCallback callback, void *arg);
 void GfTable_AbandonOlder(GfTable *table);
+bool GfTable_ReadClock(const GfTable *table, GfTableClock *reading);
 void GfTable_Destroy(GfTable *table);
 const char *GfTableResult_Name(GfTableResult result);
 
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -172,6 +172,11 @@
     bool closed_in_commit;
     GfTaskId *inherited; /* tasks that a former owner had there */
     size_t inherited_count;
+    int64_t expires_ms;    /* no inherited run goes on after it, shared clock;
+                              0: unknown */
+    bool expiry_wanted;    /* the stored list should give the lease's end */
+    bool expiry_stored;    /* it may do so: the lease must not be extended */
+    bool expiry_in_commit; /* the list that is being stored does */
     bool hold_in_flight;
     bool poll_in_flight; /* an inventory request beside the hold call */
     bool poll_wanted;
@@ -254,6 +259,8 @@
     TeamUse *uses;
     GfName *evacuated;
     size_t evacuated_count;
+    GfTableClock shared_clock; /* latest reading */
+    bool has_shared_clock;
     bool may_grant_leases;      /* ownership was proved recently */
     bool workers_current;       /* the worker table was read recently */
     bool placement_started;     /* GfCell_StartPlacement was called */
@@ -357,6 +364,11 @@
 bool CellFormer_MayStartRuns(const GfCell *cell);
 bool CellFormer_MustStoreSettled(const GfCell *cell);
 
+/* lease_end.c */
+bool CellLeaseEnd_IsKnown(const GfCell *cell, const Worker *w);
+int64_t CellLeaseEnd_Shared(const GfCell *cell, const Worker *w);
+struct timespec CellLeaseEnd_Inherited(const GfCell *cell, const Worker *w);
+
 /* workers.c */
 void CellWorker_BeginIncarnation(GfCell *cell, Worker *w, int64_t incarnation);
 int64_t CellWorker_LongestLeaseMs(const GfCell *cell);
--- a/src/cell/commit.c
+++ b/src/cell/commit.c
@@ -44,6 +44,20 @@
     return tasks;
 }
 
+/* Adds to a worker's entry of the lease list the tasks that it may still run,
+ * and the end of its lease if that is known. */
+static void
+encode_closed(const GfCell *cell, Worker *w, json_t *entry, json_t *tasks)
+{
+    json_array_append(entry, tasks);
+    if (w->expiry_wanted) {
+        json_array_append_new(
+            entry, json_integer((json_int_t)CellLeaseEnd_Shared(cell, w)));
+        w->expiry_stored = true;
+        w->expiry_in_commit = true;
+    }
+}
+
 /* Returns the list of workers that may hold a lease, for the next owner, and
  * marks the workers as part of this transaction. Closed workers beyond
  * MAX_NAMED_TASKS are listed like the others, without their tasks: then all
@@ -55,6 +69,7 @@
     size_t named = 0;
     for (Worker *w = cell->workers; w != NULL; w = w->hh.next) {
         w->in_commit = w->in_lease_list;
+        w->expiry_in_commit = false;
         if (!w->in_lease_list) {
             continue;
         }
@@ -66,7 +81,7 @@
             json_t *tasks = encode_tasks(w);
             named += json_array_size(tasks);
             if (named <= MAX_NAMED_TASKS) {
-                json_array_append(entry, tasks);
+                encode_closed(cell, w, entry, tasks);
             }
             json_decref(tasks);
         }
@@ -186,6 +201,7 @@
             w->in_stored_list = true;
             cell->dirty = true;
         }
+        w->expiry_stored = w->expiry_stored && w->expiry_in_commit;
     }
     cell->commit_has_lease_list = false;
 }
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -55,8 +55,10 @@
         !GfTime_Before(now, cell->uncertain_until)) {
         return false;
     }
+    /* A worker is removed only when none of its former runs can be left. */
     const Worker *w = CellWorker_Find(cell, task->uncertain_serial);
-    return w == NULL || !w->contacted;
+    return w != NULL && !w->contacted &&
+           GfTime_Before(now, CellLeaseEnd_Inherited(cell, w));
 }
 
 /* Returns whether a failure domain is out of service. */
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -77,7 +77,7 @@
 int64_t
 CellWorker_ExtendLease(GfCell *cell, Worker *w, struct timespec now)
 {
-    if (!w->has_clock || !cell->may_grant_leases) {
+    if (!w->has_clock || !cell->may_grant_leases || w->expiry_stored) {
         return 0;
     }
     struct timespec end = GfTime_AddMs(now, CellWorker_LongestLeaseMs(cell));
@@ -133,6 +133,7 @@
     w->next_hold_at = (struct timespec){0};
     w->in_stored_list = false;
     w->in_commit = false;
+    w->expiry_stored = false; /* the list's end is that of the former one */
     cell->lease_list_dirty = cell->lease_list_dirty || w->in_lease_list;
     cell->dirty = true;
 }
@@ -204,11 +205,12 @@
 }
 
 /* Adds a worker, unless it is known, and records that the former owner had
- * closed it with only these tasks there; only they are uncertain. info and
+ * closed it with only these tasks there; only they are uncertain, and not
+ * longer than until expires_ms on the shared clock, unless that is 0. info and
  * tasks are copied. */
 void
 GfCell_AddClosedWorker(GfCell *cell, const GfWorkerInfo *info,
-                       const GfTaskId *tasks, size_t count)
+                       const GfTaskId *tasks, size_t count, int64_t expires_ms)
 {
     Worker *w = NULL;
     HASH_FIND(hh, cell->workers, info->id.data, info->id.len, w);
@@ -222,6 +224,9 @@
     }
     memcpy(w->inherited, tasks, count * sizeof(GfTaskId));
     w->inherited_count = count;
+    w->expires_ms = expires_ms;
+    w->expiry_wanted = expires_ms > 0;
+    w->expiry_stored = expires_ms > 0;
 }
 
 /* Records that a worker left the platform's table. Its runs are still tracked
@@ -474,9 +479,10 @@
             GfTime_Before(w->lease_until, now)) {
             CellWorker_ReleaseTasks(w, "lease lapsed");
         }
-        bool no_former_runs = w->inherited != NULL
-                                  ? !GfTime_Before(now, cell->uncertain_until)
-                                  : !cell->in_uncertainty_period;
+        bool no_former_runs =
+            w->inherited != NULL
+                ? !GfTime_Before(now, CellLeaseEnd_Inherited(cell, w))
+                : !cell->in_uncertainty_period;
         bool expired = GfTime_Before(w->lease_until, now) &&
                        (w->contacted || no_former_runs);
         if (!w->listed && w->tasks == NULL && expired && !w->hold_in_flight) {
@@ -513,7 +519,8 @@
 }
 
 /* Decides which workers belong to the stored lease list, those that hold or
- * may get a lease, and which of them are closed. A worker whose latest hold
+ * may get a lease, which of them are closed, and for which of these the list
+ * gives the end of the lease. A worker whose latest hold
  * call failed, or that left the platform's table, is left out once its lease
  * has expired, so that the next owner does not wait for it. */
 void
@@ -523,8 +530,8 @@
         bool expired = (w->hold_failures > 0 || !w->listed) &&
                        w->tasks == NULL && w->contacted &&
                        GfTime_Before(w->lease_until, now);
-        bool inherited =
-            w->inherited != NULL && GfTime_Before(now, cell->uncertain_until);
+        bool inherited = w->inherited != NULL &&
+                         GfTime_Before(now, CellLeaseEnd_Inherited(cell, w));
         bool wanted = w->contacted ? !expired : w->former_lease || inherited;
         bool closed = is_closed(w);
         if (wanted && closed != w->closed) {
@@ -532,6 +539,11 @@
             w->in_stored_list = false;
             cell->lease_list_dirty = true;
         }
+        bool expiry_wanted = closed && CellLeaseEnd_IsKnown(cell, w);
+        if (wanted && expiry_wanted != w->expiry_wanted) {
+            w->expiry_wanted = expiry_wanted;
+            cell->lease_list_dirty = true;
+        }
         if (w->in_lease_list != wanted) {
             w->in_lease_list = wanted;
             w->in_stored_list = w->in_stored_list && wanted;
--- a/src/cellentry/term.c
+++ b/src/cellentry/term.c
@@ -454,6 +454,10 @@
         GfTable_Read(entry->table, ENTRY_CELL_TABLE, ENTRY_OWNER_PART,
                      ENTRY_OWNER_KEY, on_owner_row_read, term);
     }
+    GfTableClock reading;
+    if (GfTable_ReadClock(entry->table, &reading)) {
+        GfCell_SetSharedClock(term->cell, &reading);
+    }
     GfCell_SetWorkersCurrent(term->cell, TableWatch_AgeMs(term->worker_watch) <
                                                  WORKERS_VALID_MS ||
                                              !EntryStore_IsReachable(entry));
--- a/src/cellentry/term_loader.c
+++ b/src/cellentry/term_loader.c
@@ -107,9 +107,11 @@
 }
 
 /* Adds a worker that got no more tasks from the former owner, with the tasks
- * listed as running on it. */
+ * listed as running on it. expires_ms is when its lease has expired, on the
+ * store's clock, or 0. */
 static void
-add_closed_worker(GfCell *cell, const GfWorkerInfo *info, const json_t *list)
+add_closed_worker(GfCell *cell, const GfWorkerInfo *info, const json_t *list,
+                  int64_t expires_ms)
 {
     GfTaskId *tasks = calloc(json_array_size(list) + 1, sizeof(GfTaskId));
     if (tasks == NULL) {
@@ -133,12 +135,13 @@
                   "list of leased workers, unreadable task skipped");
         }
     }
-    GfCell_AddClosedWorker(cell, info, tasks, count);
+    GfCell_AddClosedWorker(cell, info, tasks, count, expires_ms);
     free(tasks);
 }
 
 /* Adds the workers on the former owner's list of granted leases. An element
- * that lists tasks too stands for a closed worker. */
+ * that lists tasks too stands for a closed worker; then the end of its lease
+ * may follow. */
 static void
 add_leased_workers(GfCell *cell, const GfTableRow *row)
 {
@@ -166,7 +169,8 @@
             GfCell_AddLeasedWorker(cell, &info);
         }
         else {
-            add_closed_worker(cell, &info, tasks);
+            add_closed_worker(cell, &info, tasks,
+                              json_integer_value(json_array_get(item, 5)));
         }
     }
     json_decref(list);
--- a/src/cli/cell_entry.c
+++ b/src/cli/cell_entry.c
@@ -201,7 +201,8 @@
     GfHttp *http = GfHttp_Create(process.base);
     GfTable *table =
         PlatformTable_Create(http, settings->store_endpoint.address,
-                             (uint16_t)settings->store_endpoint.port);
+                             (uint16_t)settings->store_endpoint.port,
+                             GfClock_System());
     GfCommands *commands = PlatformCommands_Create(
         http, settings->advice_endpoint.address,
         (uint16_t)settings->advice_endpoint.port, GfClock_System());
--- a/src/table/table.c
+++ b/src/table/table.c
@@ -58,6 +58,16 @@
     table->ops->abandon_older(table);
 }
 
+/* Writes the latest reading of the store's clock to *reading. Returns false if
+ * there is none. */
+bool
+GfTable_ReadClock(const GfTable *table, GfTableClock *reading)
+{
+    assert(table != NULL && reading != NULL);
+    return table->ops->read_clock != NULL &&
+           table->ops->read_clock(table, reading);
+}
+
 /* Frees the store's client; NULL is allowed. */
 void
 GfTable_Destroy(GfTable *table)
--- a/tests/fuzz/fuzz_cell.c
+++ b/tests/fuzz/fuzz_cell.c
@@ -9,10 +9,11 @@
  * leave out; then a violation must be found, which shows that the search can
  * find one: doubt, the uncertainty period in which a new owner waits for the
  * runs of a former one; names, the tasks that the stored list names on workers
- * that were closed; settled, that the end of an
- * owner that was not settled proves nothing; fence, that workers obey only the
- * highest token; condition, that the store rejects commits of a former owner;
- * storing, that completions are acknowledged only once their commit is stored.
+ * that were closed; ends, the stored ends of leases; settled, that the end of
+ * an owner that was not settled proves nothing; fence, that workers obey only
+ * the highest token; condition, that the store rejects commits of a former
+ * owner; storing, that completions are acknowledged only once their commit is
+ * stored.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -148,6 +149,7 @@
                                 .without_uncertainty = is_without("doubt"),
                                 .without_names = is_without("names"),
                                 .without_settled = is_without("settled"),
+                                .without_ends = is_without("ends"),
                                 .without_fence = is_without("fence"),
                                 .without_condition = is_without("condition"),
                                 .without_durability = is_without("storing")};
--- a/tests/support/cell_sim.c
+++ b/tests/support/cell_sim.c
@@ -23,6 +23,8 @@
 /* How long a replaced owner still counts its ownership as proved. */
 #define PROOF_VALID_MS 1500
 #define LEASE_MS 6000
+/* The store's clock minus the simulated time. */
+#define SHARED_CLOCK_OFFSET_MS 77000000
 /* A late order is carried out LATE_MIN_MS to LATE_MIN_MS + LATE_SPAN_MS after
  * it would have arrived. */
 #define LATE_MIN_MS 2000
@@ -843,6 +845,22 @@
     }
 }
 
+/* Passes an owner a reading of the store's clock, as of an answer that took
+ * as long as a message there and back. */
+static void
+report_clock(Owner *o)
+{
+    const CellSim *w = o->sim;
+    GfTableClock reading = {
+        .ms =
+            CellSim_NowMs(w) - w->settings.latency_ms + SHARED_CLOCK_OFFSET_MS,
+        .earliest = GfTime_AddMs(w->clock.time, -2LL * w->settings.latency_ms),
+        .latest = w->clock.time};
+    if (o->cell != NULL && w->store_available) {
+        GfCell_SetSharedClock(o->cell, &reading);
+    }
+}
+
 /* Advances the simulation by a time in ms, in steps of CELL_SIM_STEP_MS. In
  * each step workers complete runs, messages that are due are handled, and each
  * owner is ticked. */
@@ -887,6 +905,7 @@
                                              o->replaced_ms + PROOF_VALID_MS);
             }
             report_former_owner(o);
+            report_clock(o);
             if (o->cell != NULL && !GfCell_IsReady(o->cell) &&
                 GfCell_MayBeginPlacement(o->cell,
                                          CellSim_NowMs(w) - o->started_ms)) {
@@ -1005,8 +1024,13 @@
             GfName_SetText(&named[t].job,
                            json_string_value(json_array_get(task, 0)));
         }
+        int64_t expires_ms = json_integer_value(json_array_get(entry, 5));
+        if (expires_ms > 0 && w->settings.without_ends) {
+            expires_ms -= LEASE_MS / 2;
+        }
         GfCell_AddClosedWorker(o->cell, &info, named,
-                               w->settings.without_names ? 0 : count);
+                               w->settings.without_names ? 0 : count,
+                               expires_ms);
     }
     for (int k = 0; k < w->settings.workers; k++) {
         if (w->workers[k].alive && !w->workers[k].unlisted) {
@@ -1023,6 +1047,7 @@
                                         ? former_token
                                         : w->settled_token);
     report_former_owner(o);
+    report_clock(o);
     return o->cell;
 }
 
--- a/tests/support/cell_sim.h
+++ b/tests/support/cell_sim.h
@@ -40,6 +40,7 @@
     bool without_uncertainty; /* new owners skip the uncertainty period */
     bool without_names;       /* tasks on closed workers are not inherited */
     bool without_settled;     /* the end of any former owner counts */
+    bool without_ends;        /* stored ends of leases are loaded as earlier */
     bool without_fence;       /* workers obey lower tokens too */
     bool without_condition;   /* the store accepts commits of former owners */
     bool without_durability;  /* failed commits are reported as successful */
--- a/tests/unit/cell_recovery.c
+++ b/tests/unit/cell_recovery.c
@@ -111,6 +111,25 @@
     destroy_scene(&s);
 }
 
+/* The former owner alone reaches the worker again, and cannot store the list.
+ */
+static void
+test_lease_extended_after_its_end_was_stored(void)
+{
+    Scene s = create_scene("watch");
+    GfCell *former = CellSim_Owner(s.sim);
+    CellSim_SetIsolated(s.sim, s.worker, true);
+    CellSim_Run(s.sim, 2500);
+    GfCell *next = CellSim_TakeOver(s.sim);
+    for (int i = 0; i < SETTINGS.workers; i++) {
+        CellSim_SetIsolatedFrom(s.sim, i, i == s.worker ? next : former, true);
+    }
+    CellSim_SetIsolated(s.sim, s.worker, false);
+    CellSim_Run(s.sim, RESTART_MS - 2500);
+    CU_ASSERT_EQUAL(CellSim_JobRunning(s.sim, s.job), TASKS);
+    destroy_scene(&s);
+}
+
 /* Expects the tasks of a leaving worker to run elsewhere before it is gone. */
 static void
 leave_worker(const char *queue)
@@ -170,6 +189,8 @@
     {"takeover before a lost worker's lease expires",
      test_takeover_before_lease_expires},
     {"takeovers in series after a lost worker", test_takeovers_in_series},
+    {"lease extended after its end was stored",
+     test_lease_extended_after_its_end_was_stored},
     {"leaving worker keeps its long-running tasks",
      test_leaving_worker_keeps_long_running_tasks},
     {"preemption for a task that may still run",
