--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -397,6 +397,7 @@
 {
     struct timespec now = GfClock_Now(cell->clock);
     CellWorker_Tick(cell, now);
+    CellMove_Tick(cell, now);
     if (cell->waiting != NULL &&
         GfTime_DiffMs(now, cell->round_at) > ROUND_INTERVAL_MS) {
         cell->dirty = true;
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -308,6 +308,8 @@
                            struct timespec now);
 bool CellPlace_HasCapacity(const Worker *w, const Step *step);
 uint32_t CellPlace_CountOn(const Worker *w, const Step *step);
+uint32_t CellPlace_CountCandidates(const GfCell *cell, const Step *step,
+                                   bool needs_advice, struct timespec now);
 void CellPlace_Round(GfCell *cell, struct timespec now);
 
 /* advice.c */
@@ -338,6 +340,9 @@
 json_t *CellProgress_Save(const Job *job);
 void CellProgress_Load(Job *job, const json_t *row);
 
+/* move.c */
+void CellMove_Tick(GfCell *cell, struct timespec now);
+
 /* commit.c */
 void CellCommit_Tick(GfCell *cell, struct timespec now);
 
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -208,6 +208,21 @@
             CellPlace_CountOn(w, step) < step->spec->max_per_worker);
 }
 
+/* Returns how many workers a task of the step may start on now; with advice
+ * only those with a valid ticket count. */
+uint32_t
+CellPlace_CountCandidates(const GfCell *cell, const Step *step,
+                          bool needs_advice, struct timespec now)
+{
+    uint32_t count = 0;
+    for (const Worker *w = cell->workers; w != NULL; w = w->hh.next) {
+        count += is_candidate(cell, w, step, NULL) &&
+                 (!needs_advice ||
+                  CellAdvice_FindTicket(step, w->serial, now) != NULL);
+    }
+    return count;
+}
+
 /* Returns the best worker for a task, or NULL if there is none. If the queue
  * needs advice, only workers with a valid ticket are considered. */
 static Worker *
