--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -299,8 +299,8 @@
 void CellShare_RemoveTask(const Step *step);
 
 /* preempt.c */
-void CellPreempt_FreeCapacity(GfCell *cell, Step *step, bool needs_advice,
-                              struct timespec now);
+void CellPreempt_FreeCapacity(GfCell *cell, Step *step, uint32_t wanted,
+                              bool needs_advice, struct timespec now);
 
 /* place.c */
 bool CellPlace_Eligible(const GfCell *cell, const Worker *w, const Step *step);
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -406,6 +406,20 @@
     return placed;
 }
 
+/* Returns how many idle tasks of a step may still run on a worker that has not
+ * answered in this term. */
+static uint32_t
+count_uncertain(const GfCell *cell, const Step *step, struct timespec now)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < step->spec->task_count; i++) {
+        const Task *t = &step->tasks[i];
+        count += !t->done && t->state == TASK_IDLE &&
+                 CellPlace_IsUncertain(cell, t, now);
+    }
+    return count;
+}
+
 /* Places as many tasks of a step as possible. If capacity is short, preempts
  * tasks of later classes and asks for advice on more workers. Returns why
  * tasks stay idle. */
@@ -429,9 +443,14 @@
     if (placed) {
         return step->idle > 0 ? WAIT_LIMIT : WAIT_NONE;
     }
+    uint32_t uncertain = count_uncertain(cell, step, now);
+    if (uncertain == step->idle) {
+        return WAIT_UNCERTAIN; /* capacity would not be used yet */
+    }
     if (!step->spec->gang && !step->spec->backfill &&
         step->job->work_class + 1 < CELL_CLASSES) {
-        CellPreempt_FreeCapacity(cell, step, queue->needs_advice, now);
+        CellPreempt_FreeCapacity(cell, step, step->idle - uncertain,
+                                 queue->needs_advice, now);
     }
     if (!queue->needs_advice) {
         return WAIT_CAPACITY;
@@ -504,20 +523,6 @@
     }
 }
 
-/* Returns how many idle tasks of a step may still run on a worker that has not
- * answered in this term. */
-static uint32_t
-count_uncertain(const GfCell *cell, const Step *step, struct timespec now)
-{
-    uint32_t count = 0;
-    for (uint32_t i = 0; i < step->spec->task_count; i++) {
-        const Task *t = &step->tasks[i];
-        count += !t->done && t->state == TASK_IDLE &&
-                 CellPlace_IsUncertain(cell, t, now);
-    }
-    return count;
-}
-
 /* Logs the step that has waited longest, with the likely causes, if it has
  * waited for WAIT_LOG_MS; at most once in that time. */
 static void
--- a/src/cell/preempt.c
+++ b/src/cell/preempt.c
@@ -87,18 +87,18 @@
 }
 
 /* Stops tasks of later classes on eligible workers, with a valid ticket if the
- * queue needs advice, for as many of the step's idle tasks as possible. Done
- * at most every PREEMPT_PAUSE_MS for a step. */
+ * queue needs advice, for as many of the wanted tasks of the step as possible,
+ * those that could start at once. Done at most every PREEMPT_PAUSE_MS for a
+ * step. */
 void
-CellPreempt_FreeCapacity(GfCell *cell, Step *step, bool needs_advice,
-                         struct timespec now)
+CellPreempt_FreeCapacity(GfCell *cell, Step *step, uint32_t wanted,
+                         bool needs_advice, struct timespec now)
 {
     if (GfTime_Before(now, step->next_preempt_at) ||
         GfTime_DiffMs(now, step->idle_since) < PREEMPT_AFTER_MS) {
         return;
     }
     step->next_preempt_at = GfTime_AddMs(now, PREEMPT_PAUSE_MS);
-    uint32_t wanted = step->idle;
     uint32_t stopped = 0;
     for (Worker *w = cell->workers; w != NULL && wanted > 0; w = w->hh.next) {
         if (!CellPlace_Eligible(cell, w, step) ||
