--- a/tests/support/cell_sim.c
+++ b/tests/support/cell_sim.c
@@ -27,12 +27,18 @@
  * it would have arrived. */
 #define LATE_MIN_MS 2000
 #define LATE_SPAN_MS 10000
+/* How long the platform's table names a worker that has crashed. */
+#define UNLIST_MS 1500
+/* After this many workers have crashed under a task, its starts are counted
+ * apart. */
+#define CRASH_LIMIT 3
 
 /* A run of a task on a worker. serving: the task has a latency target. */
 typedef struct Run {
     GfTaskId task;
     int64_t run;
     int64_t complete_at_ms;
+    int64_t crash_at_ms; /* when it crashes its worker; INT64_MAX: never */
     bool fails;
     bool stopping;
     GfResources need;
@@ -69,6 +75,8 @@
     int64_t last_completion; /* number of the latest completion */
     int64_t fence;           /* highest token seen */
     int64_t lease_until_ms;
+    int64_t unlist_at_ms; /* when the table drops it after a crash; 0: never */
+    int64_t back_at_ms;   /* when it starts again after a crash; 0: never */
     bool alive;
     bool failing;
     bool starts_delayed;
@@ -107,6 +115,14 @@
     struct Message *prev;
 } Message;
 
+/* Counts of a task: its starts, the workers that crashed while they ran it,
+ * and the starts after CRASH_LIMIT of them. */
+typedef struct {
+    int starts;
+    int crashes;
+    int late_starts;
+} TaskCounts;
+
 /* A submitted job, and what the store has of it. */
 typedef struct {
     GfName id;
@@ -116,8 +132,10 @@
     GfJobState stored_state;
     json_t *progress; /* the stored row; NULL: none */
     int starts;
+    int crashes; /* of workers, through its deadly tasks */
     bool hidden;
     bool *done; /* by task_position; completions that were acknowledged */
+    TaskCounts *tasks; /* by task_position */
 } SimJob;
 
 /* An owner of the cell. token is 0 once it has been told that it is not the
@@ -148,6 +166,7 @@
     bool store_available;
     Message *messages;
     int start_count;
+    int crash_count; /* of workers, through deadly tasks */
     int advice_count;
     char violation[256];
 };
@@ -191,7 +210,7 @@
     return number >= 0 && number < w->job_count ? &w->jobs[number] : NULL;
 }
 
-/* Returns the index of a task in the job's done array. */
+/* Returns the index of a task in the job's arrays. */
 static size_t
 task_position(const SimJob *job, const GfTaskId *task)
 {
@@ -474,8 +493,14 @@
     if (job->spec.step.long_running) {
         run->complete_at_ms = INT64_MAX;
     }
+    run->crash_at_ms = (int64_t)run->task.index < job->spec.deadly_tasks
+                           ? now + job->spec.crash_after_ms
+                           : INT64_MAX;
     DL_APPEND(s->runs, run);
     job->starts++;
+    TaskCounts *counts = &job->tasks[task_position(job, &run->task)];
+    counts->starts++;
+    counts->late_starts += counts->crashes >= CRASH_LIMIT;
     w->start_count++;
     check_start(w, s, run, job);
     return GF_ORDER_DONE;
@@ -803,11 +828,78 @@
     return execute_order(w, m);
 }
 
+/* Drops the runs and all other state of a worker. */
+static void
+reset_worker(SimWorker *s)
+{
+    Run *r;
+    Run *rtmp;
+    DL_FOREACH_SAFE(s->runs, r, rtmp)
+    {
+        DL_DELETE(s->runs, r);
+        free(r);
+    }
+    Completion *c;
+    Completion *ctmp;
+    DL_FOREACH_SAFE(s->completions, c, ctmp)
+    {
+        DL_DELETE(s->completions, c);
+        free(c);
+    }
+    StopRecord *st;
+    StopRecord *stmp;
+    LL_FOREACH_SAFE(s->stop_records, st, stmp)
+    {
+        free(st);
+    }
+    s->stop_records = NULL;
+    s->last_completion = 0;
+    s->fence = 0;
+    s->lease_until_ms = 0;
+    s->unlist_at_ms = 0;
+    s->back_at_ms = 0;
+}
+
+/* Crashes a worker through a run of a deadly task. It starts again after
+ * worker_back_ms, if that is set. */
+static void
+crash_through_run(CellSim *w, int worker, const Run *run)
+{
+    SimWorker *s = &w->workers[worker];
+    find_job(w, &run->task.job)->crashes++;
+    w->crash_count++;
+    CellSim_CrashWorker(w, worker);
+    int64_t now = CellSim_NowMs(w);
+    int64_t back_ms = w->settings.worker_back_ms;
+    s->back_at_ms = back_ms > 0 ? now + back_ms : 0;
+    s->unlist_at_ms = now + UNLIST_MS;
+}
+
+/* Removes a worker that a deadly task has crashed from the table and starts it
+ * again, each when it is due. Without an owner only the table changes, which
+ * the next one reads. */
+static void
+tick_crashed_worker(CellSim *w, int worker)
+{
+    SimWorker *s = &w->workers[worker];
+    int64_t now = CellSim_NowMs(w);
+    if (s->back_at_ms != 0 && s->back_at_ms <= now) {
+        CellSim_RestartWorker(w, worker);
+    }
+    else if (s->unlist_at_ms != 0 && s->unlist_at_ms <= now) {
+        s->unlist_at_ms = 0;
+        if (CellSim_Owner(w) != NULL) {
+            GfCell_UnlistWorker(CellSim_Owner(w), &s->info.id);
+        }
+    }
+}
+
 /* Completes a worker's runs that are due; all its runs lapse once its lease
- * has expired. */
+ * has expired. A deadly run that is due crashes the worker. */
 static void
-tick_worker(CellSim *w, SimWorker *s)
+tick_worker(CellSim *w, int worker)
 {
+    SimWorker *s = &w->workers[worker];
     int64_t now = CellSim_NowMs(w);
     Run *r;
     Run *tmp;
@@ -816,6 +908,10 @@
         if (s->lease_until_ms <= now) {
             complete_run(w, s, r, GF_COMPLETION_LAPSED);
         }
+        else if (r->crash_at_ms <= now && r->crash_at_ms < r->complete_at_ms) {
+            crash_through_run(w, worker, r);
+            return;
+        }
         else if (r->complete_at_ms <= now) {
             GfCompletionKind kind = r->stopping ? GF_COMPLETION_STOPPED
                                     : r->fails  ? GF_COMPLETION_FAILED
@@ -844,8 +940,8 @@
 }
 
 /* Advances the simulation by a time in ms, in steps of CELL_SIM_STEP_MS. In
- * each step workers complete runs, messages that are due are handled, and each
- * owner is ticked. */
+ * each step workers complete runs or crash, messages that are due are handled,
+ * and each owner is ticked. */
 void
 CellSim_Run(CellSim *w, int64_t ms)
 {
@@ -853,7 +949,10 @@
         GfManualClock_Advance(&w->clock, CELL_SIM_STEP_MS);
         for (int i = 0; i < w->settings.workers; i++) {
             if (w->workers[i].alive) {
-                tick_worker(w, &w->workers[i]);
+                tick_worker(w, i);
+            }
+            else {
+                tick_crashed_worker(w, i);
             }
         }
         Message *m;
@@ -1065,7 +1164,9 @@
     j->submitted_ms = CellSim_NowMs(w);
     j->done =
         calloc((size_t)j->spec.steps * job->step.task_count, sizeof(bool));
-    assert(j->done != NULL);
+    j->tasks = calloc((size_t)j->spec.steps * job->step.task_count,
+                      sizeof(TaskCounts));
+    assert(j->done != NULL && j->tasks != NULL);
     for (int i = 0; i < w->owner_count; i++) {
         if (w->owners[i].cell != NULL) {
             add_job(w, &w->owners[i], j, false);
@@ -1145,40 +1246,76 @@
     return count;
 }
 
-/* Drops the runs and all other state of a worker. */
-static void
-reset_worker(SimWorker *s)
+/* Returns the number of a worker that is alive and runs a task of a job, or -1
+ * if there is none. */
+int
+CellSim_JobWorker(const CellSim *w, int job)
 {
-    Run *r;
-    Run *rtmp;
-    DL_FOREACH_SAFE(s->runs, r, rtmp)
-    {
-        DL_DELETE(s->runs, r);
-        free(r);
-    }
-    Completion *c;
-    Completion *ctmp;
-    DL_FOREACH_SAFE(s->completions, c, ctmp)
-    {
-        DL_DELETE(s->completions, c);
-        free(c);
+    for (int i = 0; i < w->settings.workers; i++) {
+        Run *r;
+        DL_FOREACH(w->workers[i].runs, r)
+        {
+            if (w->workers[i].alive &&
+                GfName_Equal(&r->task.job, &w->jobs[job].id)) {
+                return i;
+            }
+        }
     }
-    StopRecord *st;
-    StopRecord *stmp;
-    LL_FOREACH_SAFE(s->stop_records, st, stmp)
-    {
-        free(st);
+    return -1;
+}
+
+/* Returns how many workers the deadly tasks of a job have crashed; a worker
+ * that has come back counts again. */
+int
+CellSim_JobCrashes(const CellSim *w, int job)
+{
+    return w->jobs[job].crashes;
+}
+
+/* Returns how many workers deadly tasks have crashed in all. */
+int
+CellSim_CountCrashes(const CellSim *w)
+{
+    return w->crash_count;
+}
+
+/* Returns how many runs of a task were started. */
+int
+CellSim_TaskStarts(const CellSim *w, int job, int task)
+{
+    return w->jobs[job].tasks[task].starts;
+}
+
+/* Returns how many workers crashed while they ran a task. */
+int
+CellSim_TaskCrashes(const CellSim *w, int job, int task)
+{
+    return w->jobs[job].tasks[task].crashes;
+}
+
+/* Returns the most starts of one task of a job after three workers have
+ * crashed under that task. */
+int
+CellSim_StartsAfterCrashes(const CellSim *w, int job)
+{
+    const SimJob *j = &w->jobs[job];
+    int most = 0;
+    for (int i = 0; i < j->spec.steps * (int)j->spec.step.task_count; i++) {
+        most = j->tasks[i].late_starts > most ? j->tasks[i].late_starts : most;
     }
-    s->stop_records = NULL;
-    s->last_completion = 0;
-    s->fence = 0;
-    s->lease_until_ms = 0;
+    return most;
 }
 
 /* Ends a worker at once; its runs and completions are lost. */
 void
 CellSim_CrashWorker(CellSim *w, int worker)
 {
+    Run *r;
+    DL_FOREACH(w->workers[worker].runs, r)
+    {
+        SimJob *job = find_job(w, &r->task.job);
+        job->tasks[task_position(job, &r->task)].crashes++;
+    }
     w->workers[worker].alive = false;
     reset_worker(&w->workers[worker]);
 }
@@ -1365,6 +1502,7 @@
     for (int i = 0; i < w->job_count; i++) {
         json_decref(w->jobs[i].progress);
         free(w->jobs[i].done);
+        free(w->jobs[i].tasks);
     }
     free(w->jobs);
     json_decref(w->leased_workers);
--- a/tests/support/cell_sim.h
+++ b/tests/support/cell_sim.h
@@ -1,8 +1,9 @@
 /* A deterministic simulation of a cell for the scheduler's tests, without a
  * network: workers that carry out orders, a store that accepts the commits of
  * one owner, advice, and a clock that advances in fixed steps. Orders and
- * replies can be delayed, lost or carried out late; workers can crash, or be
- * isolated from owners. Several owners may act at once, as around a takeover.
+ * replies can be delayed, lost or carried out late; workers can crash, by
+ * themselves or through a task that they run, or be isolated from owners.
+ * Several owners may act at once, as around a takeover.
  *
  * The simulation checks these invariants: no task runs twice at once or again
  * after its completion, no worker exceeds its capacity, no team its limit, and
@@ -33,10 +34,12 @@
     int callers;    /* advice callers */
     int latency_ms; /* one way */
     uint32_t seed;
-    double lose_order;  /* the order does not arrive */
-    double lose_answer; /* the reply does not arrive */
-    double late_order;  /* carried out 2 to 12 s later, without a reply */
-    double fail_run;    /* the run fails */
+    double lose_order;      /* the order does not arrive */
+    double lose_answer;     /* the reply does not arrive */
+    double late_order;      /* carried out 2 to 12 s later, without a reply */
+    double fail_run;        /* the run fails */
+    int64_t worker_back_ms; /* from a crash through a deadly task until the
+                               worker's next incarnation starts; 0: never */
     bool without_uncertainty; /* new owners skip the uncertainty period */
     bool without_names;       /* tasks on closed workers are not inherited */
     bool without_settled;     /* the end of any former owner counts */
@@ -51,8 +54,11 @@
     const char *team;
     int64_t run_ms; /* of each task */
     GfStepSpec step;
-    int steps;   /* length of the chain of equal steps; 0: 1 */
-    bool denied; /* advice allows no worker */
+    int steps;        /* length of the chain of equal steps; 0: 1 */
+    bool denied;      /* advice allows no worker */
+    int deadly_tasks; /* the first ones of each step crash their worker */
+    int64_t crash_after_ms; /* from the start of a deadly task's run, if it
+                               does not end before */
 } CellSimJob;
 
 CellSim *CellSim_Create(const CellSimSettings *settings,
@@ -79,6 +85,16 @@
 int64_t CellSim_FinishedAfterMs(const CellSim *sim, int job);
 int CellSim_JobStarts(const CellSim *sim, int job);
 int CellSim_JobRunning(const CellSim *sim, int job);
+int CellSim_JobWorker(const CellSim *sim, int job);
+
+/* Crashes. A task's number counts over the job's steps in their order. A
+ * worker crashes under each task that it runs then, deadly or not, also if the
+ * test calls CellSim_CrashWorker. */
+int CellSim_JobCrashes(const CellSim *sim, int job);
+int CellSim_CountCrashes(const CellSim *sim);
+int CellSim_TaskStarts(const CellSim *sim, int job, int task);
+int CellSim_TaskCrashes(const CellSim *sim, int job, int task);
+int CellSim_StartsAfterCrashes(const CellSim *sim, int job);
 
 /* Workers. Listed: in the platform's worker table, which owners read. */
 void CellSim_CrashWorker(CellSim *sim, int worker);
--- /dev/null
+++ b/tests/unit/cell_crash.c
@@ -0,0 +1,563 @@
+/* Tasks that crash every worker that starts them. The scheduler learns only
+ * that a worker is back in a new incarnation; if it does not count the tasks
+ * that the worker ran, it starts such a task for ever and the crashes spread
+ * over the fleet. If it counts too much, it gives up tasks that ran beside the
+ * deadly one, or on a worker that crashed by itself. */
+#include <stdio.h>
+
+#include "cell_sim.h"
+#include "guavaflow/log.h"
+#include "suite.h"
+
+/* After MAX_CRASHES workers have crashed under a task, MAX_FURTHER_STARTS of
+ * it are tolerated. */
+#define MAX_CRASHES 3
+#define MAX_FURTHER_STARTS 2
+#define MAX_STARTS (MAX_CRASHES + MAX_FURTHER_STARTS)
+#define CRASH_AFTER_MS 300
+#define WORKER_BACK_MS 2000
+/* Longer than a worker's lease with the drift of clocks, 6.33 s. */
+#define BACK_AFTER_LEASE_MS 8000
+/* Longest time until the job of a single deadly task is given up. */
+#define GIVE_UP_MS 40000
+/* The same for many such jobs, or with owners that are replaced. */
+#define LONG_GIVE_UP_MS 120000
+
+static const CellSimSettings SETTINGS = {.workers = 12,
+                                         .mcores = 16000,
+                                         .memory_mb = 64000,
+                                         .rack_size = 3,
+                                         .callers = 3,
+                                         .latency_ms = 1,
+                                         .seed = 1,
+                                         .worker_back_ms = WORKER_BACK_MS};
+
+/* A simulation with its configuration. */
+typedef struct {
+    CellSim *sim;
+    GfCellConfig *config;
+} Scene;
+
+/* Creates a simulation with an owner that has taken over. */
+static Scene
+create_scene(const CellSimSettings *settings)
+{
+    GfLog_SetLevel(GF_LOG_ERROR);
+    Scene s = {.config = CellSim_MakeConfig(0)};
+    s.sim = CellSim_Create(settings, s.config);
+    CellSim_TakeOver(s.sim);
+    CellSim_Run(s.sim, 200);
+    return s;
+}
+
+/* Checks that no invariant was violated, and frees the scene. */
+static void
+destroy_scene(Scene *s)
+{
+    if (CellSim_Violation(s->sim) != NULL) {
+        printf("  invariant violated: %s\n", CellSim_Violation(s->sim));
+    }
+    CU_ASSERT_PTR_NULL(CellSim_Violation(s->sim));
+    CellSim_Destroy(s->sim);
+    GfCellConfig_Destroy(s->config);
+}
+
+/* Submits a job of one step whose tasks need 1000 mcores each; the first ones
+ * are deadly. Returns its number. */
+static int
+submit(const Scene *s, const char *queue, uint32_t tasks, int deadly_tasks,
+       int64_t run_ms)
+{
+    CellSimJob job = {.queue = queue,
+                      .team = deadly_tasks > 0 ? "a" : "b",
+                      .run_ms = run_ms,
+                      .step = {.task_count = tasks, .need = {1000, 100, 0}},
+                      .deadly_tasks = deadly_tasks,
+                      .crash_after_ms = CRASH_AFTER_MS};
+    return CellSim_Submit(s->sim, &job);
+}
+
+/* Runs the simulation until a job is given up, for at most the given time. */
+static void
+run_until_given_up(const Scene *s, int job, int64_t ms)
+{
+    int64_t end_ms = CellSim_NowMs(s->sim) + ms;
+    while (CellSim_JobState(s->sim, job) != GF_JOB_GIVEN_UP &&
+           CellSim_NowMs(s->sim) < end_ms) {
+        CellSim_Run(s->sim, CELL_SIM_STEP_MS);
+    }
+}
+
+/* Prints what happened to a job with one deadly task, its first, and checks
+ * that the job was given up without a start too many. */
+static void
+check_given_up(const Scene *s, int job)
+{
+    int starts = CellSim_TaskStarts(s->sim, job, 0);
+    int late = CellSim_StartsAfterCrashes(s->sim, job);
+    printf("\n  crashes=%d starts=%d starts_after_3_crashes=%d state=%s "
+           "after_ms=%lld\n",
+           CellSim_JobCrashes(s->sim, job), starts, late,
+           GfJobState_Name(CellSim_JobState(s->sim, job)),
+           (long long)CellSim_FinishedAfterMs(s->sim, job));
+    CU_ASSERT_EQUAL(CellSim_JobState(s->sim, job), GF_JOB_GIVEN_UP);
+    CU_ASSERT_TRUE(starts <= MAX_STARTS);
+    CU_ASSERT_TRUE(late <= MAX_FURTHER_STARTS);
+}
+
+/* Checks that jobs without deadly tasks have completed; prints how many have
+ * and under how many crashes a task of theirs came at most. */
+static void
+check_completed(const Scene *s, const int *jobs, int count, int tasks)
+{
+    int completed = 0;
+    int given_up = 0;
+    int crashes = 0;
+    int late = 0;
+    for (int i = 0; i < count; i++) {
+        GfJobState state = CellSim_JobState(s->sim, jobs[i]);
+        completed += state == GF_JOB_COMPLETED;
+        given_up += state == GF_JOB_GIVEN_UP;
+        int starts = CellSim_StartsAfterCrashes(s->sim, jobs[i]);
+        late = starts > late ? starts : late;
+        for (int t = 0; t < tasks; t++) {
+            int n = CellSim_TaskCrashes(s->sim, jobs[i], t);
+            crashes = n > crashes ? n : crashes;
+        }
+    }
+    printf("\n  innocent jobs=%d completed=%d given_up=%d most crashes under "
+           "a task=%d starts_after_3_crashes=%d\n",
+           count, completed, given_up, crashes, late);
+    CU_ASSERT_EQUAL(given_up, 0);
+    CU_ASSERT_EQUAL(completed, count);
+}
+
+/* Runs a deadly task alone and expects that it crashes 3 workers at most and
+ * that its job is given up in time. */
+static void
+run_alone(const char *queue, int64_t back_ms, bool long_running)
+{
+    CellSimSettings settings = SETTINGS;
+    settings.worker_back_ms = back_ms;
+    Scene s = create_scene(&settings);
+    CellSimJob job = {.queue = queue,
+                      .team = "a",
+                      .run_ms = long_running ? 0 : 5000,
+                      .step = {.task_count = 1,
+                               .need = {1000, 100, 0},
+                               .long_running = long_running,
+                               .latency_target_ms = long_running ? 100 : 0},
+                      .deadly_tasks = 1,
+                      .crash_after_ms = CRASH_AFTER_MS};
+    int deadly = CellSim_Submit(s.sim, &job);
+    CellSim_Run(s.sim, GIVE_UP_MS);
+    check_given_up(&s, deadly);
+    CU_ASSERT_TRUE(CellSim_JobCrashes(s.sim, deadly) <= MAX_CRASHES);
+    destroy_scene(&s);
+}
+
+static void
+test_alone(void)
+{
+    run_alone("batch", WORKER_BACK_MS, false);
+}
+
+static void
+test_alone_back_after_lease(void)
+{
+    run_alone("batch", BACK_AFTER_LEASE_MS, false);
+}
+
+static void
+test_alone_long_running(void)
+{
+    run_alone("watch", WORKER_BACK_MS, true);
+    run_alone("watch", BACK_AFTER_LEASE_MS, true);
+}
+
+static void
+test_alone_advised(void)
+{
+    run_alone("batch-advised", WORKER_BACK_MS, false);
+    run_alone("quick-advised", WORKER_BACK_MS, false);
+}
+
+/* Runs a deadly task among innocent jobs of several queues, which share its
+ * workers, and jobs that arrive while it crashes them. */
+static void
+run_beside(int64_t back_ms)
+{
+    enum { TASKS = 4, JOBS = 16, LATER = 8 };
+    static const char *const QUEUES[] = {"batch", "quick", "watch",
+                                         "batch-advised"};
+    CellSimSettings settings = SETTINGS;
+    settings.worker_back_ms = back_ms;
+    Scene s = create_scene(&settings);
+    CellSimJob serving = {.queue = "watch",
+                          .team = "b",
+                          .step = {.task_count = TASKS,
+                                   .need = {1000, 100, 0},
+                                   .long_running = true,
+                                   .latency_target_ms = 100}};
+    int serving_job = CellSim_Submit(s.sim, &serving);
+    int innocent[JOBS + LATER];
+    int deadly = -1;
+    for (int i = 0; i < JOBS; i++) {
+        if (i == JOBS / 2) {
+            deadly = submit(&s, "batch", 1, 1, 5000);
+        }
+        innocent[i] = submit(&s, QUEUES[i % 4], TASKS, 0, 3000);
+    }
+    for (int i = JOBS; i < JOBS + LATER; i++) {
+        CellSim_Run(s.sim, 1000);
+        innocent[i] = submit(&s, QUEUES[i % 4], TASKS, 0, 3000);
+    }
+    CellSim_Run(s.sim, GIVE_UP_MS);
+    check_given_up(&s, deadly);
+    check_completed(&s, innocent, JOBS + LATER, TASKS);
+    CU_ASSERT_NOT_EQUAL(CellSim_JobState(s.sim, serving_job), GF_JOB_GIVEN_UP);
+    CU_ASSERT_EQUAL(CellSim_JobRunning(s.sim, serving_job), TASKS);
+    destroy_scene(&s);
+}
+
+static void
+test_beside_innocent_tasks(void)
+{
+    run_beside(WORKER_BACK_MS);
+}
+
+static void
+test_beside_innocent_tasks_back_after_lease(void)
+{
+    run_beside(BACK_AFTER_LEASE_MS);
+}
+
+static void
+test_several_deadly_jobs(void)
+{
+    enum { DEADLY = 6, DEADLY_TASKS = 6, INNOCENT = 30, TASKS = 4 };
+    CellSimSettings settings = SETTINGS;
+    settings.workers = 24;
+    Scene s = create_scene(&settings);
+    int deadly[DEADLY];
+    int innocent[INNOCENT];
+    for (int i = 0; i < INNOCENT; i++) {
+        if (i % (INNOCENT / DEADLY) == 0) {
+            deadly[i / (INNOCENT / DEADLY)] =
+                submit(&s, "batch", DEADLY_TASKS, DEADLY_TASKS, 5000);
+        }
+        innocent[i] = submit(&s, "batch", TASKS, 0, 2000);
+    }
+    CellSim_Run(s.sim, LONG_GIVE_UP_MS);
+    int given_up = 0;
+    int starts = 0;
+    int late = 0;
+    for (int i = 0; i < DEADLY; i++) {
+        given_up += CellSim_JobState(s.sim, deadly[i]) == GF_JOB_GIVEN_UP;
+        for (int t = 0; t < DEADLY_TASKS; t++) {
+            int n = CellSim_TaskStarts(s.sim, deadly[i], t);
+            starts = n > starts ? n : starts;
+        }
+        int n = CellSim_StartsAfterCrashes(s.sim, deadly[i]);
+        late = n > late ? n : late;
+    }
+    printf("\n  deadly jobs=%d given_up=%d most starts of a task=%d "
+           "starts_after_3_crashes=%d crashes=%d\n",
+           DEADLY, given_up, starts, late, CellSim_CountCrashes(s.sim));
+    CU_ASSERT_EQUAL(given_up, DEADLY);
+    CU_ASSERT_TRUE(starts <= MAX_STARTS);
+    CU_ASSERT_TRUE(late <= MAX_FURTHER_STARTS);
+    CU_ASSERT_TRUE(CellSim_CountCrashes(s.sim) <= MAX_CRASHES * DEADLY);
+    check_completed(&s, innocent, INNOCENT, TASKS);
+    destroy_scene(&s);
+}
+
+/* Runs until the next crash through a deadly task or until a job is given up;
+ * false if neither has happened within 20 s or the job is given up. */
+static bool
+run_until_crash(const Scene *s, int job)
+{
+    int crashes = CellSim_CountCrashes(s->sim);
+    for (int64_t t = 0; t < 20000; t += CELL_SIM_STEP_MS) {
+        CellSim_Run(s->sim, CELL_SIM_STEP_MS);
+        if (CellSim_JobState(s->sim, job) == GF_JOB_GIVEN_UP) {
+            return false;
+        }
+        if (CellSim_CountCrashes(s->sim) > crashes) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Kills the owner; the next one takes over 300 ms later. */
+static void
+replace_owner(const Scene *s)
+{
+    CellSim_KillOwner(s->sim, CellSim_Owner(s->sim));
+    CellSim_Run(s->sim, 300);
+    CellSim_TakeOver(s->sim);
+}
+
+/* Replaces the owner after each crash of a deadly task's workers, at once, 500
+ * ms after the worker's return, or both, as often as the simulation allows. */
+static void
+replace_after_crashes(bool at_once, bool after_return)
+{
+    Scene s = create_scene(&SETTINGS);
+    int deadly = submit(&s, "batch", 1, 1, 5000);
+    while (CellSim_CanTakeOver(s.sim) && run_until_crash(&s, deadly)) {
+        int64_t back_ms = CellSim_NowMs(s.sim) + WORKER_BACK_MS;
+        if (at_once) {
+            replace_owner(&s);
+        }
+        if (after_return && CellSim_CanTakeOver(s.sim)) {
+            CellSim_Run(s.sim, back_ms + 500 - CellSim_NowMs(s.sim));
+            replace_owner(&s);
+        }
+    }
+    run_until_given_up(&s, deadly, LONG_GIVE_UP_MS);
+    check_given_up(&s, deadly);
+    destroy_scene(&s);
+}
+
+static void
+test_owner_replaced_after_crash(void)
+{
+    replace_after_crashes(true, false);
+}
+
+static void
+test_owner_replaced_after_return(void)
+{
+    replace_after_crashes(false, true);
+}
+
+static void
+test_owner_replaced_after_crash_and_return(void)
+{
+    replace_after_crashes(true, true);
+}
+
+/* Runs until a job has more starts than before or is given up, for at most 20
+ * s. */
+static void
+run_until_start(const Scene *s, int job)
+{
+    int starts = CellSim_JobStarts(s->sim, job);
+    for (int64_t t = 0;
+         t < 20000 && CellSim_JobStarts(s->sim, job) == starts &&
+         CellSim_JobState(s->sim, job) != GF_JOB_GIVEN_UP;
+         t += CELL_SIM_STEP_MS) {
+        CellSim_Run(s->sim, CELL_SIM_STEP_MS);
+    }
+}
+
+/* Replaces the owner after each crash in an outage of the store. The owner
+ * ends outage_ms after the crash, the outage 300 ms later; it begins with the
+ * crash or, if early, with the start before it. */
+static void
+replace_in_outage(bool early, int64_t outage_ms)
+{
+    Scene s = create_scene(&SETTINGS);
+    int deadly = submit(&s, "batch", 1, 1, 5000);
+    for (int i = 1; i < CELL_SIM_MAX_OWNERS; i++) {
+        if (early) {
+            run_until_start(&s, deadly);
+            CellSim_SetStoreAvailable(s.sim, false);
+        }
+        if (!run_until_crash(&s, deadly)) {
+            break;
+        }
+        CellSim_SetStoreAvailable(s.sim, false);
+        CellSim_Run(s.sim, outage_ms);
+        CellSim_KillOwner(s.sim, CellSim_Owner(s.sim));
+        CellSim_Run(s.sim, 300);
+        CellSim_SetStoreAvailable(s.sim, true);
+        CellSim_TakeOver(s.sim);
+    }
+    CellSim_SetStoreAvailable(s.sim, true);
+    run_until_given_up(&s, deadly, LONG_GIVE_UP_MS);
+    check_given_up(&s, deadly);
+    destroy_scene(&s);
+}
+
+static void
+test_owner_replaced_in_outage(void)
+{
+    replace_in_outage(false, 1000);
+    replace_in_outage(false, 3500);
+}
+
+static void
+test_owner_replaced_in_outage_before_crash(void)
+{
+    replace_in_outage(true, 1000);
+    replace_in_outage(true, 3500);
+}
+
+/* Chooses a worker that was not chosen before, if possible one that runs a
+ * task of the jobs, and returns its number. */
+static int
+choose_worker(const Scene *s, const int *jobs, int count, bool *chosen)
+{
+    int worker = -1;
+    for (int i = 0; i < count && worker < 0; i++) {
+        int w = CellSim_JobWorker(s->sim, jobs[i]);
+        worker = w >= 0 && !chosen[w] ? w : -1;
+    }
+    if (worker < 0) {
+        worker = 0;
+        while (chosen[worker]) {
+            worker++;
+        }
+    }
+    chosen[worker] = true;
+    return worker;
+}
+
+/* Crashes a third of the workers in each of three rounds, always others, while
+ * they run jobs without deadly tasks. */
+static void
+crash_thirds(int count)
+{
+    enum { WORKERS = 24, MAX_JOBS = 40, TASKS = 8 };
+    enum { ROUNDS = 3, THIRD = WORKERS / ROUNDS, ROUND_MS = 3000 };
+    CellSimSettings settings = SETTINGS;
+    settings.workers = WORKERS;
+    Scene s = create_scene(&settings);
+    int jobs[MAX_JOBS];
+    for (int i = 0; i < count; i++) {
+        jobs[i] = submit(&s, i % 2 == 0 ? "batch" : "quick", TASKS, 0, 8000);
+    }
+    CellSim_Run(s.sim, 1000);
+    bool chosen[WORKERS] = {false};
+    for (int round = 0; round < ROUNDS; round++) {
+        int workers[THIRD];
+        for (int i = 0; i < THIRD; i++) {
+            workers[i] = choose_worker(&s, jobs, count, chosen);
+        }
+        for (int i = 0; i < THIRD; i++) {
+            CellSim_CrashWorker(s.sim, workers[i]);
+        }
+        CellSim_Run(s.sim, WORKER_BACK_MS);
+        for (int i = 0; i < THIRD; i++) {
+            CellSim_RestartWorker(s.sim, workers[i]);
+        }
+        CellSim_Run(s.sim, ROUND_MS - WORKER_BACK_MS);
+    }
+    CellSim_Run(s.sim, 60000);
+    check_completed(&s, jobs, count, TASKS);
+    destroy_scene(&s);
+}
+
+static void
+test_workers_crash_by_themselves(void)
+{
+    crash_thirds(40);
+    crash_thirds(15);
+    crash_thirds(4);
+}
+
+/* Crashes one worker 300 ms after each of its returns, while all workers are
+ * needed. */
+static void
+test_bad_worker(void)
+{
+    enum { JOBS = 50, TASKS = 8, CRASHES = 10, BAD = 5 };
+    Scene s = create_scene(&SETTINGS);
+    int jobs[JOBS];
+    for (int i = 0; i < JOBS; i++) {
+        jobs[i] = submit(&s, i % 2 == 0 ? "batch" : "quick", TASKS, 0, 8000);
+    }
+    CellSim_Run(s.sim, 1000);
+    for (int i = 0; i < CRASHES; i++) {
+        CellSim_CrashWorker(s.sim, BAD);
+        CellSim_Run(s.sim, WORKER_BACK_MS);
+        CellSim_RestartWorker(s.sim, BAD);
+        CellSim_Run(s.sim, CRASH_AFTER_MS);
+    }
+    CellSim_Run(s.sim, 60000);
+    check_completed(&s, jobs, JOBS, TASKS);
+    destroy_scene(&s);
+}
+
+/* Isolates whichever worker runs a task, three times and for longer than the
+ * lease; the table drops the worker meanwhile if unlist is set. */
+static void
+isolate_workers(bool unlist, bool long_running)
+{
+    enum { TIMES = 3, ISOLATED_MS = 8000 };
+    Scene s = create_scene(&SETTINGS);
+    CellSimJob job = {.queue = "watch",
+                      .team = "a",
+                      .run_ms = long_running ? 0 : 12000,
+                      .step = {.task_count = 1,
+                               .need = {1000, 100, 0},
+                               .long_running = long_running}};
+    int j = CellSim_Submit(s.sim, &job);
+    for (int i = 0; i < TIMES; i++) {
+        CellSim_Run(s.sim, 1000);
+        int worker = CellSim_JobWorker(s.sim, j);
+        CU_ASSERT_TRUE_FATAL(worker >= 0);
+        CellSim_SetIsolated(s.sim, worker, true);
+        if (unlist) {
+            CellSim_SetListed(s.sim, worker, false);
+        }
+        CellSim_Run(s.sim, ISOLATED_MS);
+        CellSim_SetIsolated(s.sim, worker, false);
+        if (unlist) {
+            CellSim_SetListed(s.sim, worker, true);
+        }
+    }
+    CellSim_Run(s.sim, GIVE_UP_MS);
+    printf("\n  starts=%d state=%s\n", CellSim_JobStarts(s.sim, j),
+           GfJobState_Name(CellSim_JobState(s.sim, j)));
+    CU_ASSERT_TRUE(CellSim_JobStarts(s.sim, j) > TIMES);
+    if (long_running) {
+        CU_ASSERT_EQUAL(CellSim_JobRunning(s.sim, j), 1);
+    }
+    else {
+        CU_ASSERT_EQUAL(CellSim_JobState(s.sim, j), GF_JOB_COMPLETED);
+    }
+    destroy_scene(&s);
+}
+
+static void
+test_isolated_workers(void)
+{
+    isolate_workers(false, false);
+    isolate_workers(true, false);
+    isolate_workers(false, true);
+    isolate_workers(true, true);
+}
+
+static const SuiteTest TESTS[] = {
+    {"deadly task crashes workers for ever", test_alone},
+    {"deadly task is not counted if workers return after their lease",
+     test_alone_back_after_lease},
+    {"deadly long-running task crashes workers for ever",
+     test_alone_long_running},
+    {"deadly task of an advised queue crashes workers for ever",
+     test_alone_advised},
+    {"innocent tasks are given up for a deadly one beside them",
+     test_beside_innocent_tasks},
+    {"innocent tasks are given up if workers return after their lease",
+     test_beside_innocent_tasks_back_after_lease},
+    {"several deadly jobs crash the fleet", test_several_deadly_jobs},
+    {"crash count is lost if the owner ends right after the crash",
+     test_owner_replaced_after_crash},
+    {"crash count is lost if the owner ends after the worker's return",
+     test_owner_replaced_after_return},
+    {"crash count is lost if owners end after the crash and the return",
+     test_owner_replaced_after_crash_and_return},
+    {"crash count is lost if the store is unavailable",
+     test_owner_replaced_in_outage},
+    {"crash count is lost if the store fails before the crash",
+     test_owner_replaced_in_outage_before_crash},
+    {"jobs are given up for workers that crash by themselves",
+     test_workers_crash_by_themselves},
+    {"jobs are given up for one bad worker", test_bad_worker},
+    {"isolated workers are counted as crashed", test_isolated_workers}};
+
+SUITE_MAIN("cell crash", TESTS)
