--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -59,13 +59,13 @@
 typedef enum {
     WAIT_NONE,
     WAIT_DUE,       /* not due yet, or its queue is not in the configuration */
-    WAIT_UNCERTAIN, /* a former owner may have started the job */
+    WAIT_UNCERTAIN, /* a former owner may have started the job, or the idle
+                       tasks may still run unseen */
     WAIT_LIMIT,     /* the team is at its limit, or a former run of the gang
                        may go on */
     WAIT_CALLER,    /* no advice caller is free for it */
     WAIT_ADVICE,    /* a request for advice is pending */
-    WAIT_CAPACITY,  /* no suitable worker has free capacity, or the tasks left
-                       may still run unseen */
+    WAIT_CAPACITY,  /* no suitable worker has free capacity */
     WAITS
 } WaitCause;
 
@@ -99,10 +99,11 @@
     struct timespec denied_at;       /* the latest denial */
     uint32_t unused_answers;         /* answers since a task was placed last */
     struct timespec next_preempt_at; /* no preemption before this time */
-    struct timespec idle_since;      /* when it was listed */
-    bool asking;                     /* a request for advice is pending */
-    uint8_t wait_cause;              /* a WaitCause */
-    int32_t waited_ms[WAITS];        /* by cause, since the step was listed */
+    struct timespec next_move_at; /* no move off a worker before this time */
+    struct timespec idle_since;   /* when it was listed */
+    bool asking;                  /* a request for advice is pending */
+    uint8_t wait_cause;           /* a WaitCause */
+    int32_t waited_ms[WAITS];     /* by cause, since the step was listed */
     struct timespec wait_updated_at; /* when waited_ms was updated last */
     bool listed;                     /* in the cell's list of waiting steps */
     Step *next;
@@ -196,7 +197,9 @@
     uint64_t pending_seq;       /* latest change of a job that must be stored
                                    before the acknowledgement */
     GfResources used;           /* by tasks and orphan runs */
-    OrphanRun *orphans;         /* those that have not ended yet */
+    GfResources reserved;       /* for tasks that are being moved here */
+    struct timespec reserved_until;
+    OrphanRun *orphans; /* those that have not ended yet */
     size_t orphan_count;
     size_t unidentified_runs; /* runs of unknown size or unresolved job */
     uint32_t latency_tasks;   /* tasks with a latency target */
@@ -308,8 +311,8 @@
                            struct timespec now);
 bool CellPlace_HasCapacity(const Worker *w, const Step *step);
 uint32_t CellPlace_CountOn(const Worker *w, const Step *step);
-uint32_t CellPlace_CountCandidates(const GfCell *cell, const Step *step,
-                                   bool needs_advice, struct timespec now);
+bool CellPlace_IsCandidate(const GfCell *cell, const Worker *w,
+                           const Step *step);
 void CellPlace_Round(GfCell *cell, struct timespec now);
 
 /* advice.c */
--- a/src/cell/lease_end.c
+++ b/src/cell/lease_end.c
@@ -29,12 +29,13 @@
     cell->has_shared_clock = true;
 }
 
-/* Returns whether no run goes on after a known time on a worker that does not
- * answer and whose lease is not extended. */
+/* Returns whether it is known when the last run on a worker ends, as its lease
+ * is not extended: it does not answer, or has not answered in this term. A
+ * worker with unidentified runs may have answered without being contacted. */
 bool
 CellLeaseEnd_IsKnown(const GfCell *cell, const Worker *w)
 {
-    return cell->has_shared_clock && (!w->contacted || w->hold_failures > 0);
+    return cell->has_shared_clock && (!w->has_clock || w->hold_failures > 0);
 }
 
 /* Returns the time on the shared clock, in ms, after which no run goes on
@@ -43,12 +44,15 @@
 int64_t
 CellLeaseEnd_Shared(const GfCell *cell, const Worker *w)
 {
-    if (!w->contacted && w->expires_ms > 0) {
+    if (!w->contacted && !w->has_clock && w->expires_ms > 0) {
         return w->expires_ms;
     }
     const GfTableClock *c = &cell->shared_clock;
-    struct timespec end =
-        w->contacted ? w->lease_until : CellLeaseEnd_Inherited(cell, w);
+    struct timespec end = w->lease_until;
+    struct timespec inherited = CellLeaseEnd_Inherited(cell, w);
+    if (!w->contacted && GfTime_Before(end, inherited)) {
+        end = inherited;
+    }
     int64_t ms = GfTime_DiffMs(end, c->earliest);
     return c->ms + (ms > 0 ? with_drift(cell, ms) : 0);
 }
--- a/src/cell/move.c
+++ b/src/cell/move.c
@@ -9,6 +9,15 @@
 #include "cell_private.h"
 #include "guavaflow/log.h"
 
+/* How long the capacity for a moved task is kept from others that move; its
+ * stop is listed within some 300 ms. */
+#define RESERVE_MS 800
+/* Pause of a step for which no worker was found; the advice service answers a
+ * slow queue within some 500 ms. */
+#define PAUSE_MS 100
+/* Most tasks stopped in a tick, each after a search of all workers. */
+#define MAX_MOVES 16
+
 /* Returns whether a task is to be moved off its worker, which leaves. Gangs
  * stay together. */
 static bool
@@ -21,34 +30,55 @@
            task->step->job->queue_in_force != NULL;
 }
 
-/* Returns the number of a step's tasks that wait for a worker or are being
- * stopped, so will wait soon. */
-static uint32_t
-count_pending(const Step *step)
+/* Returns a worker that can take a task beside the tasks that are being moved
+ * there, with a ticket if the queue needs advice; NULL if there is none. */
+static Worker *
+find_target(GfCell *cell, const Step *step, struct timespec now)
 {
-    uint32_t count = step->idle;
-    for (uint32_t i = 0; i < step->spec->task_count; i++) {
-        count += step->tasks[i].stopping;
+    bool needs_advice = step->job->queue_in_force->needs_advice;
+    for (Worker *w = cell->workers; w != NULL; w = w->hh.next) {
+        if (!GfTime_Before(now, w->reserved_until)) {
+            w->reserved = (GfResources){0};
+        }
+        GfResources used = GfResources_Add(w->used, w->reserved);
+        bool reserved = w->reserved.mcores + w->reserved.memory_mb > 0;
+        if (CellPlace_IsCandidate(cell, w, step) &&
+            GfResources_Fit(w->info.capacity, used, step->spec->need) &&
+            !(reserved && step->spec->max_per_worker > 0) &&
+            (!needs_advice ||
+             CellAdvice_FindTicket(step, w->serial, now) != NULL)) {
+            return w;
+        }
     }
-    return count;
+    return NULL;
 }
 
-/* Stops a task if, beside those of its step that will wait for one, a worker
- * has capacity for it. Without a ticket, advice is requested first. Returns
- * whether the task was stopped. */
+/* Stops a task if it could start on another worker at once: its job is
+ * certain, its team within its limit, and a worker has the capacity, which is
+ * reserved for RESERVE_MS. Without a ticket, advice is requested first; then,
+ * and without a worker, its step pauses. Returns whether the task was
+ * stopped. */
 static bool
 move_task(GfCell *cell, Task *task, struct timespec now)
 {
     Step *step = task->step;
-    bool needs_advice = step->job->queue_in_force->needs_advice;
-    if (CellPlace_CountCandidates(cell, step, needs_advice, now) >
-        count_pending(step)) {
+    if (GfTime_Before(now, step->next_move_at) ||
+        (step->job->uncertain && cell->in_uncertainty_period) ||
+        !CellShare_Allows(step, 0)) {
+        return false;
+    }
+    Worker *target = find_target(cell, step, now);
+    if (target != NULL) {
+        target->reserved = GfResources_Add(target->reserved, step->spec->need);
+        target->reserved_until = GfTime_AddMs(now, RESERVE_MS);
         CellTask_Stop(task);
         return true;
     }
-    if (needs_advice && CellAdvice_MayAsk(cell, step, now)) {
+    if (step->job->queue_in_force->needs_advice &&
+        CellAdvice_MayAsk(cell, step, now)) {
         CellAdvice_Ask(cell, step, now);
     }
+    step->next_move_at = GfTime_AddMs(now, PAUSE_MS);
     return false;
 }
 
@@ -60,7 +90,8 @@
         !cell->may_grant_leases || !cell->workers_current) {
         return;
     }
-    for (Worker *w = cell->workers; w != NULL; w = w->hh.next) {
+    uint32_t left = MAX_MOVES;
+    for (Worker *w = cell->workers; w != NULL && left > 0; w = w->hh.next) {
         if (!w->info.leaving || !w->contacted || w->hold_failures > 0) {
             continue;
         }
@@ -68,8 +99,9 @@
         Task *t;
         DL_FOREACH(w->tasks, t)
         {
-            moved += is_movable(t) && move_task(cell, t, now);
+            moved += moved < left && is_movable(t) && move_task(cell, t, now);
         }
+        left -= moved;
         if (moved > 0) {
             CellTask_SendStops(w, now);
             GfLog(GF_LOG_INFO, CELL_PART,
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -195,34 +195,17 @@
                                            RECENT_SUCCESS_MS);
 }
 
-/* Returns whether a task of the step may start on a worker now, restricted to
- * a rack unless that is NULL. The caller checks advice. */
-static bool
-is_candidate(const GfCell *cell, const Worker *w, const Step *step,
-             const GfName *rack)
+/* Returns whether a task of the step may start on a worker now. The caller
+ * checks advice. */
+bool
+CellPlace_IsCandidate(const GfCell *cell, const Worker *w, const Step *step)
 {
     return CellPlace_HasCapacity(w, step) &&
            CellPlace_Eligible(cell, w, step) &&
-           (rack == NULL || GfName_Equal(CellWorker_Rack(w), rack)) &&
            (step->spec->max_per_worker == 0 ||
             CellPlace_CountOn(w, step) < step->spec->max_per_worker);
 }
 
-/* Returns how many workers a task of the step may start on now; with advice
- * only those with a valid ticket count. */
-uint32_t
-CellPlace_CountCandidates(const GfCell *cell, const Step *step,
-                          bool needs_advice, struct timespec now)
-{
-    uint32_t count = 0;
-    for (const Worker *w = cell->workers; w != NULL; w = w->hh.next) {
-        count += is_candidate(cell, w, step, NULL) &&
-                 (!needs_advice ||
-                  CellAdvice_FindTicket(step, w->serial, now) != NULL);
-    }
-    return count;
-}
-
 /* Returns the best worker for a task, or NULL if there is none. If the queue
  * needs advice, only workers with a valid ticket are considered. */
 static Worker *
@@ -246,7 +229,8 @@
         else {
             next = w->hh.next;
         }
-        if (w == NULL || !is_candidate(cell, w, step, rack) ||
+        if (w == NULL || !CellPlace_IsCandidate(cell, w, step) ||
+            (rack != NULL && !GfName_Equal(CellWorker_Rack(w), rack)) ||
             (reliable_only && is_unreliable(w, task, now))) {
             continue;
         }
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -186,6 +186,27 @@
     cell->dirty = true;
 }
 
+/* Adds a worker that the stored list names, unless it is known. The list may
+ * name a newer incarnation than the row of the table that was read before;
+ * then the worker gets no tasks before its new row is read, as its capacity
+ * may differ. */
+static Worker *
+add_from_list(GfCell *cell, const GfWorkerInfo *info)
+{
+    Worker *w = NULL;
+    HASH_FIND(hh, cell->workers, info->id.data, info->id.len, w);
+    if (w == NULL) {
+        w = add_worker(cell, info);
+    }
+    else if (info->incarnation > w->info.incarnation) {
+        CellWorker_BeginIncarnation(cell, w, info->incarnation);
+        w->info.port = info->port;
+        memcpy(w->info.address, info->address, sizeof(info->address));
+        w->listed = false;
+    }
+    return w;
+}
+
 /* Adds a worker, unless it is known, and records that a former owner granted
  * it a lease. It may have left the platform's table and still run tasks. The
  * stored list names this incarnation already, so it may get tasks before this
@@ -193,11 +214,7 @@
 void
 GfCell_AddLeasedWorker(GfCell *cell, const GfWorkerInfo *info)
 {
-    Worker *w = NULL;
-    HASH_FIND(hh, cell->workers, info->id.data, info->id.len, w);
-    if (w == NULL) {
-        w = add_worker(cell, info);
-    }
+    Worker *w = add_from_list(cell, info);
     w->former_lease = true;
     w->in_lease_list = true;
     w->in_stored_list = info->incarnation == w->info.incarnation;
@@ -212,11 +229,7 @@
 GfCell_AddClosedWorker(GfCell *cell, const GfWorkerInfo *info,
                        const GfTaskId *tasks, size_t count, int64_t expires_ms)
 {
-    Worker *w = NULL;
-    HASH_FIND(hh, cell->workers, info->id.data, info->id.len, w);
-    if (w == NULL) {
-        w = add_worker(cell, info);
-    }
+    Worker *w = add_from_list(cell, info);
     w->closed = true;
     w->inherited = calloc(count + 1, sizeof(GfTaskId));
     if (w->inherited == NULL) {
@@ -532,7 +545,9 @@
                        GfTime_Before(w->lease_until, now);
         bool inherited = w->inherited != NULL &&
                          GfTime_Before(now, CellLeaseEnd_Inherited(cell, w));
-        bool wanted = w->contacted ? !expired : w->former_lease || inherited;
+        bool wanted = w->contacted ? !expired
+                                   : w->former_lease || inherited ||
+                                         GfTime_Before(now, w->lease_until);
         bool closed = is_closed(w);
         if (wanted && closed != w->closed) {
             w->closed = closed;
--- a/tests/support/cell_sim.c
+++ b/tests/support/cell_sim.c
@@ -812,7 +812,10 @@
     case LOOK_UP:
         if (o->cell != NULL && o->token != 0) {
             SimJob *job = find_job(w, &m->task.job);
-            if (job == NULL) {
+            if (!w->store_available) {
+                GfCell_LookupFailed(o->cell, &m->task.job);
+            }
+            else if (job == NULL) {
                 GfCell_JobNotFound(o->cell, &m->task.job);
             }
             else {
@@ -996,6 +999,11 @@
         }
         for (int i = 0; i < w->owner_count; i++) {
             Owner *o = &w->owners[i];
+            int64_t placed_ms =
+                CellSim_NowMs(w) - o->started_ms - w->settings.load_ms;
+            if (o->cell != NULL && o->token != 0 && placed_ms < 0) {
+                continue; /* still loading */
+            }
             if (o->cell != NULL && o->replaced_ms > 0) {
                 /* A replaced owner may extend leases only while its last
                  * proof of ownership is valid. */
@@ -1006,8 +1014,7 @@
             report_former_owner(o);
             report_clock(o);
             if (o->cell != NULL && !GfCell_IsReady(o->cell) &&
-                GfCell_MayBeginPlacement(o->cell,
-                                         CellSim_NowMs(w) - o->started_ms)) {
+                GfCell_MayBeginPlacement(o->cell, placed_ms)) {
                 GfCell_StartPlacement(o->cell);
             }
             if (o->cell != NULL && o->token != 0) {
@@ -1094,6 +1101,11 @@
         callers[i] = GfName_Format("c%d", i);
     }
     GfCell_SetAdviceCallers(o->cell, callers, (size_t)w->settings.callers);
+    for (int k = 0; w->settings.table_lags && k < w->settings.workers; k++) {
+        GfWorkerInfo info = w->workers[k].info;
+        info.incarnation -= info.incarnation > 1;
+        GfCell_SetWorker(o->cell, &info);
+    }
     size_t i;
     json_t *entry;
     json_array_foreach(w->leased_workers, i, entry)
@@ -1132,7 +1144,8 @@
                                expires_ms);
     }
     for (int k = 0; k < w->settings.workers; k++) {
-        if (w->workers[k].alive && !w->workers[k].unlisted) {
+        if (w->workers[k].alive && !w->workers[k].unlisted &&
+            !w->settings.table_lags) {
             GfCell_SetWorker(o->cell, &w->workers[k].info);
         }
     }
--- a/tests/support/cell_sim.h
+++ b/tests/support/cell_sim.h
@@ -33,6 +33,8 @@
     int rack_size;  /* workers in a rack; 0: 6 */
     int callers;    /* advice callers */
     int latency_ms; /* one way */
+    int64_t load_ms; /* from an owner's claim until it calls the workers */
+    bool table_lags; /* takeovers read a restarted worker's former row, first */
     uint32_t seed;
     double lose_order;      /* the order does not arrive */
     double lose_answer;     /* the reply does not arrive */
