--- a/src/cellentry/control.c
+++ b/src/cellentry/control.c
@@ -1,7 +1,9 @@
 /* The operators' configuration and the failure domains that are out of
- * service. Both are rows in the store. A newer configuration is also
- * fetched from a peer that has it, so that an entry that cannot reach the
- * store stays up to date. */
+ * service. Both are rows in the store, which every entry watches. A newer
+ * configuration is also fetched from a peer that has it, so that an entry
+ * that cannot reach the store stays up to date; an entry that reaches it
+ * leaves time for its own watch, since a large document fills a narrow
+ * link. */
 #include <assert.h>
 #include <stdlib.h>
 #include <string.h>
@@ -21,9 +23,22 @@
  * this long it takes none from a peer, which may have an older one, unless the
  * store is unreachable. */
 #define FIRST_READ_MS 1000
-/* Timeout of fetching the configuration. A peer answers within some
- * milliseconds; a failed call is repeated after the next heartbeat. */
-#define FETCH_TIMEOUT_MS 800
+/* A newer version that has been known for this long is reason to check whether
+ * the store answers here. */
+#define CHECK_AFTER_MS 300
+/* How long the watch may take to deliver a version that a peer has, if the
+ * store has answered no call here meanwhile, and if it has. A change must be
+ * in force everywhere within 2 s, of which the fetch needs up to 0.7 s on a
+ * link of 10 Mbit/s. */
+#define WATCH_MS 700
+#define ANSWERED_WATCH_MS 1200
+/* Timeout of fetching the configuration: the largest document takes 0.9 s on a
+ * link of 10 Mbit/s. */
+#define FETCH_TIMEOUT_MS 1200
+/* Pause after a fetch that timed out, so that its late answer, which may still
+ * be on the way, and the next one do not share the link. A fetch that failed
+ * otherwise is repeated after the next heartbeat. */
+#define FETCH_PAUSE_MS 2000
 
 /* Decodes a configuration and applies it if its version is higher than that
  * of the current one. text is borrowed; source names in the log where it
@@ -135,6 +150,10 @@
     GfCellEntry *entry = arg;
     entry->fetching_config = false;
     if (outcome->kind != GF_OK) {
+        if (outcome->kind == GF_TIMEOUT) {
+            entry->next_fetch_at =
+                GfTime_AddMs(GfClock_Now(entry->clock), FETCH_PAUSE_MS);
+        }
         GfLog(GF_LOG_INFO, PART,
               "fetching configuration from peer failed cause=%s",
               GfError_Name(outcome->kind));
@@ -147,21 +166,61 @@
     }
 }
 
+/* Records since when a version newer than own is known. Returns whether there
+ * is one. */
+static bool
+record_newer(GfCellEntry *entry, uint64_t version, uint64_t own,
+             struct timespec now)
+{
+    if (version <= own) {
+        return false;
+    }
+    if (entry->newer_version <= own) {
+        entry->newer_since = now;
+    }
+    if (version > entry->newer_version) {
+        entry->newer_version = version;
+    }
+    return true;
+}
+
+/* Returns whether a newer version may be fetched from a peer: the store is
+ * unreachable here, or the watch has had time to deliver it. Checks the store
+ * if it has not answered since the version became known. */
+static bool
+may_fetch(GfCellEntry *entry, struct timespec now)
+{
+    if (entry->fetching_config || GfTime_Before(now, entry->next_fetch_at)) {
+        return false;
+    }
+    if (!EntryStore_IsReachable(entry)) {
+        return true;
+    }
+    if (entry->config == NULL) {
+        return GfTime_DiffMs(now, entry->started_at) >= FIRST_READ_MS;
+    }
+    int64_t known_ms = GfTime_DiffMs(now, entry->newer_since);
+    bool answered =
+        !GfTime_Before(entry->store_answered_at, entry->newer_since);
+    if (!answered && known_ms >= CHECK_AFTER_MS) {
+        EntryStore_Check(entry);
+    }
+    return known_ms >= (answered ? ANSWERED_WATCH_MS : WATCH_MS);
+}
+
 /* Records the configuration version that a peer has, and fetches the
- * configuration from it if that is newer than ours. One fetch runs at a time,
- * and none while a new process waits for the store: a key that has been
- * withdrawn must not be accepted again after a restart. */
+ * configuration from it if that is newer than ours and the store does not
+ * deliver it. One fetch runs at a time, and none while a new process waits for
+ * the store: a key that has been withdrawn must not be accepted again after a
+ * restart. */
 void
 EntryControl_SyncWithPeer(GfCellEntry *entry, Peer *peer, uint64_t version)
 {
+    struct timespec now = GfClock_Now(entry->clock);
     uint64_t own =
         entry->config == NULL ? 0 : (uint64_t)entry->config->version;
     peer->config_version = version;
-    bool waits_for_store = entry->config == NULL &&
-                           EntryStore_IsReachable(entry) &&
-                           GfTime_DiffMs(GfClock_Now(entry->clock),
-                                         entry->started_at) < FIRST_READ_MS;
-    if (version <= own || entry->fetching_config || waits_for_store) {
+    if (!record_newer(entry, version, own, now) || !may_fetch(entry, now)) {
         return;
     }
     entry->fetching_config = true;
--- a/src/cellentry/entry_private.h
+++ b/src/cellentry/entry_private.h
@@ -101,6 +101,11 @@
     size_t evacuated_count;
     TableWatch *operator_watch;
     bool fetching_config; /* a fetch from a peer is in progress */
+    /* The newest version that a peer reported, and since when a version newer
+     * than ours is known. */
+    uint64_t newer_version;
+    struct timespec newer_since;
+    struct timespec next_fetch_at; /* no fetch before this time */
 
     Peer *peers; /* hash table by name */
     RetiredClient *retired_clients;
@@ -131,6 +136,8 @@
     struct event *store_return; /* active when an outage has ended */
     uint32_t store_probes;      /* probes since the store became unreachable */
     struct timespec store_probed_at;
+    bool store_check_open;          /* a check is in progress */
+    struct timespec store_check_at; /* when the last check was sent */
 
     GfAdmission admission; /* the limits that the owner applies */
 
@@ -235,6 +242,7 @@
 void EntryStore_Begin(GfCellEntry *entry);
 void EntryStore_End(GfCellEntry *entry);
 void EntryStore_RecordResult(GfCellEntry *entry, GfTableResult result);
+void EntryStore_Check(GfCellEntry *entry);
 bool EntryStore_IsReachable(const GfCellEntry *entry);
 int64_t EntryStore_FailedMs(const GfCellEntry *entry);
 void EntryStore_HandleReport(GfCellEntry *entry, Peer *peer, bool reaches);
--- a/src/cellentry/store_state.c
+++ b/src/cellentry/store_state.c
@@ -80,6 +80,33 @@
                  ENTRY_OWNER_KEY, on_probed, entry);
 }
 
+/* Handles the answer to a check. */
+static void
+on_checked(void *arg, GfTableResult result, int64_t version,
+           const GfTableRow *rows, size_t count)
+{
+    (void)version;
+    (void)rows;
+    (void)count;
+    GfCellEntry *entry = arg;
+    entry->store_check_open = false;
+    EntryStore_RecordResult(entry, result);
+}
+
+/* Checks by a read of the owner's row whether a store that counts as reachable
+ * answers. One check is in progress at a time. */
+void
+EntryStore_Check(GfCellEntry *entry)
+{
+    if (entry->store_check_open) {
+        return;
+    }
+    entry->store_check_open = true;
+    entry->store_check_at = GfClock_Now(entry->clock);
+    GfTable_Read(entry->table, ENTRY_CELL_TABLE, ENTRY_OWNER_PART,
+                 ENTRY_OWNER_KEY, on_checked, entry);
+}
+
 /* Makes the scheduled probe. */
 static void
 on_probe_timer(evutil_socket_t fd, short what, void *arg)
