--- a/src/cellentry/entry_private.h
+++ b/src/cellentry/entry_private.h
@@ -10,6 +10,7 @@
 #include "../rpc/cell_xdr.h"
 #include "guavaflow/cell_entry.h"
 #include "guavaflow/job_row.h"
+#include "guavaflow/owner_silence.h"
 #include "guavaflow/rpc.h"
 
 #define ENTRY_CELL_TABLE "cell"
@@ -112,6 +113,7 @@
     uint64_t members_digest; /* of the owner's list of members, as the owner
                               * last reported it */
     OwnerView owner;
+    GfOwnerSilence silence;
     struct timespec next_heartbeat_at;
     struct timespec claim_at; /* no claim before this time */
     bool claim_scheduled;     /* a claim is due at claim_at */
--- a/src/cellentry/ownership.c
+++ b/src/cellentry/ownership.c
@@ -411,15 +411,22 @@
     int64_t ms = GfSuccession_ClaimDelayMs(&s);
     free(others);
     struct timespec now = GfClock_Now(entry->clock);
+    const GfOwnerSilence *silence = &entry->silence;
     GfLog(GF_LOG_INFO, PART,
           "claim planned token=%lld in_ms=%lld known=%zu store_ms=%lld "
           "strength=%u owner_silent_ms=%lld all_silent_ms=%lld "
-          "store_silent_ms=%lld cause=%s",
+          "store_silent_ms=%lld asked_ms=%lld answer_before_ms=%lld "
+          "answer_after_ms=%lld cause=%s",
           (long long)entry->owner.token, (long long)ms, s.other_count,
           (long long)s.store_ms, s.self.strength,
           (long long)GfTime_DiffMs(now, entry->owner.last_contact_at),
           (long long)all_silent_ms(entry, now),
-          (long long)GfTime_DiffMs(now, entry->store_answered_at), cause);
+          (long long)GfTime_DiffMs(now, entry->store_answered_at),
+          (long long)(silence->asked ? GfTime_DiffMs(now, silence->asked_at)
+                                     : -1),
+          (long long)(silence->answered_before ? silence->before_ms : -1),
+          (long long)(silence->answered_after ? silence->after_ms : -1),
+          cause);
     entry->claim_scheduled = true;
     entry->claim_at = GfTime_AddMs(now, ms);
 }
@@ -475,7 +482,10 @@
     if (no_contact_ms > OWNER_TIMEOUT_MS) {
         bool reported_alive = GfTime_DiffMs(now, entry->relay_contact_at) <
                               PEER_CONTACT_MS + PEER_CONTACT_KEEP_MS;
-        return reported_alive ? NULL : "it is silent";
+        /* An owner that is no peer, as this entry itself, cannot be asked. */
+        bool shown =
+            peer == NULL || GfOwnerSilence_IsShown(&entry->silence, now);
+        return shown && !reported_alive ? "it is silent" : NULL;
     }
     if (o->stopping) {
         return "it is stopping";
@@ -502,8 +512,11 @@
     }
     entry->next_heartbeat_at = GfTime_AddMs(now, HEARTBEAT_INTERVAL_MS);
     Peer *owner = EntryOwnership_OwnerPeer(entry);
-    if (owner != NULL) {
+    if (owner != NULL && !owner->heartbeat_open) {
         EntryMembers_SendHeartbeat(entry, owner);
+        if (owner->heartbeat_open) {
+            GfOwnerSilence_RecordAsked(&entry->silence, now);
+        }
     }
     bool no_contact =
         owner == NULL || GfTime_DiffMs(now, entry->owner.last_contact_at) >
@@ -543,7 +556,12 @@
         entry->owner.last_contact_at = now;
         return;
     }
+    GfOwnerSilence_SetContact(&entry->silence, entry->owner.last_contact_at);
     send_heartbeats(entry, now);
+    if (entry->owner.token > 0 &&
+        GfOwnerSilence_NeedsAnswer(&entry->silence, now)) {
+        EntryStore_Check(entry);
+    }
     const char *reason = replacement_reason(entry, now);
     if (reason == NULL) {
         entry->claim_scheduled = false;
--- a/src/cellentry/peers.c
+++ b/src/cellentry/peers.c
@@ -17,6 +17,9 @@
 /* Timeout of a heartbeat. A healthy peer answers within some milliseconds,
  * one on a slowed host within some hundreds. */
 #define HEARTBEAT_TIMEOUT_MS 450
+/* Pause after a heartbeat to the owner that timed out; the client of a closed
+ * connection refuses calls for 100 ms. */
+#define RECONNECT_PAUSE_MS 105
 
 /* Returns the peer with a name, or NULL if it is unknown. */
 Peer *
@@ -165,6 +168,26 @@
     }
 }
 
+/* Handles a heartbeat without an answer. */
+static void
+on_heartbeat_failed(Peer *peer, GfErrorKind kind)
+{
+    GfCellEntry *entry = peer->entry;
+    struct timespec now = GfClock_Now(entry->clock);
+    /* Only connections refused or lost in a row show that the process is gone;
+     * a timeout does not. */
+    if (kind != GF_CONNECTION_LOST) {
+        peer->lost_heartbeats = 0;
+    }
+    else if (peer->lost_heartbeats++ == 0) {
+        peer->first_lost_at = now;
+    }
+    if (kind == GF_TIMEOUT && peer == EntryOwnership_OwnerPeer(entry)) {
+        /* Its connection is closed, and cannot be opened again sooner. */
+        entry->next_heartbeat_at = GfTime_AddMs(now, RECONNECT_PAUSE_MS);
+    }
+}
+
 /* Handles the answer to a heartbeat, or its failure. */
 static void
 on_heartbeat_reply(void *arg, const GfRpcOutcome *outcome)
@@ -173,18 +196,12 @@
     GfCellEntry *entry = peer->entry;
     peer->heartbeat_open = false;
     if (outcome->kind != GF_OK) {
-        /* Only connections refused or lost in a row show that the process
-         * is gone; a timeout does not. */
-        if (outcome->kind != GF_CONNECTION_LOST) {
-            peer->lost_heartbeats = 0;
-        }
-        else if (peer->lost_heartbeats++ == 0) {
-            peer->first_lost_at = GfClock_Now(entry->clock);
-        }
+        on_heartbeat_failed(peer, outcome->kind);
         return;
     }
     peer->lost_heartbeats = 0;
     const gfc_beat_reply *reply = outcome->result;
+    struct timespec sent_at = peer->heartbeat_at;
     if (strcmp(reply->from.member, peer->name.data) != 0) {
         /* The address is a seed's, or another entry has it now. */
         Peer *real = EntryMembers_FromXdr(entry, &reply->from);
@@ -205,6 +222,10 @@
     EntryStore_HandleReport(entry, peer, reply->has_store);
     EntryTerm_HandleFormerOwner(entry, peer, reply);
     EntryOwnership_HandleReply(entry, peer, reply);
+    if (peer != EntryOwnership_OwnerPeer(entry)) {
+        GfOwnerSilence_RecordAnswer(&entry->silence, sent_at,
+                                    GfClock_Now(entry->clock));
+    }
 }
 
 /* Sends a heartbeat to a peer, unless one is in progress. */
--- a/src/cellentry/store_state.c
+++ b/src/cellentry/store_state.c
@@ -22,6 +22,8 @@
 #define ANNOUNCE_AFTER_MS 200
 /* Shortest time between two probes that news from others cause. */
 #define NEWS_INTERVAL_MS 50
+/* Shortest time between two checks. */
+#define CHECK_INTERVAL_MS 100
 
 /* Returns the number of entries in the cell, as far as known here. */
 static size_t
@@ -90,19 +92,26 @@
     (void)count;
     GfCellEntry *entry = arg;
     entry->store_check_open = false;
+    if (result == GF_TABLE_OK) {
+        GfOwnerSilence_RecordAnswer(&entry->silence, entry->store_check_at,
+                                    GfClock_Now(entry->clock));
+    }
     EntryStore_RecordResult(entry, result);
 }
 
 /* Checks by a read of the owner's row whether a store that counts as reachable
- * answers. One check is in progress at a time. */
+ * answers. One check is in progress at a time. An unreachable store is probed
+ * anyway. */
 void
 EntryStore_Check(GfCellEntry *entry)
 {
-    if (entry->store_check_open) {
+    struct timespec now = GfClock_Now(entry->clock);
+    if (entry->store_check_open || entry->store_failed ||
+        GfTime_DiffMs(now, entry->store_check_at) < CHECK_INTERVAL_MS) {
         return;
     }
     entry->store_check_open = true;
-    entry->store_check_at = GfClock_Now(entry->clock);
+    entry->store_check_at = now;
     GfTable_Read(entry->table, ENTRY_CELL_TABLE, ENTRY_OWNER_PART,
                  ENTRY_OWNER_KEY, on_checked, entry);
 }
