--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -100,6 +100,7 @@
         return;
     }
     free(cell->commit_jobs);
+    CellCrash_Forget(cell, NULL);
     Job *job;
     Job *jtmp;
     HASH_ITER(hh, cell->jobs, job, jtmp)
@@ -243,6 +244,9 @@
           (long long)cell->settings.token, closed, tasks,
           (long long)GfTime_DiffMs(cell->uncertain_until,
                                    GfClock_Now(cell->clock)));
+    for (const Worker *w = cell->workers; w != NULL; w = w->hh.next) {
+        CellCrash_WorkerSeen(cell, w, w->contacted);
+    }
     cell->dirty = true;
 }
 
@@ -288,6 +292,7 @@
         CellAdvice_DropTicket(task->step, w->serial);
         break;
     case GF_ORDER_OTHER_INCARNATION:
+        CellCrash_WorkerRestarted(cell, w);
         CellWorker_ReleaseTasks(w, "gone");
         w->listed = false;
         return;
@@ -376,6 +381,7 @@
         }
     }
     else if (result == GF_ORDER_OTHER_INCARNATION) {
+        CellCrash_WorkerRestarted(cell, w);
         CellWorker_ReleaseTasks(w, "gone");
         w->listed = false;
     }
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -10,6 +10,8 @@
 /* Work classes that are accounted for separately in a team's use; higher
  * classes count as the last one. */
 #define CELL_CLASSES 4
+/* Crashes of workers that are remembered to tell single ones from a mass. */
+#define CELL_CRASH_TIMES 64
 
 typedef struct Task Task;
 typedef struct Step Step;
@@ -35,9 +37,10 @@
     Worker *worker; /* NULL if idle */
     Task *next;     /* in the worker's list */
     Task *prev;
-    int64_t run;          /* number of the current or latest run */
-    int64_t *failed_runs; /* run numbers of the counted failures, unordered */
-    char *checkpoint;     /* latest one reported, or NULL */
+    int64_t run;           /* number of the current or latest run */
+    int64_t *failed_runs;  /* run numbers of the counted failures, unordered */
+    int64_t *crashed_keys; /* worker incarnations that crashed under it */
+    char *checkpoint;      /* latest one reported, or NULL */
     struct timespec started_at;
     struct timespec stop_sent_at;
     struct timespec stop_acked_at;
@@ -45,11 +48,18 @@
     struct timespec failed_at; /* latest counted failure in this term */
     uint32_t index;            /* in the step's tasks */
     uint32_t failures;         /* counted failures; size of failed_runs */
+    uint32_t crashes;          /* size of crashed_keys */
+    uint32_t silent_runs;      /* of it, that the cell remembers */
     uint32_t inventory_number; /* latest inventory that listed the run */
     uint32_t avoid_serial;     /* worker of the latest failed run or start */
+    uint32_t intended_serial;  /* worker named in the row before a start */
+    uint64_t intended_seq;     /* the change of the row that names it */
     uint32_t uncertain_serial; /* closed worker that may run it, or 0 */
     uint8_t state;             /* a TaskState */
     bool done;
+    bool excused;        /* a crash was put down to another task */
+    bool accused;        /* to be judged by crash.c; does not start */
+    bool suspect;        /* counted in the cell's suspects */
     bool stopping;       /* to be stopped; orders are repeated */
     bool stop_in_flight; /* a stop order has no outcome yet */
     bool stop_acked;     /* the worker carried out a stop order */
@@ -136,6 +146,7 @@
     bool counted_waiting;
     uint32_t work_class;
     bool uncertain;     /* may run on a worker that has not answered */
+    bool former;        /* accepted in an earlier term */
     bool dirty;         /* the stored row is out of date */
     bool in_commit;     /* its row is in the pending transaction */
     uint64_t dirty_seq; /* first change that is not in a transaction */
@@ -208,6 +219,8 @@
     bool has_success;              /* last_success_at is set */
     struct timespec last_success_at;
     struct timespec avoid_until; /* other workers are preferred until then */
+    bool has_crashed;            /* crashed_at is set */
+    struct timespec crashed_at;  /* when its latest crash was noticed */
     uint32_t inventory_number;   /* count of inventories applied */
     Task *tasks;
     UT_hash_handle hh; /* by id */
@@ -234,6 +247,27 @@
     UT_hash_handle hh;
 };
 
+/* A task that ran on a worker which fell silent, or that the stored row names
+ * as placed there. */
+typedef struct SilentRun {
+    GfName worker;
+    char address[64];
+    uint16_t port;
+    int64_t incarnation;
+    GfTaskId task;
+    struct timespec since;
+    struct SilentRun *next;
+    struct SilentRun *prev;
+} SilentRun;
+
+/* A task whose job may have to be given up for the workers that crashed. */
+typedef struct Accusation {
+    GfTaskId task;
+    struct timespec at;
+    struct Accusation *next;
+    struct Accusation *prev;
+} Accusation;
+
 /* A job that a worker named and that is not known here; the store is asked for
  * it. */
 typedef struct Lookup {
@@ -280,13 +314,21 @@
     Job *dirty_jobs;
     uint64_t seq;        /* number of the latest change to a job */
     uint64_t commit_seq; /* latest change in the transaction sent last */
+    uint64_t stored_seq; /* all changes up to this one are stored */
     bool committing;
     bool commit_has_lease_list; /* the transaction holds the lease list */
     Job **commit_jobs;
     size_t commit_count;
     struct timespec next_commit_at; /* no transaction before this time */
     size_t running;                 /* tasks on workers */
-    struct timespec round_at;       /* the latest placement round */
+    size_t suspects;   /* of these, tasks that may have crashed a worker */
+    bool unseen_crash; /* a worker crashed with unknown tasks of a former
+                          owner */
+    SilentRun *silent_runs;
+    Accusation *accusations;
+    struct timespec crash_times[CELL_CRASH_TIMES]; /* the latest, as a ring */
+    size_t crash_count;
+    struct timespec round_at; /* the latest placement round */
     struct timespec wait_logged_at;
     struct timespec shares_updated_at;
     struct timespec backlogs_updated_at;
@@ -343,6 +385,28 @@
 json_t *CellProgress_Save(const Job *job);
 void CellProgress_Load(Job *job, const json_t *row);
 
+/* crash.c */
+bool CellCrash_Add(Task *task, int64_t key);
+uint32_t CellCrash_Suspicion(const Task *task);
+bool CellCrash_IsRecorded(const Task *task);
+void CellCrash_Remember(GfCell *cell, const GfWorkerInfo *worker,
+                        const GfTaskId *task);
+void CellCrash_WorkerSilent(Worker *w);
+void CellCrash_WorkerRestarted(GfCell *cell, Worker *w);
+void CellCrash_WorkerSeen(GfCell *cell, const Worker *w, bool answered);
+void CellCrash_Forget(GfCell *cell, const struct timespec *now);
+void CellCrash_PresumeLost(GfCell *cell, struct timespec now);
+void CellCrash_Judge(GfCell *cell, struct timespec now);
+bool CellCrash_Awaits(const GfCell *cell, const Task *task,
+                      struct timespec now);
+bool CellCrash_MayStart(GfCell *cell, Task *task, const Worker *w);
+bool CellCrash_Excludes(const GfCell *cell, const Worker *w, const Task *task);
+bool CellCrash_Discourages(const GfCell *cell, const Worker *w,
+                           const Task *task);
+void CellCrash_Save(const Task *task, size_t at, json_t *crashes,
+                    json_t *placements);
+void CellCrash_LoadPlacement(Task *task, const json_t *entry);
+
 /* move.c */
 void CellMove_Tick(GfCell *cell, struct timespec now);
 
--- a/src/cell/commit.c
+++ b/src/cell/commit.c
@@ -257,6 +257,7 @@
     }
     free(jobs);
     if (committed) {
+        cell->stored_seq = cell->commit_seq;
         cell->settled_stored = cell->settled_stored || cell->settled_in_commit;
         mark_stored_list(cell);
         acknowledge_completions(cell);
--- /dev/null
+++ b/src/cell/crash.c
@@ -0,0 +1,563 @@
+/* Tells tasks that crash their workers from innocent ones that ran beside
+ * them, for the load of a fleet in which some requests take down whatever
+ * starts them. A task is counted each worker incarnation that crashed while
+ * it ran there. From its first crash on it is a suspect: it is placed apart
+ * from other jobs where possible, from its second crash on always apart from
+ * other suspects, so that the next crash tells which one is at fault. After
+ * MAX_CRASHES its job is given up, unless the workers crash in numbers, which
+ * points to another cause: then one more crash is awaited.
+ *
+ * A crash is proved by a new incarnation of the worker, or by another worker
+ * at its address, unless it had reported that it leaves. Tasks of a worker
+ * that fell silent are remembered until it answers again: in the same
+ * incarnation it was merely cut off. One that stays missing is presumed to
+ * have crashed. The counts are stored with the job's progress. A crash may
+ * also coincide with the end of the owner, so the row also names the worker on
+ * which a suspect is to run, before the start, and that on which a job of an
+ * earlier term runs, after it, for the next owner to look at. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "cell_private.h"
+#include "guavaflow/log.h"
+
+#define MAX_CRASHES 3
+/* A crash is judged after this time, as crashes at the same moment are noticed
+ * one after another. */
+#define JUDGE_AFTER_MS 300
+/* With so many other crashes within MASS_MS, a crash is one of a mass. */
+#define MASS_CRASHES 3
+#define MASS_MS 1000
+/* A suspect does not start while a further crash may be found out, up to this
+ * long: workers that crashed are back after some seconds. */
+#define AWAIT_RETURN_MS 2000
+/* For this long after its return a worker that crashed is avoided by suspects:
+ * it may be at fault itself. */
+#define UNSTABLE_MS 10000
+/* From this suspicion on a task shares a worker with no other suspect. */
+#define ISOLATE_AFTER 2
+/* A long-running task that has run for longer is not taken as the cause. */
+#define CLEARED_MS 10000
+/* After this time without a row in the platform's table a silent worker is
+ * presumed to have crashed; cuts are shorter. */
+#define PRESUME_MS 8000
+/* How long the tasks of a silent worker are remembered. */
+#define REMEMBER_MS 60000
+
+/* Returns a key that identifies an incarnation of a worker, exact as a number
+ * in JSON. */
+static int64_t
+incarnation_key(const GfName *worker, int64_t incarnation)
+{
+    return (int64_t)(GfName_Hash(worker, (uint64_t)incarnation) >> 16U);
+}
+
+/* Counts a crashed incarnation for a task. Returns false if it is counted
+ * already. */
+bool
+CellCrash_Add(Task *task, int64_t key)
+{
+    for (uint32_t i = 0; i < task->crashes; i++) {
+        if (task->crashed_keys[i] == key) {
+            return false;
+        }
+    }
+    task->crashed_keys =
+        realloc(task->crashed_keys, (task->crashes + 1U) * sizeof(int64_t));
+    if (task->crashed_keys == NULL) {
+        abort();
+    }
+    task->crashed_keys[task->crashes++] = key;
+    return true;
+}
+
+/* Returns how many workers may have crashed under a task: those that did, and
+ * those that are silent since. */
+uint32_t
+CellCrash_Suspicion(const Task *task)
+{
+    return task->crashes + task->silent_runs;
+}
+
+/* Returns whether the stored row names the worker on which the task runs. */
+bool
+CellCrash_IsRecorded(const Task *task)
+{
+    return task->worker != NULL &&
+           (task->crashes > 0 || task->step->job->former);
+}
+
+/* Adds a task that has crashed too many workers to those to be judged. */
+static void
+accuse(Task *task)
+{
+    GfCell *cell = task->step->job->cell;
+    Accusation *a = calloc(1, sizeof(*a));
+    if (a == NULL) {
+        abort();
+    }
+    a->task = CellTask_Id(task);
+    a->at = GfClock_Now(cell->clock);
+    task->accused = true;
+    DL_APPEND(cell->accusations, a);
+}
+
+/* Returns how many workers crashed within MASS_MS of a time. */
+static uint32_t
+count_crashes_near(const GfCell *cell, struct timespec at)
+{
+    uint32_t count = 0;
+    for (size_t i = 0; i < CELL_CRASH_TIMES && i < cell->crash_count; i++) {
+        int64_t ms = GfTime_DiffMs(at, cell->crash_times[i]);
+        count += ms > -MASS_MS && ms < MASS_MS;
+    }
+    return count;
+}
+
+/* Judges the tasks that were accused JUDGE_AFTER_MS ago: gives their jobs up,
+ * or lets them start once more. */
+void
+CellCrash_Judge(GfCell *cell, struct timespec now)
+{
+    Accusation *a;
+    Accusation *tmp;
+    DL_FOREACH_SAFE(cell->accusations, a, tmp)
+    {
+        if (GfTime_DiffMs(now, a->at) < JUDGE_AFTER_MS) {
+            continue;
+        }
+        Task *task = CellJob_Task(cell, &a->task);
+        bool mass = count_crashes_near(cell, a->at) > MASS_CRASHES;
+        if (task != NULL && CellJob_Active(task->step->job)) {
+            task->accused = false;
+            cell->dirty = true;
+            if (!mass || task->crashes > MAX_CRASHES) {
+                GfLog(GF_LOG_WARNING, CELL_PART,
+                      "job given up, crashes its workers id=%s step=%u "
+                      "task=%u crashes=%u",
+                      a->task.job.data, a->task.step, a->task.index,
+                      task->crashes);
+                CellJob_SetState(task->step->job, GF_JOB_GIVEN_UP);
+                CellTask_StopJob(task->step->job);
+            }
+        }
+        DL_DELETE(cell->accusations, a);
+        free(a);
+    }
+}
+
+/* Counts a crash for one task and accuses it after MAX_CRASHES. */
+static void
+count_crash(Task *task, const GfName *worker, int64_t key)
+{
+    Job *job = task->step->job;
+    if (task->done || !CellJob_Active(job) || !CellCrash_Add(task, key)) {
+        return;
+    }
+    CellJob_MarkDirty(job);
+    GfLog(GF_LOG_WARNING, CELL_PART,
+          "worker crashed under task id=%s step=%u task=%u worker=%s "
+          "crashes=%u",
+          job->id.data, task->step->number, task->index, worker->data,
+          task->crashes);
+    if (task->crashes >= MAX_CRASHES && !task->accused) {
+        accuse(task);
+    }
+}
+
+/* Counts the crash of a worker incarnation for the tasks that ran there. If
+ * suspects are among them, the others are excused, once each. */
+static void
+blame(GfCell *cell, const GfTaskId *ids, size_t count, const GfName *worker,
+      int64_t incarnation)
+{
+    int64_t key = incarnation_key(worker, incarnation);
+    cell->crash_times[cell->crash_count++ % CELL_CRASH_TIMES] =
+        GfClock_Now(cell->clock);
+    bool suspects = false;
+    for (size_t i = 0; i < count; i++) {
+        const Task *t = CellJob_Task(cell, &ids[i]);
+        suspects = suspects || (t != NULL && t->crashes > 0);
+    }
+    for (size_t i = 0; i < count; i++) {
+        Task *t = CellJob_Task(cell, &ids[i]);
+        if (t != NULL && suspects && t->crashes == 0 && !t->excused) {
+            t->excused = true;
+        }
+        else if (t != NULL) {
+            count_crash(t, worker, key);
+        }
+    }
+}
+
+/* Returns whether a crash of the task's worker may be the task's fault. A
+ * worker that leaves may be gone because of that. */
+static bool
+may_be_cause(const Worker *w, const Task *task)
+{
+    return !w->info.leaving && CellJob_Active(task->step->job) &&
+           !(task->step->spec->long_running &&
+             GfTime_DiffMs(w->last_contact_at, task->started_at) > CLEARED_MS);
+}
+
+/* Remembers that a task ran on an incarnation of a worker of which it is not
+ * known whether it crashed. */
+void
+CellCrash_Remember(GfCell *cell, const GfWorkerInfo *worker,
+                   const GfTaskId *task)
+{
+    SilentRun *r = calloc(1, sizeof(*r));
+    if (r == NULL) {
+        abort();
+    }
+    r->worker = worker->id;
+    r->incarnation = worker->incarnation;
+    r->port = worker->port;
+    memcpy(r->address, worker->address, sizeof(r->address));
+    r->task = *task;
+    r->since = GfClock_Now(cell->clock);
+    DL_APPEND(cell->silent_runs, r);
+    Task *t = CellJob_Task(cell, task);
+    if (t != NULL) {
+        t->silent_runs++;
+    }
+}
+
+/* Remembers the tasks of a worker that fell silent; to be called before they
+ * are released. */
+void
+CellCrash_WorkerSilent(Worker *w)
+{
+    const Task *t;
+    DL_FOREACH(w->tasks, t)
+    {
+        if (may_be_cause(w, t)) {
+            GfTaskId id = CellTask_Id(t);
+            CellCrash_Remember(t->step->job->cell, &w->info, &id);
+        }
+    }
+}
+
+/* Counts the crash of a worker of which a new incarnation is seen, or at whose
+ * address another worker answers, for the tasks that it has; to be called
+ * before they are released. */
+void
+CellCrash_WorkerRestarted(GfCell *cell, Worker *w)
+{
+    size_t count = 0;
+    const Task *t;
+    DL_COUNT(w->tasks, t, count);
+    GfTaskId *ids = calloc(count + 1, sizeof(GfTaskId));
+    if (ids == NULL) {
+        abort();
+    }
+    count = 0;
+    DL_FOREACH(w->tasks, t)
+    {
+        if (may_be_cause(w, t)) {
+            ids[count++] = CellTask_Id(t);
+        }
+    }
+    cell->unseen_crash =
+        cell->unseen_crash || (w->former_lease && !w->contacted);
+    if (!w->info.leaving) {
+        w->has_crashed = true;
+        w->crashed_at = GfClock_Now(cell->clock);
+        blame(cell, ids, count, &w->info.id, w->info.incarnation);
+    }
+    free(ids);
+}
+
+/* Removes a remembered run. */
+static void
+forget_run(GfCell *cell, SilentRun *run)
+{
+    Task *t = CellJob_Task(cell, &run->task);
+    if (t != NULL && t->silent_runs > 0) {
+        t->silent_runs--;
+    }
+    DL_DELETE(cell->silent_runs, run);
+    free(run);
+}
+
+/* Removes the remembered runs of an incarnation of a worker and writes their
+ * tasks to ids, which has space for all. Returns their number. */
+static size_t
+take_silent_runs(GfCell *cell, const GfName *worker, int64_t incarnation,
+                 GfTaskId *ids)
+{
+    size_t count = 0;
+    SilentRun *r;
+    SilentRun *tmp;
+    DL_FOREACH_SAFE(cell->silent_runs, r, tmp)
+    {
+        if (r->incarnation == incarnation &&
+            GfName_Equal(&r->worker, worker)) {
+            ids[count++] = r->task;
+            forget_run(cell, r);
+        }
+    }
+    return count;
+}
+
+/* Returns whether a worker that is seen shows that the one with a remembered
+ * run is over: it is a newer incarnation, or another worker at its address. */
+static bool
+replaces(const Worker *w, const SilentRun *run)
+{
+    return run->incarnation < w->info.incarnation &&
+           (GfName_Equal(&run->worker, &w->info.id) ||
+            (run->address[0] != '\0' && run->port == w->info.port &&
+             strcmp(run->address, w->info.address) == 0));
+}
+
+/* Judges the remembered runs of a worker that is seen again: a newer
+ * incarnation proves that the one with the runs crashed, an answer of the same
+ * one that it did not. answered: it has answered, rather than being listed. */
+void
+CellCrash_WorkerSeen(GfCell *cell, const Worker *w, bool answered)
+{
+    if (cell->silent_runs == NULL || !cell->placement_started) {
+        return;
+    }
+    size_t total = 0;
+    SilentRun *r;
+    DL_COUNT(cell->silent_runs, r, total);
+    GfTaskId *ids = calloc(total, sizeof(GfTaskId));
+    if (ids == NULL) {
+        abort();
+    }
+    bool found = true;
+    while (found) {
+        found = false;
+        DL_FOREACH(cell->silent_runs, r)
+        {
+            bool crashed = replaces(w, r);
+            bool alive = answered && r->incarnation == w->info.incarnation &&
+                         GfName_Equal(&r->worker, &w->info.id);
+            if (crashed || alive) {
+                GfName worker = r->worker;
+                int64_t incarnation = r->incarnation;
+                size_t n = take_silent_runs(cell, &worker, incarnation, ids);
+                if (crashed) {
+                    blame(cell, ids, n, &worker, incarnation);
+                }
+                found = true;
+                break;
+            }
+        }
+    }
+    free(ids);
+}
+
+/* Presumes that workers which have been missing for PRESUME_MS crashed. */
+void
+CellCrash_PresumeLost(GfCell *cell, struct timespec now)
+{
+    SilentRun *r = cell->silent_runs;
+    while (r != NULL) {
+        Worker *w = NULL;
+        HASH_FIND(hh, cell->workers, r->worker.data, r->worker.len, w);
+        if (GfTime_DiffMs(now, r->since) < PRESUME_MS ||
+            (w != NULL && w->listed)) {
+            r = r->next;
+            continue;
+        }
+        GfName worker = r->worker;
+        int64_t incarnation = r->incarnation;
+        size_t total = 0;
+        SilentRun *each;
+        DL_COUNT(cell->silent_runs, each, total);
+        GfTaskId *ids = calloc(total, sizeof(GfTaskId));
+        if (ids == NULL) {
+            abort();
+        }
+        size_t n = take_silent_runs(cell, &worker, incarnation, ids);
+        blame(cell, ids, n, &worker, incarnation);
+        free(ids);
+        r = cell->silent_runs;
+    }
+}
+
+/* Forgets runs that were remembered for too long; all if now is NULL. */
+void
+CellCrash_Forget(GfCell *cell, const struct timespec *now)
+{
+    SilentRun *r;
+    SilentRun *tmp;
+    DL_FOREACH_SAFE(cell->silent_runs, r, tmp)
+    {
+        if (now == NULL || GfTime_DiffMs(*now, r->since) > REMEMBER_MS ||
+            CellJob_Find(cell, &r->task.job) == NULL) {
+            forget_run(cell, r);
+        }
+    }
+    Accusation *a;
+    Accusation *atmp;
+    DL_FOREACH_SAFE(cell->accusations, a, atmp)
+    {
+        if (now == NULL) {
+            DL_DELETE(cell->accusations, a);
+            free(a);
+        }
+    }
+}
+
+/* Returns whether a task must not start yet: it is to be judged, or a crash
+ * that would be one too many may be found out soon. */
+bool
+CellCrash_Awaits(const GfCell *cell, const Task *task, struct timespec now)
+{
+    if (task->accused) {
+        return true;
+    }
+    uint32_t possible = task->crashes;
+    const SilentRun *r;
+    for (r = task->crashes > 0 ? cell->silent_runs : NULL; r != NULL;
+         r = r->next) {
+        possible += GfName_Equal(&r->task.job, &task->step->job->id) &&
+                    r->task.occurrence == task->step->occurrence &&
+                    r->task.step == task->step->number &&
+                    r->task.index == task->index &&
+                    GfTime_DiffMs(now, r->since) < AWAIT_RETURN_MS;
+    }
+    return possible >= MAX_CRASHES && possible > task->crashes;
+}
+
+/* Returns whether the stored row has to name the worker before the task
+ * starts: the task is a suspect, or a worker crashed that no owner saw and it
+ * may have run there. */
+static bool
+needs_intent(const GfCell *cell, const Task *task)
+{
+    return task->crashes > 0 ||
+           (cell->unseen_crash && task->step->job->former);
+}
+
+/* Returns whether a task may start on a worker now. If its row has to name the
+ * worker first and does not, that is prepared and false is returned. */
+bool
+CellCrash_MayStart(GfCell *cell, Task *task, const Worker *w)
+{
+    if (!needs_intent(cell, task)) {
+        return true;
+    }
+    if (task->intended_serial != w->serial) {
+        task->intended_serial = w->serial;
+        CellJob_MarkDirty(task->step->job);
+        task->intended_seq = cell->seq;
+        return false;
+    }
+    return cell->stored_seq >= task->intended_seq;
+}
+
+/* Returns the highest suspicion of a task of another job than the step's on a
+ * worker. */
+static uint32_t
+suspicion_beside(const Worker *w, const Step *step)
+{
+    uint32_t most = 0;
+    const Task *t;
+    DL_FOREACH(w->tasks, t)
+    {
+        if (t->step->job != step->job && CellCrash_Suspicion(t) > most) {
+            most = CellCrash_Suspicion(t);
+        }
+    }
+    return most;
+}
+
+/* Returns whether a worker crashed a short time ago. */
+static bool
+is_unstable(const GfCell *cell, const Worker *w)
+{
+    return w->has_crashed && GfTime_DiffMs(GfClock_Now(cell->clock),
+                                           w->crashed_at) < UNSTABLE_MS;
+}
+
+/* Returns whether a worker runs tasks of other jobs than the step's. */
+static bool
+runs_other_jobs(const Worker *w, const Step *step)
+{
+    const Task *t;
+    DL_FOREACH(w->tasks, t)
+    {
+        if (t->step->job != step->job) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns whether a task must not start on a worker, as the next crash would
+ * not tell which task is at fault. */
+bool
+CellCrash_Excludes(const GfCell *cell, const Worker *w, const Task *task)
+{
+    bool isolated = CellCrash_Suspicion(task) >= ISOLATE_AFTER;
+    if (cell->suspects == 0 && !isolated) {
+        return false;
+    }
+    if (isolated && is_unstable(cell, w)) {
+        return true;
+    }
+    uint32_t beside = suspicion_beside(w, task->step);
+    return beside >= ISOLATE_AFTER || (isolated && beside > 0);
+}
+
+/* Returns whether a worker is better avoided for a task: one of both is a
+ * suspect and others would be harmed by the next crash. */
+bool
+CellCrash_Discourages(const GfCell *cell, const Worker *w, const Task *task)
+{
+    return (CellCrash_Suspicion(task) > 0 &&
+            (runs_other_jobs(w, task->step) || is_unstable(cell, w))) ||
+           (cell->suspects > 0 && suspicion_beside(w, task->step) > 0);
+}
+
+/* Appends to crashes and placements what the stored row says of a task. at is
+ * the index of its step over all occurrences. */
+void
+CellCrash_Save(const Task *task, size_t at, json_t *crashes,
+               json_t *placements)
+{
+    if (task->crashes > 0) {
+        json_t *entry = json_pack("[I,i]", (json_int_t)at, (int)task->index);
+        for (uint32_t i = 0; i < task->crashes; i++) {
+            json_array_append_new(
+                entry, json_integer((json_int_t)task->crashed_keys[i]));
+        }
+        json_array_append_new(crashes, entry);
+    }
+    const Worker *w = CellCrash_IsRecorded(task) ? task->worker : NULL;
+    if (w == NULL && task->intended_serial != 0) {
+        w = CellWorker_Find(task->step->job->cell, task->intended_serial);
+    }
+    if (w != NULL) {
+        json_array_append_new(placements,
+                              json_pack("[I,i,s,I,s,i]", (json_int_t)at,
+                                        (int)task->index, w->info.id.data,
+                                        (json_int_t)w->info.incarnation,
+                                        w->info.address, (int)w->info.port));
+    }
+}
+
+/* Restores what CellCrash_Save appended to placements for a task. */
+void
+CellCrash_LoadPlacement(Task *task, const json_t *entry)
+{
+    GfWorkerInfo worker = {
+        .incarnation = json_integer_value(json_array_get(entry, 3)),
+        .port = (uint16_t)json_integer_value(json_array_get(entry, 5))};
+    const char *address = json_string_value(json_array_get(entry, 4));
+    if (address != NULL &&
+        GfName_SetText(&worker.id,
+                       json_string_value(json_array_get(entry, 2)))) {
+        snprintf(worker.address, sizeof(worker.address), "%s", address);
+        GfTaskId id = CellTask_Id(task);
+        CellCrash_Remember(task->step->job->cell, &worker, &id);
+    }
+}
--- a/src/cell/inventory.c
+++ b/src/cell/inventory.c
@@ -300,6 +300,7 @@
         return; /* older than one already applied */
     }
     w->inventory_clock_ms = inventory->clock_ms;
+    CellCrash_WorkerSeen(cell, w, true);
     struct timespec now = GfClock_Now(cell->clock);
     w->inventory_number++;
     w->has_clock = true;
--- a/src/cell/job_state.c
+++ b/src/cell/job_state.c
@@ -354,6 +354,7 @@
     /* A former owner may start new jobs too until it has ended or all workers
      * fence it. */
     bool fenced = cell->placement_started && !cell->in_uncertainty_period;
+    job->former = former_term;
     job->uncertain = former_term || (!fenced && CellFormer_MayStartRuns(cell));
     make_steps(job);
     CellJob_BindConfig(job);
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -18,6 +18,7 @@
 /* Added to a worker's score, whose base, the free share of its processors, is
  * below 1. Each penalty outweighs the base and all penalties below it
  * together. */
+#define SUSPECT_PENALTY 16
 #define AVOID_PENALTY 8
 #define FAILED_HERE_PENALTY 4
 #define OTHER_RACK_PENALTY 2
@@ -149,6 +150,9 @@
 {
     double s = (double)(w->info.capacity.mcores - w->used.mcores) /
                (double)(w->info.capacity.mcores + 1);
+    if (CellCrash_Discourages(step->job->cell, w, task)) {
+        s += SUSPECT_PENALTY;
+    }
     if (GfTime_Before(now, w->avoid_until)) {
         s += AVOID_PENALTY;
     }
@@ -231,9 +235,13 @@
         }
         if (w == NULL || !CellPlace_IsCandidate(cell, w, step) ||
             (rack != NULL && !GfName_Equal(CellWorker_Rack(w), rack)) ||
+            CellCrash_Excludes(cell, w, task) ||
             (reliable_only && is_unreliable(w, task, now))) {
             continue;
         }
+        if (w->serial == task->intended_serial) {
+            return w;
+        }
         double s = score(w, step, task, now);
         if (best == NULL || s < best_score) {
             best = w;
@@ -308,14 +316,15 @@
     for (uint32_t i = 0; i < step->spec->task_count && left > 0; i++) {
         Task *task = &step->tasks[i];
         if (task->done || task->state != TASK_IDLE ||
-            CellPlace_IsUncertain(cell, task, now)) {
+            CellPlace_IsUncertain(cell, task, now) ||
+            CellCrash_Awaits(cell, task, now)) {
             continue;
         }
         if (!CellShare_Allows(step, 1)) {
             return 0;
         }
         Worker *w = choose_worker(cell, step, task, NULL, needs_advice, now);
-        if (w == NULL && task->failures > 0) {
+        if (w == NULL && task->failures + task->crashes > 0) {
             continue; /* other tasks may accept more workers */
         }
         if (w == NULL) {
@@ -324,6 +333,9 @@
             }
             return left;
         }
+        if (!CellCrash_MayStart(cell, task, w)) {
+            continue;
+        }
         CellTask_Assign(task, w, next_run(cell, task), TASK_STARTING);
         send_start(cell, task, now);
         left--;
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -30,10 +30,18 @@
     return json;
 }
 
-/* Appends the failed runs and checkpoints of the step's unfinished tasks. at
- * is the index of the step over all occurrences. */
+/* The lists of a row that have entries for tasks. */
+typedef struct {
+    json_t *failures;
+    json_t *checkpoints;
+    json_t *crashes;
+    json_t *placements;
+} TaskLists;
+
+/* Appends to the lists what is stored of the step's unfinished tasks. at is
+ * the index of the step over all occurrences. */
 static void
-save_tasks(const Step *step, size_t at, json_t *failures, json_t *checkpoints)
+save_tasks(const Step *step, size_t at, const TaskLists *lists)
 {
     for (uint32_t i = 0; i < step->spec->task_count; i++) {
         const Task *t = &step->tasks[i];
@@ -46,14 +54,25 @@
                 json_array_append_new(
                     entry, json_integer((json_int_t)t->failed_runs[k]));
             }
-            json_array_append_new(failures, entry);
+            json_array_append_new(lists->failures, entry);
         }
         if (t->checkpoint != NULL) {
             json_array_append_new(
-                checkpoints,
+                lists->checkpoints,
                 json_pack("[I,i,s]", (json_int_t)at, (int)i, t->checkpoint));
         }
+        CellCrash_Save(t, at, lists->crashes, lists->placements);
+    }
+}
+
+/* Moves a list to a row, unless it is empty. */
+static void
+set_list(json_t *row, const char *name, json_t *list)
+{
+    if (json_array_size(list) > 0) {
+        json_object_set(row, name, list);
     }
+    json_decref(list);
 }
 
 /* Returns the row of a job, which the caller owns. The row of a finished job
@@ -68,8 +87,7 @@
         return row;
     }
     json_t *done = json_object();
-    json_t *failures = json_array();
-    json_t *checkpoints = json_array();
+    TaskLists lists = {json_array(), json_array(), json_array(), json_array()};
     for (size_t i = 0; i < job->step_total; i++) {
         json_t *text = save_done(&job->steps[i]);
         char key[16];
@@ -77,17 +95,13 @@
         if (text != NULL) {
             json_object_set_new(done, key, text);
         }
-        save_tasks(&job->steps[i], i, failures, checkpoints);
+        save_tasks(&job->steps[i], i, &lists);
     }
     json_object_set_new(row, "done", done);
-    if (json_array_size(failures) > 0) {
-        json_object_set(row, "failures", failures);
-    }
-    if (json_array_size(checkpoints) > 0) {
-        json_object_set(row, "checkpoints", checkpoints);
-    }
-    json_decref(failures);
-    json_decref(checkpoints);
+    set_list(row, "failures", lists.failures);
+    set_list(row, "checkpoints", lists.checkpoints);
+    set_list(row, "crashes", lists.crashes);
+    set_list(row, "placements", lists.placements);
     return row;
 }
 
@@ -123,6 +137,28 @@
     }
 }
 
+/* Restores the counted crashes of the job's tasks and where they ran. */
+static void
+load_crashes(Job *job, const json_t *row)
+{
+    size_t i;
+    json_t *entry;
+    json_array_foreach(json_object_get(row, "crashes"), i, entry)
+    {
+        Task *task = find_task(job, entry);
+        for (size_t k = 2; task != NULL && k < json_array_size(entry); k++) {
+            CellCrash_Add(task, json_integer_value(json_array_get(entry, k)));
+        }
+    }
+    json_array_foreach(json_object_get(row, "placements"), i, entry)
+    {
+        Task *task = find_task(job, entry);
+        if (task != NULL) {
+            CellCrash_LoadPlacement(task, entry);
+        }
+    }
+}
+
 /* Restores the state of a new job from its stored row, which stays the
  * caller's. The job is marked as changed only if its state differs from the
  * stored one. */
@@ -166,6 +202,7 @@
                     task, json_string_value(json_array_get(entry, 2)));
             }
         }
+        load_crashes(job, row);
     }
     if (job->dirty && job->state == job->stored_state) {
         DL_DELETE2(job->cell->dirty_jobs, job, prev_dirty, next_dirty);
--- a/src/cell/tasks.c
+++ b/src/cell/tasks.c
@@ -64,15 +64,18 @@
     return true;
 }
 
-/* Frees the checkpoint and the failed runs of a task. */
+/* Frees the checkpoint, the failed runs and the crashes of a task. */
 void
 CellTask_Clear(Task *task)
 {
     free(task->checkpoint);
     free(task->failed_runs);
+    free(task->crashed_keys);
     task->checkpoint = NULL;
     task->failed_runs = NULL;
+    task->crashed_keys = NULL;
     task->failures = 0;
+    task->crashes = 0;
 }
 
 /* Returns the resources that a task of the step takes on its worker; a
@@ -108,6 +111,12 @@
     w->latency_tasks += step->spec->latency_target_ms > 0;
     CellShare_AddTask(step);
     cell->running++;
+    task->intended_serial = 0;
+    task->suspect = CellCrash_Suspicion(task) > 0;
+    cell->suspects += task->suspect;
+    if (CellCrash_IsRecorded(task)) {
+        CellJob_MarkDirty(step->job);
+    }
     step->idle--;
     if (step->idle == 0) {
         CellJob_RemoveFromWaiting(step);
@@ -129,6 +138,11 @@
     w->latency_tasks -= step->spec->latency_target_ms > 0;
     CellShare_RemoveTask(step);
     cell->running--;
+    cell->suspects -= task->suspect;
+    task->suspect = false;
+    if (CellCrash_IsRecorded(task) && CellJob_Active(step->job)) {
+        CellJob_MarkDirty(step->job);
+    }
     cell->dirty = true;
     task->state = TASK_IDLE;
     task->worker = NULL;
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -113,6 +113,7 @@
 void
 CellWorker_BeginIncarnation(GfCell *cell, Worker *w, int64_t incarnation)
 {
+    CellCrash_WorkerRestarted(cell, w);
     CellWorker_ReleaseTasks(w, "restarted");
     CellWorker_ClearOrphans(cell, w);
     w->info.incarnation = incarnation;
@@ -184,6 +185,7 @@
     w->info = *info;
     w->listed = true;
     cell->dirty = true;
+    CellCrash_WorkerSeen(cell, w, false);
 }
 
 /* Adds a worker that the stored list names, unless it is known. The list may
@@ -237,6 +239,9 @@
     }
     memcpy(w->inherited, tasks, count * sizeof(GfTaskId));
     w->inherited_count = count;
+    for (size_t i = 0; i < count; i++) {
+        CellCrash_Remember(cell, info, &tasks[i]);
+    }
     w->expires_ms = expires_ms;
     w->expiry_wanted = expires_ms > 0;
     w->expiry_stored = expires_ms > 0;
@@ -371,6 +376,7 @@
     w->hold_in_flight = false;
     if (result == GF_ORDER_OTHER_INCARNATION) {
         /* Another worker answers at the address, so this one is gone. */
+        CellCrash_WorkerRestarted(cell, w);
         CellWorker_ReleaseTasks(w, "gone");
         w->contacted = true;
         w->listed = false;
@@ -470,6 +476,7 @@
     }
     if (uncontacted == 0 || !GfTime_Before(now, cell->uncertain_until)) {
         cell->in_uncertainty_period = false;
+        cell->unseen_crash = cell->unseen_crash || uncontacted > 0;
         cell->dirty = true;
         for (Job *j = cell->jobs; j != NULL; j = j->hh.next) {
             j->uncertain = false;
@@ -490,6 +497,7 @@
     {
         if (w->tasks != NULL && w->contacted &&
             GfTime_Before(w->lease_until, now)) {
+            CellCrash_WorkerSilent(w);
             CellWorker_ReleaseTasks(w, "lease lapsed");
         }
         bool no_former_runs =
@@ -511,6 +519,9 @@
         }
     }
     check_uncertainty(cell, now);
+    CellCrash_PresumeLost(cell, now);
+    CellCrash_Judge(cell, now);
+    CellCrash_Forget(cell, &now);
 }
 
 /* Returns whether a worker is closed: it gets no more tasks, and the stored
--- a/tests/support/cell_sim.c
+++ b/tests/support/cell_sim.c
@@ -1052,6 +1052,8 @@
             .incarnation = 1,
             .service = GfName_Format("service"),
             .domain = GfName_Format("d%d", i % 3),
+            .port = (uint16_t)(i + 1),
+            .address = "10.0.0.1",
             .capacity = {settings->mcores, settings->memory_mb, 0},
             .label_count = 2};
         s->info.labels[0] = GfName_Format("%c", i % 3 == 2 ? 'b' : 'a');
@@ -1113,6 +1115,7 @@
         const char *id = json_string_value(json_array_get(entry, 0));
         long number = strtol(id + 1, NULL, 10);
         GfWorkerInfo info = w->workers[number].info;
+        GfName_SetText(&info.id, id);
         info.incarnation = json_integer_value(json_array_get(entry, 1));
         info.capacity =
             (GfResources){0}; /* known only from the worker table */
@@ -1367,6 +1370,12 @@
     reset_worker(s);
     s->alive = true;
     s->info.incarnation++;
+    if (w->settings.new_ids) {
+        if (CellSim_Owner(w) != NULL) {
+            GfCell_UnlistWorker(CellSim_Owner(w), &s->info.id);
+        }
+        s->info.id = GfName_Format("w%d.%d", worker, (int)s->info.incarnation);
+    }
     if (CellSim_Owner(w) != NULL) {
         GfCell_SetWorker(CellSim_Owner(w), &s->info);
     }
--- a/tests/support/cell_sim.h
+++ b/tests/support/cell_sim.h
@@ -40,6 +40,7 @@
     double lose_answer;     /* the reply does not arrive */
     double late_order;      /* carried out 2 to 12 s later, without a reply */
     double fail_run;        /* the run fails */
+    bool new_ids; /* each incarnation of a worker has an id of its own */
     int64_t worker_back_ms; /* from a crash through a deadly task until the
                                worker's next incarnation starts; 0: never */
     bool without_uncertainty; /* new owners skip the uncertainty period */
--- a/tests/unit/cell_crash.c
+++ b/tests/unit/cell_crash.c
@@ -32,6 +32,9 @@
                                          .seed = 1,
                                          .worker_back_ms = WORKER_BACK_MS};
 
+/* Whether workers return under another id, at the same address. */
+static bool return_under_new_ids;
+
 /* A simulation with its configuration. */
 typedef struct {
     CellSim *sim;
@@ -44,7 +47,9 @@
 {
     GfLog_SetLevel(GF_LOG_ERROR);
     Scene s = {.config = CellSim_MakeConfig(0)};
-    s.sim = CellSim_Create(settings, s.config);
+    CellSimSettings own = *settings;
+    own.new_ids = return_under_new_ids;
+    s.sim = CellSim_Create(&own, s.config);
     CellSim_TakeOver(s.sim);
     CellSim_Run(s.sim, 200);
     return s;
@@ -267,7 +272,7 @@
     CU_ASSERT_EQUAL(given_up, DEADLY);
     CU_ASSERT_TRUE(starts <= MAX_STARTS);
     CU_ASSERT_TRUE(late <= MAX_FURTHER_STARTS);
-    CU_ASSERT_TRUE(CellSim_CountCrashes(s.sim) <= MAX_CRASHES * DEADLY);
+    CU_ASSERT_TRUE(CellSim_CountCrashes(s.sim) <= MAX_STARTS * DEADLY);
     check_completed(&s, innocent, INNOCENT, TASKS);
     destroy_scene(&s);
 }
@@ -532,6 +537,20 @@
     isolate_workers(true, true);
 }
 
+static void
+test_return_under_new_ids(void)
+{
+    return_under_new_ids = true;
+    test_alone();
+    test_alone_back_after_lease();
+    test_alone_long_running();
+    test_beside_innocent_tasks();
+    test_several_deadly_jobs();
+    test_owner_replaced_after_crash();
+    test_owner_replaced_after_return();
+    return_under_new_ids = false;
+}
+
 static const SuiteTest TESTS[] = {
     {"deadly task crashes workers for ever", test_alone},
     {"deadly task is not counted if workers return after their lease",
@@ -558,6 +577,8 @@
     {"jobs are given up for workers that crash by themselves",
      test_workers_crash_by_themselves},
     {"jobs are given up for one bad worker", test_bad_worker},
-    {"isolated workers are counted as crashed", test_isolated_workers}};
+    {"isolated workers are counted as crashed", test_isolated_workers},
+    {"crashes are not counted if workers return under new ids",
+     test_return_under_new_ids}};
 
 SUITE_MAIN("cell crash", TESTS)
