--- a/src/cli/cell_entry.c
+++ b/src/cli/cell_entry.c
@@ -199,10 +199,9 @@
     GfLog_UseStandardOutput();
     EntryProcess process = {.base = event_base_new(), .settings = settings};
     GfHttp *http = GfHttp_Create(process.base);
-    GfTable *table =
-        PlatformTable_Create(http, settings->store_endpoint.address,
-                             (uint16_t)settings->store_endpoint.port,
-                             GfClock_System());
+    GfTable *table = PlatformTable_Create(
+        http, settings->store_endpoint.address,
+        (uint16_t)settings->store_endpoint.port, GfClock_System());
     GfCommands *commands = PlatformCommands_Create(
         http, settings->advice_endpoint.address,
         (uint16_t)settings->advice_endpoint.port, GfClock_System());
--- a/tests/support/cell_sim.h
+++ b/tests/support/cell_sim.h
@@ -30,19 +30,20 @@
     int workers;
     int64_t mcores; /* of each worker */
     int64_t memory_mb;
-    int rack_size;  /* workers in a rack; 0: 6 */
-    int callers;    /* advice callers */
-    int latency_ms; /* one way */
+    int rack_size;   /* workers in a rack; 0: 6 */
+    int callers;     /* advice callers */
+    int latency_ms;  /* one way */
     int64_t load_ms; /* from an owner's claim until it calls the workers */
-    bool table_lags; /* takeovers read a restarted worker's former row, first */
+    bool
+        table_lags; /* takeovers read a restarted worker's former row, first */
     uint32_t seed;
-    double lose_order;      /* the order does not arrive */
-    double lose_answer;     /* the reply does not arrive */
-    double late_order;      /* carried out 2 to 12 s later, without a reply */
-    double fail_run;        /* the run fails */
-    bool new_ids; /* each incarnation of a worker has an id of its own */
-    int64_t worker_back_ms; /* from a crash through a deadly task until the
-                               worker's next incarnation starts; 0: never */
+    double lose_order;  /* the order does not arrive */
+    double lose_answer; /* the reply does not arrive */
+    double late_order;  /* carried out 2 to 12 s later, without a reply */
+    double fail_run;    /* the run fails */
+    bool new_ids;       /* each incarnation of a worker has an id of its own */
+    int64_t worker_back_ms;   /* from a crash through a deadly task until the
+                                 worker's next incarnation starts; 0: never */
     bool without_uncertainty; /* new owners skip the uncertainty period */
     bool without_names;       /* tasks on closed workers are not inherited */
     bool without_settled;     /* the end of any former owner counts */
