--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -405,6 +405,7 @@
                            const Task *task);
 void CellCrash_Save(const Task *task, size_t at, json_t *crashes,
                     json_t *placements);
+void CellCrash_Loaded(Task *task);
 void CellCrash_LoadPlacement(Task *task, const json_t *entry);
 
 /* move.c */
--- a/src/cell/crash.c
+++ b/src/cell/crash.c
@@ -117,6 +117,14 @@
     return count;
 }
 
+/* Returns whether a task may run, started by a former owner, unseen. */
+static bool
+is_uncertain(const GfCell *cell, const Task *task, struct timespec now)
+{
+    return CellPlace_IsUncertain(cell, task, now) ||
+           (task->step->job->uncertain && cell->in_uncertainty_period);
+}
+
 /* Judges the tasks that were accused JUDGE_AFTER_MS ago: gives their jobs up,
  * or lets them start once more. */
 void
@@ -130,11 +138,15 @@
             continue;
         }
         Task *task = CellJob_Task(cell, &a->task);
+        if (task != NULL && is_uncertain(cell, task, now)) {
+            continue; /* it may still run */
+        }
         bool mass = count_crashes_near(cell, a->at) > MASS_CRASHES;
         if (task != NULL && CellJob_Active(task->step->job)) {
             task->accused = false;
             cell->dirty = true;
-            if (!mass || task->crashes > MAX_CRASHES) {
+            if (task->state == TASK_IDLE &&
+                (!mass || task->crashes > MAX_CRASHES)) {
                 GfLog(GF_LOG_WARNING, CELL_PART,
                       "job given up, crashes its workers id=%s step=%u "
                       "task=%u crashes=%u",
@@ -545,6 +557,16 @@
     }
 }
 
+/* Accuses a task whose stored count is too high: a former owner may have ended
+ * before it judged. A task that runs is left alone. */
+void
+CellCrash_Loaded(Task *task)
+{
+    if (task->crashes >= MAX_CRASHES && !task->accused) {
+        accuse(task);
+    }
+}
+
 /* Restores what CellCrash_Save appended to placements for a task. */
 void
 CellCrash_LoadPlacement(Task *task, const json_t *entry)
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -382,7 +382,8 @@
         return true; /* the former run has not ended on all workers */
     }
     for (uint32_t i = 0; i < step->spec->task_count; i++) {
-        if (CellPlace_IsUncertain(cell, &step->tasks[i], now)) {
+        if (CellPlace_IsUncertain(cell, &step->tasks[i], now) ||
+            CellCrash_Awaits(cell, &step->tasks[i], now)) {
             return true;
         }
     }
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -149,6 +149,9 @@
         for (size_t k = 2; task != NULL && k < json_array_size(entry); k++) {
             CellCrash_Add(task, json_integer_value(json_array_get(entry, k)));
         }
+        if (task != NULL) {
+            CellCrash_Loaded(task);
+        }
     }
     json_array_foreach(json_object_get(row, "placements"), i, entry)
     {
