--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -145,11 +145,12 @@
     GfJobState commit_state; /* state in the pending transaction */
     bool counted_waiting;
     uint32_t work_class;
-    bool uncertain;     /* may run on a worker that has not answered */
-    bool former;        /* accepted in an earlier term */
-    bool dirty;         /* the stored row is out of date */
-    bool in_commit;     /* its row is in the pending transaction */
-    uint64_t dirty_seq; /* first change that is not in a transaction */
+    bool uncertain;            /* may run on a worker that has not answered */
+    bool former;               /* accepted in an earlier term */
+    bool dirty;                /* the stored row is out of date */
+    bool in_commit;            /* its row is in the pending transaction */
+    uint64_t dirty_seq;        /* first change that is not in a transaction */
+    uint64_t commit_first_seq; /* first change in the pending transaction */
     struct timespec accepted_at;
     struct timespec finished_at;
     int64_t objective_ms;   /* from acceptance; 0: none */
--- a/src/cell/commit.c
+++ b/src/cell/commit.c
@@ -112,6 +112,7 @@
         DL_DELETE2(cell->dirty_jobs, job, prev_dirty, next_dirty);
         job->dirty = false;
         job->in_commit = true;
+        job->commit_first_seq = job->dirty_seq;
         job->commit_state = job->state;
         LL_CONCAT(job->commit_waiters, job->waiters);
         job->waiters = NULL;
@@ -225,6 +226,20 @@
     }
 }
 
+/* Puts a job whose row was refused back at the head of the list of changed
+ * jobs, with the first change that is not stored. With a later number its
+ * changes would count as stored once those of other jobs are. */
+static void
+restore_dirty(GfCell *cell, Job *job)
+{
+    if (job->dirty) {
+        DL_DELETE2(cell->dirty_jobs, job, prev_dirty, next_dirty);
+    }
+    job->dirty = true;
+    job->dirty_seq = job->commit_first_seq;
+    DL_PREPEND2(cell->dirty_jobs, job, prev_dirty, next_dirty);
+}
+
 /* Handles the outcome of a transaction. committed is false if it was refused;
  * its rows are then sent again. While the outcome is unknown it must not be
  * reported. */
@@ -243,13 +258,13 @@
         cell->lease_list_dirty =
             cell->lease_list_dirty || cell->commit_has_lease_list;
     }
-    for (size_t i = 0; i < count; i++) {
+    for (size_t i = count; i-- > 0;) {
         Job *job = jobs[i];
         job->in_commit = false;
         if (!committed) {
             LL_CONCAT(job->waiters, job->commit_waiters);
             job->commit_waiters = NULL;
-            CellJob_MarkDirty(job);
+            restore_dirty(cell, job);
             continue;
         }
         job->stored_state = job->commit_state;
--- a/tests/unit/cell_takeover.c
+++ b/tests/unit/cell_takeover.c
@@ -239,6 +239,42 @@
     destroy(sim, config);
 }
 
+/* The owner ends after_ms after the store takes commits again, which it has
+ * refused while more jobs completed than a commit holds. */
+static void
+end_after_refused_commits(int64_t after_ms)
+{
+    enum { JOBS = 300 };
+    GfCellConfig *config;
+    CellSimSettings settings = SETTINGS;
+    settings.workers = 24;
+    CellSim *sim = create(&settings, &config);
+    CellSimJob quick = {.queue = "quick",
+                        .team = "a",
+                        .run_ms = 3000,
+                        .step = {.task_count = 1, .need = {1000, 100, 0}}};
+    for (int i = 0; i < JOBS; i++) {
+        CellSim_Submit(sim, &quick);
+    }
+    CellSim_Run(sim, 2500);
+    CellSim_SetStoreAvailable(sim, false);
+    CellSim_Run(sim, 3000);
+    CellSim_SetStoreAvailable(sim, true);
+    CellSim_Run(sim, after_ms);
+    CellSim_KillOwner(sim, CellSim_Owner(sim));
+    CellSim_TakeOver(sim);
+    CellSim_Run(sim, 10000);
+    destroy(sim, config);
+}
+
+static void
+test_completions_acknowledged_before_they_are_stored(void)
+{
+    for (int64_t ms = 20; ms <= 400; ms += 20) {
+        end_after_refused_commits(ms);
+    }
+}
+
 static const SuiteTest TESTS[] = {
     {"lease extended while a job is looked up",
      test_lease_extended_while_a_job_is_looked_up},
@@ -246,6 +282,8 @@
      test_new_incarnation_of_the_list},
     {"move while the job is uncertain", test_move_while_the_job_is_uncertain},
     {"moves for the same capacity", test_moves_for_the_same_capacity},
-    {"takeover with an open worker", test_takeover_with_an_open_worker}};
+    {"takeover with an open worker", test_takeover_with_an_open_worker},
+    {"completions acknowledged before they are stored",
+     test_completions_acknowledged_before_they_are_stored}};
 
 SUITE_MAIN("cell takeover", TESTS)
