--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -292,6 +292,7 @@
         CellAdvice_DropTicket(task->step, w->serial);
         break;
     case GF_ORDER_OTHER_INCARNATION:
+        CellTask_Release(task); /* it did not run there */
         CellCrash_WorkerRestarted(cell, w);
         CellWorker_ReleaseTasks(w, "gone");
         w->listed = false;
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -256,7 +256,8 @@
     uint16_t port;
     int64_t incarnation;
     GfTaskId task;
-    struct timespec since;
+    struct timespec since; /* when the worker's lease had expired */
+    bool counted;          /* in the task's silent_runs */
     struct SilentRun *next;
     struct SilentRun *prev;
 } SilentRun;
@@ -324,7 +325,8 @@
     size_t running;                 /* tasks on workers */
     size_t suspects;   /* of these, tasks that may have crashed a worker */
     bool unseen_crash; /* a worker crashed with unknown tasks of a former
-                          owner */
+                          owner, latest at unseen_crash_at */
+    struct timespec unseen_crash_at;
     SilentRun *silent_runs;
     Accusation *accusations;
     struct timespec crash_times[CELL_CRASH_TIMES]; /* the latest, as a ring */
@@ -392,6 +394,7 @@
 bool CellCrash_IsRecorded(const Task *task);
 void CellCrash_Remember(GfCell *cell, const GfWorkerInfo *worker,
                         const GfTaskId *task);
+void CellCrash_Unseen(GfCell *cell);
 void CellCrash_WorkerSilent(Worker *w);
 void CellCrash_WorkerRestarted(GfCell *cell, Worker *w);
 void CellCrash_WorkerSeen(GfCell *cell, const Worker *w, bool answered);
@@ -401,6 +404,8 @@
 bool CellCrash_Awaits(const GfCell *cell, const Task *task,
                       struct timespec now);
 bool CellCrash_MayStart(GfCell *cell, Task *task, const Worker *w);
+bool CellCrash_IsHeld(const GfCell *cell, const Task *task,
+                      struct timespec now);
 bool CellCrash_Excludes(const GfCell *cell, const Worker *w, const Task *task);
 bool CellCrash_Discourages(const GfCell *cell, const Worker *w,
                            const Task *task);
--- a/src/cell/commit.c
+++ b/src/cell/commit.c
@@ -45,14 +45,15 @@
 }
 
 /* Adds to a worker's entry of the lease list the tasks that it may still run,
- * and the end of its lease if that is known. */
+ * the end of its lease, 0 if that is not known, and whether it leaves. */
 static void
 encode_closed(const GfCell *cell, Worker *w, json_t *entry, json_t *tasks)
 {
     json_array_append(entry, tasks);
+    int64_t end = w->expiry_wanted ? CellLeaseEnd_Shared(cell, w) : 0;
+    json_array_append_new(entry, json_integer((json_int_t)end));
+    json_array_append_new(entry, json_boolean(w->info.leaving));
     if (w->expiry_wanted) {
-        json_array_append_new(
-            entry, json_integer((json_int_t)CellLeaseEnd_Shared(cell, w)));
         w->expiry_stored = true;
         w->expiry_in_commit = true;
     }
--- a/src/cell/crash.c
+++ b/src/cell/crash.c
@@ -41,6 +41,9 @@
 #define ISOLATE_AFTER 2
 /* A long-running task that has run for longer is not taken as the cause. */
 #define CLEARED_MS 10000
+/* For this long after a crash that no owner saw the tasks of earlier jobs are
+ * named before they start again. */
+#define UNSEEN_MS 15000
 /* After this time without a row in the platform's table a silent worker is
  * presumed to have crashed; cuts are shorter. */
 #define PRESUME_MS 8000
@@ -117,6 +120,16 @@
     return count;
 }
 
+/* Returns whether a long-running task has run too long to be the cause of a
+ * crash. */
+static bool
+is_cleared(const Task *task)
+{
+    return task->state == TASK_RUNNING && task->step->spec->long_running &&
+           GfTime_DiffMs(GfClock_Now(task->step->job->cell->clock),
+                         task->started_at) > CLEARED_MS;
+}
+
 /* Returns whether a task may run, started by a former owner, unseen. */
 static bool
 is_uncertain(const GfCell *cell, const Task *task, struct timespec now)
@@ -138,23 +151,26 @@
             continue;
         }
         Task *task = CellJob_Task(cell, &a->task);
-        if (task != NULL && is_uncertain(cell, task, now)) {
-            continue; /* it may still run */
+        bool active =
+            task != NULL && !task->done && CellJob_Active(task->step->job);
+        bool may_run = active && (task->state != TASK_IDLE ||
+                                  is_uncertain(cell, task, now));
+        if (may_run && !is_cleared(task)) {
+            continue; /* this run may show that the task is innocent */
         }
-        bool mass = count_crashes_near(cell, a->at) > MASS_CRASHES;
-        if (task != NULL && CellJob_Active(task->step->job)) {
+        if (active) {
             task->accused = false;
             cell->dirty = true;
-            if (task->state == TASK_IDLE &&
-                (!mass || task->crashes > MAX_CRASHES)) {
-                GfLog(GF_LOG_WARNING, CELL_PART,
-                      "job given up, crashes its workers id=%s step=%u "
-                      "task=%u crashes=%u",
-                      a->task.job.data, a->task.step, a->task.index,
-                      task->crashes);
-                CellJob_SetState(task->step->job, GF_JOB_GIVEN_UP);
-                CellTask_StopJob(task->step->job);
-            }
+        }
+        bool mass = count_crashes_near(cell, a->at) > MASS_CRASHES;
+        if (active && !may_run && (!mass || task->crashes > MAX_CRASHES)) {
+            GfLog(GF_LOG_WARNING, CELL_PART,
+                  "job given up, crashes its workers id=%s step=%u task=%u "
+                  "crashes=%u",
+                  a->task.job.data, a->task.step, a->task.index,
+                  task->crashes);
+            CellJob_SetState(task->step->job, GF_JOB_GIVEN_UP);
+            CellTask_StopJob(task->step->job);
         }
         DL_DELETE(cell->accusations, a);
         free(a);
@@ -187,8 +203,10 @@
       int64_t incarnation)
 {
     int64_t key = incarnation_key(worker, incarnation);
-    cell->crash_times[cell->crash_count++ % CELL_CRASH_TIMES] =
-        GfClock_Now(cell->clock);
+    if (count > 0) {
+        cell->crash_times[cell->crash_count++ % CELL_CRASH_TIMES] =
+            GfClock_Now(cell->clock);
+    }
     bool suspects = false;
     for (size_t i = 0; i < count; i++) {
         const Task *t = CellJob_Task(cell, &ids[i]);
@@ -215,13 +233,30 @@
              GfTime_DiffMs(w->last_contact_at, task->started_at) > CLEARED_MS);
 }
 
+/* Returns whether a remembered run is one of a task. */
+static bool
+is_run_of(const SilentRun *run, const GfTaskId *task)
+{
+    return GfName_Equal(&run->task.job, &task->job) &&
+           run->task.occurrence == task->occurrence &&
+           run->task.step == task->step && run->task.index == task->index;
+}
+
 /* Remembers that a task ran on an incarnation of a worker of which it is not
- * known whether it crashed. */
-void
-CellCrash_Remember(GfCell *cell, const GfWorkerInfo *worker,
-                   const GfTaskId *task)
+ * known whether it crashed, from a time on; not twice. */
+static void
+remember(GfCell *cell, const GfWorkerInfo *worker, const GfTaskId *task,
+         struct timespec since)
 {
-    SilentRun *r = calloc(1, sizeof(*r));
+    SilentRun *r;
+    DL_FOREACH(cell->silent_runs, r)
+    {
+        if (is_run_of(r, task) && r->incarnation == worker->incarnation &&
+            GfName_Equal(&r->worker, &worker->id)) {
+            return;
+        }
+    }
+    r = calloc(1, sizeof(*r));
     if (r == NULL) {
         abort();
     }
@@ -230,11 +265,26 @@
     r->port = worker->port;
     memcpy(r->address, worker->address, sizeof(r->address));
     r->task = *task;
-    r->since = GfClock_Now(cell->clock);
+    r->since = since;
     DL_APPEND(cell->silent_runs, r);
     Task *t = CellJob_Task(cell, task);
     if (t != NULL) {
+        r->counted = true;
         t->silent_runs++;
+        CellJob_MarkDirty(t->step->job);
+    }
+}
+
+/* Remembers a task that a stored row names on a worker. If the worker is cut
+ * off, its lease may have been extended until now. */
+void
+CellCrash_Remember(GfCell *cell, const GfWorkerInfo *worker,
+                   const GfTaskId *task)
+{
+    int64_t lease_ms = CellWorker_LongestLeaseMs(cell);
+    if (!worker->leaving) {
+        remember(cell, worker, task,
+                 GfTime_AddMs(GfClock_Now(cell->clock), lease_ms));
     }
 }
 
@@ -248,11 +298,21 @@
     {
         if (may_be_cause(w, t)) {
             GfTaskId id = CellTask_Id(t);
-            CellCrash_Remember(t->step->job->cell, &w->info, &id);
+            remember(t->step->job->cell, &w->info, &id,
+                     GfClock_Now(t->step->job->cell->clock));
         }
     }
 }
 
+/* Records that a worker may have crashed with tasks that only a former owner
+ * knew. */
+void
+CellCrash_Unseen(GfCell *cell)
+{
+    cell->unseen_crash = true;
+    cell->unseen_crash_at = GfClock_Now(cell->clock);
+}
+
 /* Counts the crash of a worker of which a new incarnation is seen, or at whose
  * address another worker answers, for the tasks that it has; to be called
  * before they are released. */
@@ -273,8 +333,9 @@
             ids[count++] = CellTask_Id(t);
         }
     }
-    cell->unseen_crash =
-        cell->unseen_crash || (w->former_lease && !w->contacted);
+    if (w->former_lease && !w->contacted) {
+        CellCrash_Unseen(cell);
+    }
     if (!w->info.leaving) {
         w->has_crashed = true;
         w->crashed_at = GfClock_Now(cell->clock);
@@ -288,7 +349,7 @@
 forget_run(GfCell *cell, SilentRun *run)
 {
     Task *t = CellJob_Task(cell, &run->task);
-    if (t != NULL && t->silent_runs > 0) {
+    if (t != NULL && run->counted) {
         t->silent_runs--;
     }
     DL_DELETE(cell->silent_runs, run);
@@ -402,8 +463,7 @@
     SilentRun *tmp;
     DL_FOREACH_SAFE(cell->silent_runs, r, tmp)
     {
-        if (now == NULL || GfTime_DiffMs(*now, r->since) > REMEMBER_MS ||
-            CellJob_Find(cell, &r->task.job) == NULL) {
+        if (now == NULL || GfTime_DiffMs(*now, r->since) > REMEMBER_MS) {
             forget_run(cell, r);
         }
     }
@@ -427,13 +487,11 @@
         return true;
     }
     uint32_t possible = task->crashes;
+    GfTaskId id = CellTask_Id(task);
     const SilentRun *r;
     for (r = task->crashes > 0 ? cell->silent_runs : NULL; r != NULL;
          r = r->next) {
-        possible += GfName_Equal(&r->task.job, &task->step->job->id) &&
-                    r->task.occurrence == task->step->occurrence &&
-                    r->task.step == task->step->number &&
-                    r->task.index == task->index &&
+        possible += is_run_of(r, &id) &&
                     GfTime_DiffMs(now, r->since) < AWAIT_RETURN_MS;
     }
     return possible >= MAX_CRASHES && possible > task->crashes;
@@ -445,8 +503,10 @@
 static bool
 needs_intent(const GfCell *cell, const Task *task)
 {
-    return task->crashes > 0 ||
-           (cell->unseen_crash && task->step->job->former);
+    bool unseen =
+        cell->unseen_crash && GfTime_DiffMs(GfClock_Now(cell->clock),
+                                            cell->unseen_crash_at) < UNSEEN_MS;
+    return task->crashes > 0 || (unseen && task->step->job->former);
 }
 
 /* Returns whether a task may start on a worker now. If its row has to name the
@@ -466,6 +526,16 @@
     return cell->stored_seq >= task->intended_seq;
 }
 
+/* Returns whether a task waits for this file, not for capacity: it must not
+ * start yet, or its row does not name the intended worker yet. */
+bool
+CellCrash_IsHeld(const GfCell *cell, const Task *task, struct timespec now)
+{
+    return CellCrash_Awaits(cell, task, now) ||
+           (task->intended_serial != 0 &&
+            cell->stored_seq < task->intended_seq);
+}
+
 /* Returns the highest suspicion of a task of another job than the step's on a
  * worker. */
 static uint32_t
@@ -475,7 +545,8 @@
     const Task *t;
     DL_FOREACH(w->tasks, t)
     {
-        if (t->step->job != step->job && CellCrash_Suspicion(t) > most) {
+        if (t->step->job != step->job && !is_cleared(t) &&
+            CellCrash_Suspicion(t) > most) {
             most = CellCrash_Suspicion(t);
         }
     }
@@ -530,6 +601,18 @@
            (cell->suspects > 0 && suspicion_beside(w, task->step) > 0);
 }
 
+/* Appends an entry for a task on a worker to placements. */
+static void
+save_placement(const Task *task, size_t at, const GfName *worker,
+               int64_t incarnation, const char *address, uint16_t port,
+               json_t *placements)
+{
+    json_array_append_new(
+        placements,
+        json_pack("[I,i,s,I,s,i]", (json_int_t)at, (int)task->index,
+                  worker->data, (json_int_t)incarnation, address, (int)port));
+}
+
 /* Appends to crashes and placements what the stored row says of a task. at is
  * the index of its step over all occurrences. */
 void
@@ -548,12 +631,18 @@
     if (w == NULL && task->intended_serial != 0) {
         w = CellWorker_Find(task->step->job->cell, task->intended_serial);
     }
-    if (w != NULL) {
-        json_array_append_new(placements,
-                              json_pack("[I,i,s,I,s,i]", (json_int_t)at,
-                                        (int)task->index, w->info.id.data,
-                                        (json_int_t)w->info.incarnation,
-                                        w->info.address, (int)w->info.port));
+    if (w != NULL && !w->info.leaving) {
+        save_placement(task, at, &w->info.id, w->info.incarnation,
+                       w->info.address, w->info.port, placements);
+    }
+    GfTaskId id = CellTask_Id(task);
+    const SilentRun *r;
+    for (r = task->silent_runs > 0 ? task->step->job->cell->silent_runs : NULL;
+         r != NULL; r = r->next) {
+        if (is_run_of(r, &id)) {
+            save_placement(task, at, &r->worker, r->incarnation, r->address,
+                           r->port, placements);
+        }
     }
 }
 
--- a/src/cell/move.c
+++ b/src/cell/move.c
@@ -33,8 +33,9 @@
 /* Returns a worker that can take a task beside the tasks that are being moved
  * there, with a ticket if the queue needs advice; NULL if there is none. */
 static Worker *
-find_target(GfCell *cell, const Step *step, struct timespec now)
+find_target(GfCell *cell, const Task *task, struct timespec now)
 {
+    const Step *step = task->step;
     bool needs_advice = step->job->queue_in_force->needs_advice;
     for (Worker *w = cell->workers; w != NULL; w = w->hh.next) {
         if (!GfTime_Before(now, w->reserved_until)) {
@@ -43,6 +44,7 @@
         GfResources used = GfResources_Add(w->used, w->reserved);
         bool reserved = w->reserved.mcores + w->reserved.memory_mb > 0;
         if (CellPlace_IsCandidate(cell, w, step) &&
+            !CellCrash_Excludes(cell, w, task) &&
             GfResources_Fit(w->info.capacity, used, step->spec->need) &&
             !(reserved && step->spec->max_per_worker > 0) &&
             (!needs_advice ||
@@ -67,7 +69,7 @@
         !CellShare_Allows(step, 0)) {
         return false;
     }
-    Worker *target = find_target(cell, step, now);
+    Worker *target = find_target(cell, task, now);
     if (target != NULL) {
         target->reserved = GfResources_Add(target->reserved, step->spec->need);
         target->reserved_until = GfTime_AddMs(now, RESERVE_MS);
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -417,6 +417,21 @@
     return count;
 }
 
+/* Returns how many idle tasks of a step would not use capacity yet: they may
+ * still run unseen, or wait for crash.c. */
+static uint32_t
+count_held(const GfCell *cell, const Step *step, struct timespec now)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < step->spec->task_count; i++) {
+        const Task *t = &step->tasks[i];
+        count += !t->done && t->state == TASK_IDLE &&
+                 (CellPlace_IsUncertain(cell, t, now) ||
+                  CellCrash_IsHeld(cell, t, now));
+    }
+    return count;
+}
+
 /* Places as many tasks of a step as possible. If capacity is short, preempts
  * tasks of later classes and asks for advice on more workers. Returns why
  * tasks stay idle. */
@@ -440,13 +455,13 @@
     if (placed) {
         return step->idle > 0 ? WAIT_LIMIT : WAIT_NONE;
     }
-    uint32_t uncertain = count_uncertain(cell, step, now);
-    if (uncertain == step->idle) {
+    uint32_t held = count_held(cell, step, now);
+    if (held == step->idle) {
         return WAIT_UNCERTAIN; /* capacity would not be used yet */
     }
     if (!step->spec->gang && !step->spec->backfill &&
         step->job->work_class + 1 < CELL_CLASSES) {
-        CellPreempt_FreeCapacity(cell, step, step->idle - uncertain,
+        CellPreempt_FreeCapacity(cell, step, step->idle - held,
                                  queue->needs_advice, now);
     }
     if (!queue->needs_advice) {
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -476,7 +476,9 @@
     }
     if (uncontacted == 0 || !GfTime_Before(now, cell->uncertain_until)) {
         cell->in_uncertainty_period = false;
-        cell->unseen_crash = cell->unseen_crash || uncontacted > 0;
+        if (uncontacted > 0) {
+            CellCrash_Unseen(cell);
+        }
         cell->dirty = true;
         for (Job *j = cell->jobs; j != NULL; j = j->hh.next) {
             j->uncertain = false;
--- a/src/cellentry/term_loader.c
+++ b/src/cellentry/term_loader.c
@@ -140,8 +140,8 @@
 }
 
 /* Adds the workers on the former owner's list of granted leases. An element
- * that lists tasks too stands for a closed worker; then the end of its lease
- * may follow. */
+ * that lists tasks too stands for a closed worker; the end of its lease and
+ * whether it leaves may follow. */
 static void
 add_leased_workers(GfCell *cell, const GfTableRow *row)
 {
@@ -165,6 +165,7 @@
         }
         snprintf(info.address, sizeof(info.address), "%s", address);
         const json_t *tasks = json_array_get(item, 4);
+        info.leaving = json_is_true(json_array_get(item, 6));
         if (tasks == NULL) {
             GfCell_AddLeasedWorker(cell, &info);
         }
--- a/tests/support/cell_sim.c
+++ b/tests/support/cell_sim.c
@@ -1138,6 +1138,7 @@
             GfName_SetText(&named[t].job,
                            json_string_value(json_array_get(task, 0)));
         }
+        info.leaving = json_is_true(json_array_get(entry, 6));
         int64_t expires_ms = json_integer_value(json_array_get(entry, 5));
         if (expires_ms > 0 && w->settings.without_ends) {
             expires_ms -= LEASE_MS / 2;
--- a/tests/unit/cell_crash.c
+++ b/tests/unit/cell_crash.c
@@ -537,6 +537,230 @@
     isolate_workers(true, true);
 }
 
+/* Crashes of workers under long-running tasks, twice each; then these serve
+ * for ten minutes. */
+static void
+test_serving_suspects_keep_workers(void)
+{
+    CellSimSettings settings = SETTINGS;
+    settings.workers = 3;
+    Scene s = create_scene(&settings);
+    CellSimJob serving = {.queue = "watch",
+                          .team = "b",
+                          .step = {.task_count = 3,
+                                   .need = {1000, 100, 0},
+                                   .max_per_worker = 1,
+                                   .long_running = true}};
+    int j = CellSim_Submit(s.sim, &serving);
+    for (int i = 0; i < 2; i++) {
+        CellSim_Run(s.sim, 2000);
+        for (int w = 0; w < 3; w++)
+            CellSim_CrashWorker(s.sim, w);
+        CellSim_Run(s.sim, 2000);
+        for (int w = 0; w < 3; w++)
+            CellSim_RestartWorker(s.sim, w);
+        CellSim_Run(s.sim, 3000);
+    }
+    CellSim_Run(s.sim, 15000);
+    printf("\n  serving running=%d state=%s", CellSim_JobRunning(s.sim, j),
+           GfJobState_Name(CellSim_JobState(s.sim, j)));
+    CellSim_Run(s.sim, 600000);
+    int b = submit(&s, "batch", 1, 0, 2000);
+    CellSim_Run(s.sim, 120000);
+    printf(" later job starts=%d state=%s serving=%d\n",
+           CellSim_JobStarts(s.sim, b),
+           GfJobState_Name(CellSim_JobState(s.sim, b)),
+           CellSim_JobRunning(s.sim, j));
+    CU_ASSERT_EQUAL(CellSim_JobState(s.sim, b), GF_JOB_COMPLETED);
+    destroy_scene(&s);
+}
+
+/* A worker is missing at a takeover; an outage of the store comes later. */
+static void
+lose_worker_in_outage(bool missing)
+{
+    Scene s = create_scene(&SETTINGS);
+    CellSimJob job = {.queue = "watch",
+                      .team = "a",
+                      .step = {.task_count = 1,
+                               .need = {1000, 100, 0},
+                               .long_running = true}};
+    int j = CellSim_Submit(s.sim, &job);
+    CellSim_Run(s.sim, 12000);
+    int w = CellSim_JobWorker(s.sim, j);
+    int other = w == 0 ? 1 : 0;
+    if (missing) {
+        CellSim_CrashWorker(s.sim, other);
+    }
+    replace_owner(&s);
+    CellSim_Run(s.sim, 1000);
+    if (missing) {
+        CellSim_RestartWorker(s.sim, other);
+    }
+    CellSim_Run(s.sim, 60000);
+    CellSim_SetStoreAvailable(s.sim, false);
+    CellSim_Run(s.sim, 100);
+    CellSim_CrashWorker(s.sim, w); /* runs for over a minute: not the cause */
+    CellSim_Run(s.sim, 9000);
+    printf("\n  missing=%d running 9 s later=%d starts=%d\n", missing,
+           CellSim_JobRunning(s.sim, j), CellSim_JobStarts(s.sim, j));
+    CU_ASSERT_EQUAL(CellSim_JobRunning(s.sim, j), 1);
+    CellSim_Run(s.sim, 30000);
+    printf("  39 s later=%d\n", CellSim_JobRunning(s.sim, j));
+    destroy_scene(&s);
+}
+
+static void
+test_restart_waits_for_the_store(void)
+{
+    lose_worker_in_outage(false);
+    lose_worker_in_outage(true);
+}
+
+static void
+test_planned_leave_at_takeover(void)
+{
+    Scene s = create_scene(&SETTINGS);
+    int j = submit(&s, "batch", 1, 0, 20000);
+    for (int i = 0; i < 3; i++) {
+        CellSim_Run(s.sim, 1500);
+        int w = CellSim_JobWorker(s.sim, j);
+        if (w < 0) {
+            printf(" no worker %d", i);
+            break;
+        }
+        CellSim_SetLeaving(s.sim, w, true);
+        CellSim_Run(s.sim, 2000);
+        CellSim_CrashWorker(s.sim, w); /* planned: it is released */
+        CellSim_SetListed(s.sim, w, false);
+        CellSim_Run(s.sim, 500);
+        replace_owner(&s);
+        CellSim_Run(s.sim, 12000);
+    }
+    CellSim_Run(s.sim, 60000);
+    printf("\n  starts=%d state=%s\n", CellSim_JobStarts(s.sim, j),
+           GfJobState_Name(CellSim_JobState(s.sim, j)));
+    CU_ASSERT_EQUAL(CellSim_JobState(s.sim, j), GF_JOB_COMPLETED);
+    destroy_scene(&s);
+}
+
+/* Cuts a worker off and drops it from the table, four times. */
+static void
+cut_off(int64_t cut, bool takeover)
+{
+    Scene s = create_scene(&SETTINGS);
+    int j = submit(&s, "batch", 1, 0, 14000);
+    for (int i = 0; i < 4; i++) {
+        CellSim_Run(s.sim, 1000);
+        int64_t end = CellSim_NowMs(s.sim) + 20000;
+        int w = -1;
+        while ((w = CellSim_JobWorker(s.sim, j)) < 0 &&
+               CellSim_NowMs(s.sim) < end)
+            CellSim_Run(s.sim, 10);
+        if (w < 0) {
+            printf(" no worker %d", i);
+            break;
+        }
+        CellSim_SetIsolated(s.sim, w, true);
+        CellSim_SetListed(s.sim, w, false);
+        if (takeover) {
+            CellSim_Run(s.sim, 1500);
+            replace_owner(&s);
+        }
+        CellSim_Run(s.sim, cut);
+        CellSim_SetIsolated(s.sim, w, false);
+        CellSim_SetListed(s.sim, w, true);
+    }
+    CellSim_Run(s.sim, 60000);
+    printf("\n  cut=%d takeover=%d starts=%d crashes=%d state=%s\n", (int)cut,
+           takeover, CellSim_JobStarts(s.sim, j), CellSim_CountCrashes(s.sim),
+           GfJobState_Name(CellSim_JobState(s.sim, j)));
+    CU_ASSERT_EQUAL(CellSim_JobState(s.sim, j), GF_JOB_COMPLETED);
+    destroy_scene(&s);
+}
+
+static void
+test_long_cuts(void)
+{
+    cut_off(14500, false);
+    cut_off(8500, true);
+}
+
+static void
+preempt_for_suspect(bool outage)
+{
+    CellSimSettings settings = SETTINGS;
+    Scene s = create_scene(&settings);
+    CellSimJob big = {.queue = "batch",
+                      .team = "b",
+                      .run_ms = 60000,
+                      .step = {.task_count = 9,
+                               .need = {16000, 100, 0},
+                               .checkpointed = true}};
+    int b = CellSim_Submit(s.sim, &big);
+    CellSim_Run(s.sim, 1000);
+    int d = submit(&s, "quick", 1, 1, 5000);
+    run_until_crash(&s, d);
+    int before = CellSim_JobStarts(s.sim, b);
+    if (outage)
+        CellSim_SetStoreAvailable(s.sim, false);
+    CellSim_Run(s.sim, 15000);
+    if (outage)
+        CellSim_SetStoreAvailable(s.sim, true);
+    printf("\n  preempt outage=%d batch starts before=%d after=%d running=%d "
+           "deadly starts=%d\n",
+           outage, before, CellSim_JobStarts(s.sim, b),
+           CellSim_JobRunning(s.sim, b), CellSim_JobStarts(s.sim, d));
+    CU_ASSERT_TRUE(CellSim_JobStarts(s.sim, b) - before <= 3);
+    destroy_scene(&s);
+}
+
+static void
+test_preemption_for_a_held_suspect(void)
+{
+    preempt_for_suspect(false);
+    preempt_for_suspect(true);
+}
+
+static void
+end_before_judgement(int64_t after_return, bool gang, uint32_t tasks)
+{
+    Scene s = create_scene(&SETTINGS);
+    CellSimJob job = {
+        .queue = "batch",
+        .team = "a",
+        .run_ms = 5000,
+        .step = {.task_count = tasks, .need = {1000, 100, 0}, .gang = gang},
+        .deadly_tasks = 1,
+        .crash_after_ms = CRASH_AFTER_MS};
+    int deadly = CellSim_Submit(s.sim, &job);
+    while (run_until_crash(&s, deadly)) {
+        if (CellSim_TaskCrashes(s.sim, deadly, 0) >= 3 &&
+            CellSim_CanTakeOver(s.sim)) {
+            CellSim_Run(s.sim, WORKER_BACK_MS + after_return);
+            replace_owner(&s);
+        }
+    }
+    run_until_given_up(&s, deadly, LONG_GIVE_UP_MS);
+    printf(
+        "\n  judge after=%d gang=%d crashes=%d starts=%d after3=%d state=%s\n",
+        (int)after_return, gang, CellSim_TaskCrashes(s.sim, deadly, 0),
+        CellSim_TaskStarts(s.sim, deadly, 0),
+        CellSim_StartsAfterCrashes(s.sim, deadly),
+        GfJobState_Name(CellSim_JobState(s.sim, deadly)));
+    CU_ASSERT_TRUE(CellSim_StartsAfterCrashes(s.sim, deadly) <=
+                   MAX_FURTHER_STARTS);
+    CU_ASSERT_EQUAL(CellSim_JobState(s.sim, deadly), GF_JOB_GIVEN_UP);
+    destroy_scene(&s);
+}
+
+static void
+test_owner_ends_before_judgement(void)
+{
+    end_before_judgement(150, false, 1);
+    end_before_judgement(200, false, 1);
+}
+
 static void
 test_return_under_new_ids(void)
 {
@@ -579,6 +803,17 @@
     {"jobs are given up for one bad worker", test_bad_worker},
     {"isolated workers are counted as crashed", test_isolated_workers},
     {"crashes are not counted if workers return under new ids",
-     test_return_under_new_ids}};
+     test_return_under_new_ids},
+    {"serving suspects keep workers for themselves",
+     test_serving_suspects_keep_workers},
+    {"restart waits for the store after an unseen crash",
+     test_restart_waits_for_the_store},
+    {"planned leave is counted as a crash at a takeover",
+     test_planned_leave_at_takeover},
+    {"long cuts are counted as crashes", test_long_cuts},
+    {"batch is preempted for a suspect that may not start",
+     test_preemption_for_a_held_suspect},
+    {"crash count is not judged if the owner ends first",
+     test_owner_ends_before_judgement}};
 
 SUITE_MAIN("cell crash", TESTS)
