--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -188,7 +188,7 @@
     int64_t expires_ms;    /* no inherited run goes on after it, shared clock;
                               0: unknown */
     bool expiry_wanted;    /* the stored list should give the lease's end */
-    bool expiry_stored;    /* it may do so: the lease must not be extended */
+    bool lease_frozen;     /* it may do so: the lease must not be extended */
     bool expiry_in_commit; /* the list that is being stored does */
     bool hold_in_flight;
     bool poll_in_flight; /* an inventory request beside the hold call */
--- a/src/cell/commit.c
+++ b/src/cell/commit.c
@@ -54,7 +54,7 @@
     json_array_append_new(entry, json_integer((json_int_t)end));
     json_array_append_new(entry, json_boolean(w->info.leaving));
     if (w->expiry_wanted) {
-        w->expiry_stored = true;
+        w->lease_frozen = true;
         w->expiry_in_commit = true;
     }
 }
@@ -203,7 +203,7 @@
             w->in_stored_list = true;
             cell->dirty = true;
         }
-        w->expiry_stored = w->expiry_stored && w->expiry_in_commit;
+        w->lease_frozen = w->lease_frozen && w->expiry_in_commit;
     }
     cell->commit_has_lease_list = false;
 }
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -77,7 +77,7 @@
 int64_t
 CellWorker_ExtendLease(GfCell *cell, Worker *w, struct timespec now)
 {
-    if (!w->has_clock || !cell->may_grant_leases || w->expiry_stored) {
+    if (!w->has_clock || !cell->may_grant_leases || w->lease_frozen) {
         return 0;
     }
     struct timespec end = GfTime_AddMs(now, CellWorker_LongestLeaseMs(cell));
@@ -134,7 +134,7 @@
     w->next_hold_at = (struct timespec){0};
     w->in_stored_list = false;
     w->in_commit = false;
-    w->expiry_stored = false; /* the list's end is that of the former one */
+    w->lease_frozen = false; /* the list's end is that of the former one */
     cell->lease_list_dirty = cell->lease_list_dirty || w->in_lease_list;
     cell->dirty = true;
 }
@@ -244,7 +244,7 @@
     }
     w->expires_ms = expires_ms;
     w->expiry_wanted = expires_ms > 0;
-    w->expiry_stored = expires_ms > 0;
+    w->lease_frozen = expires_ms > 0;
 }
 
 /* Records that a worker left the platform's table. Its runs are still tracked
