Split placement into fit, rounds and their log

Cause: place.c held three jobs in 614 lines: which worker suits a task, the placement round, and what operators see of waits. Change: moved to fit.c and place_log.c, names CellFit_ and CellPlaceLog_; no line of logic is changed. Checked: test_cell, test_cell_load, test_cell_crash, test_cell_takeover and test_cell_recovery pass.

--- a/src/cell/advice.c
+++ b/src/cell/advice.c
@@ -174,11 +174,11 @@
 count_fitting(const Worker *w, const Step *step)
 {
     uint32_t here =
-        step->spec->max_per_worker > 0 ? CellPlace_CountOn(w, step) : 0;
+        step->spec->max_per_worker > 0 ? CellFit_CountOn(w, step) : 0;
     bool only_backfill =
         step->spec->latency_target_ms > 0 && w->backfill_tasks > 0 &&
         GfResources_Fit(w->info.capacity, w->used, step->spec->need);
-    if ((!CellPlace_HasCapacity(w, step) && !only_backfill) ||
+    if ((!CellFit_HasCapacity(w, step) && !only_backfill) ||
         (here > 0 && here >= step->spec->max_per_worker)) {
         return 0;
     }
@@ -224,7 +224,7 @@
 add_candidate(const GfCell *cell, const Step *step, Worker *w,
               struct timespec now, CandidateList *list)
 {
-    if (!CellPlace_Eligible(cell, w, step) || is_denied(step, w->serial) ||
+    if (!CellFit_Eligible(cell, w, step) || is_denied(step, w->serial) ||
         CellAdvice_FindTicket(step, w->serial, now) != NULL) {
         return;
     }
@@ -323,7 +323,7 @@
             continue;
         }
         fitting = fitting < 0 ? 0 : fitting;
-        if (CellPlace_Eligible(cell, w, step)) {
+        if (CellFit_Eligible(cell, w, step)) {
             fitting += count_fitting(w, step);
         }
     }
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -350,14 +350,24 @@
 void CellPreempt_FreeCapacity(GfCell *cell, Step *step, uint32_t wanted,
                               bool needs_advice, struct timespec now);
 
+/* fit.c */
+bool CellFit_Eligible(const GfCell *cell, const Worker *w, const Step *step);
+bool CellFit_IsUncertain(const GfCell *cell, const Task *task,
+                         struct timespec now);
+bool CellFit_HasCapacity(const Worker *w, const Step *step);
+uint32_t CellFit_CountOn(const Worker *w, const Step *step);
+bool CellFit_IsCandidate(const GfCell *cell, const Worker *w,
+                         const Step *step);
+Worker *CellFit_ChooseWorker(GfCell *cell, const Step *step, const Task *task,
+                             const GfName *rack, bool needs_advice,
+                             struct timespec now);
+
+/* place_log.c */
+void CellPlaceLog_Placed(const GfCell *cell, const Step *step, uint32_t count);
+void CellPlaceLog_RecordWait(Step *step, struct timespec now, WaitCause cause);
+void CellPlaceLog_LongestWait(GfCell *cell, struct timespec now);
+
 /* place.c */
-bool CellPlace_Eligible(const GfCell *cell, const Worker *w, const Step *step);
-bool CellPlace_IsUncertain(const GfCell *cell, const Task *task,
-                           struct timespec now);
-bool CellPlace_HasCapacity(const Worker *w, const Step *step);
-uint32_t CellPlace_CountOn(const Worker *w, const Step *step);
-bool CellPlace_IsCandidate(const GfCell *cell, const Worker *w,
-                           const Step *step);
 void CellPlace_Round(GfCell *cell, struct timespec now);
 
 /* advice.c */
--- a/src/cell/crash.c
+++ b/src/cell/crash.c
@@ -134,7 +134,7 @@
 static bool
 is_uncertain(const GfCell *cell, const Task *task, struct timespec now)
 {
-    return CellPlace_IsUncertain(cell, task, now) ||
+    return CellFit_IsUncertain(cell, task, now) ||
            (task->step->job->uncertain && cell->in_uncertainty_period);
 }
 
--- a/src/cell/move.c
+++ b/src/cell/move.c
@@ -43,7 +43,7 @@
         }
         GfResources used = GfResources_Add(w->used, w->reserved);
         bool reserved = w->reserved.mcores + w->reserved.memory_mb > 0;
-        if (CellPlace_IsCandidate(cell, w, step) &&
+        if (CellFit_IsCandidate(cell, w, step) &&
             !CellCrash_Excludes(cell, w, task) &&
             GfResources_Fit(w->info.capacity, used, step->spec->need) &&
             !(reserved && step->spec->max_per_worker > 0) &&
--- a/src/cell/preempt.c
+++ b/src/cell/preempt.c
@@ -101,11 +101,11 @@
     step->next_preempt_at = GfTime_AddMs(now, PREEMPT_PAUSE_MS);
     uint32_t stopped = 0;
     for (Worker *w = cell->workers; w != NULL && wanted > 0; w = w->hh.next) {
-        if (!CellPlace_Eligible(cell, w, step) ||
+        if (!CellFit_Eligible(cell, w, step) ||
             (needs_advice &&
              CellAdvice_FindTicket(step, w->serial, now) == NULL) ||
             (step->spec->max_per_worker > 0 &&
-             CellPlace_CountOn(w, step) >= step->spec->max_per_worker)) {
+             CellFit_CountOn(w, step) >= step->spec->max_per_worker)) {
             continue;
         }
         Task *victims[MAX_VICTIMS];
--- a/src/cell/share.c
+++ b/src/cell/share.c
@@ -125,7 +125,7 @@
         for (size_t i = 0; !w->contacted && i < w->inherited_count; i++) {
             const Task *task = CellJob_Task(cell, &w->inherited[i]);
             if (task != NULL && task->state == TASK_IDLE &&
-                CellPlace_IsUncertain(cell, task, now)) {
+                CellFit_IsUncertain(cell, task, now)) {
                 TeamUse *u = task->step->job->use;
                 u->uncertain_use =
                     GfResources_Add(u->uncertain_use, task->step->spec->need);
--- a/tests/unit/cell_load.c
+++ b/tests/unit/cell_load.c
@@ -224,7 +224,7 @@
 }
 
 /* A third of the workers begin to fail every run while jobs keep coming: a
- * task is retried on workers where others have succeeded lately (place.c). */
+ * task is retried on workers where others have succeeded lately (fit.c). */
 static void
 test_workers_begin_to_fail(void)
 {
