Agree on the parts for hard load, their switches and interfaces

They need names, owners and interfaces first, and a switch each, as they may take effect only where a deployment's settings call for it.

--- a/include/guavaflow/cell.h
+++ b/include/guavaflow/cell.h
@@ -21,6 +21,7 @@
 #include "guavaflow/admission.h"
 #include "guavaflow/cell_config.h"
 #include "guavaflow/clock.h"
+#include "guavaflow/features.h"
 #include "guavaflow/job_spec.h"
 #include "guavaflow/table.h"
 
@@ -218,6 +219,7 @@
     int64_t uncertainty_ms; /* after this no run of a former owner is left */
     int64_t clock_drift_percent; /* most that clocks may drift apart */
     uint32_t serial_base;
+    GfFeatures features;
 } GfCellSettings;
 
 /* Reports the outcome of a cancellation: GF_OK, GF_NOT_FOUND or
--- a/include/guavaflow/cell_settings.h
+++ b/include/guavaflow/cell_settings.h
@@ -9,15 +9,16 @@
 #include <stdint.h>
 
 #include "guavaflow/error.h"
+#include "guavaflow/features.h"
 #include "guavaflow/settings.h"
 
 /* Further seeds in the settings are ignored. */
 #define GF_MAX_SEEDS 8
 
-/* The fields up to keep_finished_s hold the keys of the YAML document under
+/* The fields up to features hold the keys of the YAML document under
  * their own names; an optional text that is missing is NULL, an optional
  * number 0. Endpoints are texts of the form ADDRESS:PORT with an IPv4
- * address. The fields after keep_finished_s hold the same endpoints parsed. */
+ * address. The fields after features hold the same endpoints parsed. */
 typedef struct {
     char *ownership;        /* "token" is the only allowed value */
     char *member;           /* name of this entry */
@@ -42,6 +43,8 @@
                              * kills the process */
     double longest_lease_ms; /* longest lease in ms that workers accept */
     double keep_finished_s;  /* seconds that finished jobs are kept */
+    GfFeatures features;     /* keys overload_order to neighbour_separation;
+                              * optional, false if missing */
     GfEndpoint front_endpoint;
     GfEndpoint ready_endpoint;
     GfEndpoint peer_endpoint;
--- a/src/cellentry/term.c
+++ b/src/cellentry/term.c
@@ -205,7 +205,8 @@
         .uncertainty_ms = OWNERSHIP_VALID_MS + OWNERSHIP_MARGIN_MS + lease +
                           lease * CLOCK_DRIFT_PERCENT / 100,
         .clock_drift_percent = CLOCK_DRIFT_PERCENT,
-        .serial_base = entry->term_count * SERIALS_PER_TERM};
+        .serial_base = entry->term_count * SERIALS_PER_TERM,
+        .features = entry->settings->features};
     term->cell = GfCell_Create(&TERM_CELL_OPS, term, &settings, entry->clock);
     if (GfName_Equal(&former->name, &entry->self)) {
         /* It was an earlier process on this host, or an earlier term. */
--- a/src/config/cell_settings.c
+++ b/src/config/cell_settings.c
@@ -20,6 +20,10 @@
     CYAML_FIELD_STRING_PTR(#name, CYAML_FLAG_POINTER | (flags),               \
                            GfCellEntrySettings, name, 0, MAX_TEXT_BYTES)
 
+#define FEATURE_FIELD(name)                                                   \
+    CYAML_FIELD_BOOL(#name, CYAML_FLAG_OPTIONAL, GfCellEntrySettings,         \
+                     features.name)
+
 static const cyaml_schema_field_t FIELDS[] = {
     STRING_FIELD(ownership, CYAML_FLAG_DEFAULT),
     STRING_FIELD(member, CYAML_FLAG_DEFAULT),
@@ -44,6 +48,10 @@
                       GfCellEntrySettings, longest_lease_ms),
     CYAML_FIELD_FLOAT("keep_finished_s", CYAML_FLAG_DEFAULT,
                       GfCellEntrySettings, keep_finished_s),
+    FEATURE_FIELD(overload_order),
+    FEATURE_FIELD(overload_refusal),
+    FEATURE_FIELD(worker_speeds),
+    FEATURE_FIELD(neighbour_separation),
     CYAML_FIELD_END};
 
 static const cyaml_schema_value_t SCHEMA = {
--- a/tests/support/cell_sim.c
+++ b/tests/support/cell_sim.c
@@ -1091,7 +1091,8 @@
         .ownership_valid_ms = w->settings.without_uncertainty ? 0 : PROOF_MS,
         .uncertainty_ms = w->settings.without_uncertainty ? 0 : UNCERTAIN_MS,
         .clock_drift_percent = 3,
-        .serial_base = (uint32_t)(o->index + 1) * 10000U};
+        .serial_base = (uint32_t)(o->index + 1) * 10000U,
+        .features = w->settings.features};
     o->cell = GfCell_Create(&OPS, o, &settings, &w->clock.clock);
     if (w->current_owner >= 0) {
         w->owners[w->current_owner].replaced_ms = CellSim_NowMs(w);
--- a/tests/support/cell_sim.h
+++ b/tests/support/cell_sim.h
@@ -37,11 +37,12 @@
     bool
         table_lags; /* takeovers read a restarted worker's former row, first */
     uint32_t seed;
-    double lose_order;  /* the order does not arrive */
-    double lose_answer; /* the reply does not arrive */
-    double late_order;  /* carried out 2 to 12 s later, without a reply */
-    double fail_run;    /* the run fails */
-    bool new_ids;       /* each incarnation of a worker has an id of its own */
+    double lose_order;   /* the order does not arrive */
+    double lose_answer;  /* the reply does not arrive */
+    double late_order;   /* carried out 2 to 12 s later, without a reply */
+    double fail_run;     /* the run fails */
+    GfFeatures features; /* optional parts that are on */
+    bool new_ids; /* each incarnation of a worker has an id of its own */
     int64_t worker_back_ms;   /* from a crash through a deadly task until the
                                  worker's next incarnation starts; 0: never */
     bool without_uncertainty; /* new owners skip the uncertainty period */
