Name more workers in a slow request while callers are scarce

Ruled out: room (steps that no request can help are few), limits (1 to 3 s a step). Change: the need of quick requests decays in 3 s; while a slow request finds no caller, each names 96 workers (the service takes 100).

--- a/src/cell/advice.c
+++ b/src/cell/advice.c
@@ -10,9 +10,12 @@
 /* A queue is slow if a request takes longer than this before the time for each
  * worker is added. */
 #define SLOW_ADVICE_MS 100.0
-/* Fewest and most workers in a request; the service takes at most 100. */
+/* Fewest and most workers in a request. */
 #define MIN_WORKERS_ASKED 6
 #define MAX_WORKERS_ASKED 48
+/* Number of workers in a slow request while callers are scarce; the service
+ * takes at most 100. */
+#define SCARCE_WORKERS_ASKED 96
 /* Expected share of the workers in a request that the advice allows, where no
  * earlier advice is known: the lower of the two shares that were observed. */
 #define EXPECTED_ALLOWED 0.35
@@ -260,6 +263,13 @@
     qsort(list->all, list->count, sizeof(Candidate), compare);
 }
 
+/* Returns the smaller of a and b. */
+static size_t
+smaller(size_t a, size_t b)
+{
+    return a < b ? a : b;
+}
+
 /* Returns how many of the candidates to ask about, so that those expected to
  * be allowed have free capacity for the step's idle tasks. */
 static size_t
@@ -278,8 +288,7 @@
     }
     n += EXTRA_WORKERS;
     n = n < MIN_WORKERS_ASKED ? MIN_WORKERS_ASKED : n;
-    n = n > MAX_WORKERS_ASKED ? MAX_WORKERS_ASKED : n;
-    return n < count ? n : count;
+    return smaller(smaller(n, MAX_WORKERS_ASKED), count);
 }
 
 /* Returns how many tasks of the step fit on the workers for which it has valid
@@ -366,13 +375,15 @@
     }
     collect_candidates(cell, step, now, &list);
     const Candidate *candidates = list.all;
-    size_t n = request_size(step, candidates, list.count);
+    size_t n = slow && GfCallers_AreScarce(cell->callers, now)
+                   ? smaller(list.count, SCARCE_WORKERS_ASKED)
+                   : request_size(step, candidates, list.count);
     if (n == 0 || !is_request_useful(cell, step, list.fitting, is_last, now)) {
         free(list.all);
         pause_without_candidates(step, now);
         return;
     }
-    GfName names[MAX_WORKERS_ASKED];
+    GfName names[SCARCE_WORKERS_ASKED];
     free(step->asked);
     step->asked = malloc(n * sizeof(uint32_t));
     if (step->asked == NULL) {
--- a/src/decide/callers.c
+++ b/src/decide/callers.c
@@ -11,7 +11,7 @@
 
 /* Time constant of the decay of the number of callers that quick requests
  * need. */
-#define NEED_DECAY_MS 10000.0
+#define NEED_DECAY_MS 3000.0
 /* Fewest callers kept for quick requests, in percent of all; a burst begins
  * with these. */
 #define MIN_QUICK_PERCENT 10
@@ -21,6 +21,8 @@
 /* Pause of a caller after a failure; it doubles with each further one. */
 #define PAUSE_MS 100
 #define MAX_PAUSE_DOUBLINGS 4
+/* Callers count as scarce for this long after a slow request found none. */
+#define SCARCE_MS 1000
 
 typedef struct {
     GfName name;
@@ -36,6 +38,8 @@
     size_t next;       /* where the search for a free caller begins */
     double quick_need; /* at need_at, decaying */
     struct timespec need_at;
+    bool was_scarce;           /* scarce_at is set */
+    struct timespec scarce_at; /* when a slow request last found none */
 };
 
 /* Creates an empty list of callers; never NULL. */
@@ -153,6 +157,8 @@
         size_t most = c->count - GfCallers_KeptForQuick(c, now);
         *is_last = busy + 1 >= most;
         if (busy >= most) {
+            c->was_scarce = true;
+            c->scarce_at = now;
             return NULL;
         }
     }
@@ -168,6 +174,15 @@
     return NULL;
 }
 
+/* Returns whether slow requests wait for callers, so that each should name as
+ * many workers as it can: the time for a worker is a small part of the time of
+ * a request. */
+bool
+GfCallers_AreScarce(const GfCallers *c, struct timespec now)
+{
+    return c->was_scarce && GfTime_DiffMs(now, c->scarce_at) < SCARCE_MS;
+}
+
 /* Notes that a caller has a request open. The search for the next one begins
  * after it, so that requests spread over all callers. */
 void
--- a/tests/unit/callers.c
+++ b/tests/unit/callers.c
@@ -176,6 +176,25 @@
     GfCallers_Destroy(c);
 }
 
+/* Callers are scarce while slow requests find none, not when quick ones do. */
+static void
+test_scarce(void)
+{
+    GfCallers *c = create_callers(3);
+    bool is_last;
+    CU_ASSERT_FALSE(GfCallers_AreScarce(c, at(0)));
+    GfName name = GfName_Format("c0");
+    GfName other = GfName_Format("c1");
+    GfCallers_Begin(c, &name, true, at(0));
+    GfCallers_Begin(c, &other, true, at(0));
+    CU_ASSERT_PTR_NOT_NULL(GfCallers_Find(c, false, at(0), &is_last));
+    CU_ASSERT_FALSE(GfCallers_AreScarce(c, at(0)));
+    CU_ASSERT_PTR_NULL(GfCallers_Find(c, true, at(0), &is_last));
+    CU_ASSERT_TRUE(GfCallers_AreScarce(c, at(900)));
+    CU_ASSERT_FALSE(GfCallers_AreScarce(c, at(1100)));
+    GfCallers_Destroy(c);
+}
+
 /* Callers that leave the list while a request is open are forgotten. */
 static void
 test_caller_leaves(void)
@@ -200,6 +219,7 @@
     {"quick burst beside slow requests", test_quick_burst_beside_slow},
     {"gone caller pauses", test_gone_caller_pauses},
     {"caller returns", test_caller_returns},
+    {"scarce", test_scarce},
     {"caller leaves", test_caller_leaves}};
 
 SUITE_MAIN("callers", TESTS)
