--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -326,6 +326,7 @@
     size_t crash_count;
     struct timespec round_at; /* the latest placement round */
     struct timespec wait_logged_at;
+    struct timespec unheard_logged_at;
     struct timespec shares_updated_at;
     struct timespec backlogs_updated_at;
 };
