Write decisions first when not all log lines can be written

At 250 lines a second these use up the limit, and whatever comes after them is dropped, decisions included.

Ruled out: a higher limit, as lines cost the owner processor time and the load grows with the jobs; sampling of requests, which leaves out refusals as likely as routine; a bucket of its own for each kind of line, which wastes what one of them does not use.

Change: two levels below info, for requests that go as usual and for those that are refused, late or fail; both show as info. One token bucket, of which each level leaves a part to the levels above it. A line over the limit is dropped before it is formatted. Drops are reported once a second, with a count for each level. The limit is a module that takes the time.

--- a/src/cell/inventory.c
+++ b/src/cell/inventory.c
@@ -100,7 +100,7 @@
 {
     Task *task = CellJob_Task(cell, &completion->task);
     if (task == NULL) {
-        GfLog(GF_LOG_INFO, CELL_PART,
+        GfLog(GF_LOG_NOTICE, CELL_PART,
               "completion of unknown task ignored id=%s worker=%s",
               completion->task.job.data, w->info.id.data);
         return;
@@ -129,7 +129,7 @@
     else if (completion->kind == GF_COMPLETION_FAILED) {
         Task *counted = counted_task(task);
         if (count_failure(counted, completion->run)) {
-            GfLog(GF_LOG_INFO, CELL_PART,
+            GfLog(GF_LOG_NOTICE, CELL_PART,
                   "run failed id=%s step=%u task=%u run=%lld worker=%s "
                   "failures=%u",
                   job->id.data, task->step->number, task->index,
@@ -203,7 +203,7 @@
     order.target.token = cell->settings.token;
     add_orphan(cell, w, task);
     cell->ops->stop(cell->ctx, &order);
-    GfLog(GF_LOG_INFO, CELL_PART,
+    GfLog(GF_LOG_NOTICE, CELL_PART,
           "stopping orphan run id=%s step=%u task=%u worker=%s known=%d",
           row->task.job.data, row->task.step, row->task.index, w->info.id.data,
           task != NULL);
--- a/src/cell/preempt.c
+++ b/src/cell/preempt.c
@@ -121,7 +121,7 @@
     }
     if (stopped > 0) {
         GfMetrics_Add(GF_METRIC_TASKS_PREEMPTED, stopped);
-        GfLog(GF_LOG_INFO, CELL_PART,
+        GfLog(GF_LOG_NOTICE, CELL_PART,
               "tasks preempted to free capacity id=%s step=%u class=%u "
               "stopped=%u",
               step->job->id.data, step->number, step->job->work_class,
--- a/src/cellentry/accept.c
+++ b/src/cellentry/accept.c
@@ -83,7 +83,9 @@
     evtimer_del(a->timer);
     int64_t ms = GfTime_DiffMs(GfClock_Now(a->entry->clock), a->started_at);
     GfMetrics_Observe(GF_HISTOGRAM_ACCEPT, ms);
-    GfLog(GF_LOG_INFO, PART,
+    /* The cause of a refusal has been logged by the caller. */
+    bool usual = kind == GF_OK || kind == a->refusal;
+    GfLog(usual ? GF_LOG_DETAIL : GF_LOG_NOTICE, PART,
           "job %s id=%s queue=%s outcome=%s tries=%u through_peer=%d "
           "for_peer=%d after_ms=%lld config=%lld",
           kind == GF_OK ? "accepted" : "not accepted", a->id.data,
--- a/src/cellentry/term_orders.c
+++ b/src/cellentry/term_orders.c
@@ -119,7 +119,7 @@
     Term *term = q->entry->term;
     if (term != NULL && term->token == q->token) {
         if (kind != GF_OK) {
-            GfLog(GF_LOG_INFO, PART,
+            GfLog(GF_LOG_NOTICE, PART,
                   "asking for advice failed id=%s step=%u caller=%s cause=%s",
                   q->job.data, q->step, q->caller.data, GfError_Name(kind));
         }
--- a/src/common/log.c
+++ b/src/common/log.c
@@ -1,6 +1,7 @@
 #include "guavaflow/log.h"
 
 #include <assert.h>
+#include <inttypes.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -9,28 +10,20 @@
 #include <unistd.h>
 
 #include "guavaflow/clock.h"
+#include "guavaflow/log_limit.h"
 
 #define LINE_BYTES 1024
 #define PROCESS_NAME_BYTES 64
 #define MS_PER_S 1000
-/* Rate limit on standard output. 250 lines a second allow some ten lines for
- * each job at 20 jobs a second. After a quiet time a burst of twice as many
- * lines is allowed, half of which are reserved for warnings and errors. */
-#define LINES_PER_S 250
-#define BURST_LINES (LINES_PER_S * 2)
 
-static const char *const LEVEL_NAMES[GF_LOG_LEVELS] = {"debug", "info",
-                                                       "warning", "error"};
+/* Of equal names, the first is the one that settings mean. */
+static const char *const LEVEL_NAMES[GF_LOG_LEVELS] = {
+    "debug", "info", "info", "info", "warning", "error"};
 
-static GfLogLevel min_level = GF_LOG_INFO;
+static GfLogLevel min_level = GF_LOG_DETAIL;
 static char process_name[PROCESS_NAME_BYTES] = "-";
 static bool rate_limited;
-/* The rate limit is a token bucket: line_tokens is refilled at LINES_PER_S,
- * and each line takes one. */
-static double line_tokens = BURST_LINES;
-static int64_t last_refill_ms;
-static uint64_t dropped_lines;
-static uint64_t reported_dropped_lines;
+static GfLogLimit limit;
 
 /* Sets the lowest level that is written; lines below it are discarded. */
 void
@@ -75,61 +68,105 @@
 uint64_t
 GfLog_DroppedLines(void)
 {
-    return dropped_lines;
+    return GfLogLimit_Dropped(&limit);
 }
 
-/* Applies the rate limit at time ms (wall clock): takes a token and returns
- * true if standard output can take a line; otherwise counts a dropped line.
- * Lines below the level of warnings must leave LINES_PER_S tokens. */
+/* Returns whether standard output takes a line at once. */
 static bool
-take_line_token(GfLogLevel level, int64_t ms)
+is_writable(void)
 {
-    if (ms > last_refill_ms) {
-        line_tokens +=
-            (double)(ms - last_refill_ms) * LINES_PER_S / (double)MS_PER_S;
-        line_tokens = line_tokens > BURST_LINES ? BURST_LINES : line_tokens;
-    }
-    last_refill_ms = ms;
     struct pollfd fd = {.fd = STDOUT_FILENO, .events = POLLOUT};
-    double reserved = level >= GF_LOG_WARNING ? 0 : LINES_PER_S;
-    if (line_tokens - 1 < reserved || poll(&fd, 1, 0) != 1 ||
-        (fd.revents & POLLOUT) == 0) {
-        dropped_lines++;
-        return false;
-    }
-    line_tokens--;
-    return true;
+    return poll(&fd, 1, 0) == 1 && (fd.revents & POLLOUT) != 0;
 }
 
-/* Formats a line and writes it. If a pipe takes only a part of the line, the
- * rest is lost and the line counts as dropped. */
-static void
-write_line(int64_t ms, GfLogLevel level, const char *part, const char *text)
+/* Formats a line and writes it. Returns false if it was not written wholly; a
+ * pipe may take only a part of a line, and the rest is lost then. */
+static bool
+write_line(GfLogLevel level, const char *part, const char *text)
 {
     char line[LINE_BYTES + PROCESS_NAME_BYTES + PROCESS_NAME_BYTES];
+    int64_t ms = GfTime_WallMs();
     int n = snprintf(line, sizeof(line), "%lld.%03d %s %s %s: %s\n",
                      (long long)(ms / MS_PER_S), (int)(ms % MS_PER_S),
                      LEVEL_NAMES[level], process_name, part, text);
     size_t len = n < 0 ? 0 : (size_t)n;
     len = len < sizeof(line) ? len : sizeof(line) - 1;
     if (!rate_limited) {
-        fwrite(line, 1, len, stderr);
+        return fwrite(line, 1, len, stderr) == len;
     }
-    else if (write(STDOUT_FILENO, line, len) < (ssize_t)len) {
-        dropped_lines++;
+    return write(STDOUT_FILENO, line, len) == (ssize_t)len;
+}
+
+/* Logs the lines that were dropped, if that is due. */
+static void
+report_drops(struct timespec now)
+{
+    GfLogDrops drops;
+    if (!GfLogLimit_ReportDue(&limit, now, &drops) || !is_writable()) {
+        return;
+    }
+    char note[LINE_BYTES];
+    snprintf(note, sizeof(note),
+             "log lines dropped count=%" PRIu64 " debug=%" PRIu64
+             " detail=%" PRIu64 " notice=%" PRIu64 " info=%" PRIu64
+             " warning=%" PRIu64 " error=%" PRIu64 " over_ms=%" PRId64,
+             drops.total, drops.count[GF_LOG_DEBUG],
+             drops.count[GF_LOG_DETAIL], drops.count[GF_LOG_NOTICE],
+             drops.count[GF_LOG_INFO], drops.count[GF_LOG_WARNING],
+             drops.count[GF_LOG_ERROR], drops.period_ms);
+    GfLogLimit_Take(&limit);
+    if (write_line(GF_LOG_WARNING, "log", note)) {
+        GfLogLimit_Reported(&limit);
     }
 }
 
+/* Returns whether a line of this level is to be written now. A line over the
+ * limit counts as dropped. */
+static bool
+is_taken(GfLogLevel level, struct timespec now)
+{
+    assert(level < GF_LOG_LEVELS);
+    if (level < min_level) {
+        return false;
+    }
+    if (!rate_limited) {
+        return true;
+    }
+    report_drops(now);
+    if (!GfLogLimit_Allows(&limit, level, now)) {
+        GfLogLimit_Drop(&limit, level, now);
+        return false;
+    }
+    return true;
+}
+
+/* Returns whether a line of this level is written now, for callers whose
+ * arguments are costly to prepare. A line over the limit counts as dropped
+ * here; the caller leaves it out. */
+bool
+GfLog_IsTaken(GfLogLevel level)
+{
+    return is_taken(level, GfClock_Now(GfClock_System()));
+}
+
 /* Writes one line: wall-clock time in seconds, level, process, part and the
  * formatted text, which is truncated to LINE_BYTES. Control characters are
- * replaced by '?', so that untrusted input cannot forge a line. Dropped lines
- * are reported before the next line that is written. */
+ * replaced by '?', so that untrusted input cannot forge a line. A line over
+ * the limit is dropped before it is formatted. */
 void
 GfLog(GfLogLevel level, const char *part, const char *format, ...)
 {
-    if (level < min_level) {
+    struct timespec now = GfClock_Now(GfClock_System());
+    if (!is_taken(level, now)) {
+        return;
+    }
+    if (rate_limited && !is_writable()) {
+        GfLogLimit_Drop(&limit, level, now);
         return;
     }
+    if (rate_limited) {
+        GfLogLimit_Take(&limit);
+    }
     char text[LINE_BYTES];
     va_list args;
     va_start(args, format);
@@ -140,16 +177,7 @@
             *c = '?';
         }
     }
-    int64_t ms = GfTime_WallMs();
-    if (rate_limited && !take_line_token(level, ms)) {
-        return;
-    }
-    if (dropped_lines > reported_dropped_lines) {
-        char note[LINE_BYTES];
-        snprintf(note, sizeof(note), "log lines dropped count=%llu",
-                 (unsigned long long)(dropped_lines - reported_dropped_lines));
-        reported_dropped_lines = dropped_lines;
-        write_line(ms, GF_LOG_WARNING, "log", note);
+    if (!write_line(level, part, text) && rate_limited) {
+        GfLogLimit_Drop(&limit, level, now);
     }
-    write_line(ms, level, part, text);
 }
