Report once a second what each class of steps waits for

Cause: who waits and why was told only by a line for each step that was placed late, and by the one step that waits longest. While hundreds of steps wait, the former are dropped or come only after the wait, and the latter is one of hundreds.

Ruled out: a line for each waiting step, which grows with the load; sums in each placement round, as rounds visit every waiting step many times a second.

Change: the module wait_report sums waits by class and cause and finds the teams that waited longest, in bounded memory. place_log.c adds a step when it is placed and once a second while it waits, also while starts are suspended, and logs one line for each class in which a step waits. Histograms of step waits by cause, and counters of refused jobs by reason, on the metrics page; "step placed late" also tells the time until the first round.

--- a/include/guavaflow/metrics.h
+++ b/include/guavaflow/metrics.h
@@ -6,6 +6,7 @@
 
 #include <stdint.h>
 
+#include "guavaflow/error.h"
 #include "guavaflow/name.h"
 
 /* Counters and gauges. A counter only grows; a gauge is set to the current
@@ -62,10 +63,20 @@
     GF_HISTOGRAM_COMMIT,   /* one transaction of the cell's owner */
     GF_HISTOGRAM_TAKEOVER, /* from a new token to the start of scheduling */
     GF_HISTOGRAM_ADVICE,   /* from a request for advice to its answer */
+    /* The part of a step's wait that has one cause, of steps that waited for
+     * it; in the order of the cell's causes. */
+    GF_HISTOGRAM_WAIT_ROUND,
+    GF_HISTOGRAM_WAIT_DUE,
+    GF_HISTOGRAM_WAIT_UNCERTAIN,
+    GF_HISTOGRAM_WAIT_LIMIT,
+    GF_HISTOGRAM_WAIT_CALLER,
+    GF_HISTOGRAM_WAIT_ADVICE,
+    GF_HISTOGRAM_WAIT_CAPACITY,
     GF_HISTOGRAMS
 } GfHistogram;
 
 void GfMetrics_Observe(GfHistogram histogram, int64_t ms);
+void GfMetrics_CountRefusal(GfErrorKind kind);
 void GfMetrics_Add(GfMetric metric, uint64_t amount);
 void GfMetrics_Set(GfMetric metric, uint64_t value);
 uint64_t GfMetrics_Get(GfMetric metric);
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -87,6 +87,8 @@
     cell->uncertain_until =
         GfTime_AddMs(cell->created_at, settings->uncertainty_ms);
     cell->next_serial = settings->serial_base;
+    cell->waits = GfWaitReport_Create();
+    cell->waits_reported_at = cell->created_at;
     return cell;
 }
 
@@ -134,6 +136,7 @@
     free(cell->callers);
     free(cell->evacuated);
     free(cell->order);
+    GfWaitReport_Destroy(cell->waits);
     free(cell);
 }
 
@@ -339,7 +342,7 @@
         }
         return;
     }
-    GfLog(GF_LOG_INFO, CELL_PART,
+    GfLog(GF_LOG_NOTICE, CELL_PART,
           "start not confirmed id=%s step=%u task=%u worker=%s outcome=%s",
           id->job.data, id->step, id->index, w->info.id.data,
           GfOrderResult_Name(result));
@@ -398,7 +401,7 @@
 }
 
 /* Does the periodic work: calls workers, expires leases, runs a placement
- * round if one is due, and sends the next transaction. */
+ * round if one is due, reports waits, and sends the next transaction. */
 void
 GfCell_Tick(GfCell *cell)
 {
@@ -412,5 +415,6 @@
     if (cell->dirty) {
         CellPlace_Round(cell, now);
     }
+    CellPlaceLog_ReportWaits(cell, now);
     CellCommit_Tick(cell, now);
 }
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -5,6 +5,7 @@
 #include <uthash.h>
 
 #include "guavaflow/cell.h"
+#include "guavaflow/wait_report.h"
 
 #define CELL_PART "cell"
 /* Work classes that are accounted for separately in a team's use; higher
@@ -67,7 +68,7 @@
 
 /* Why the idle tasks of a step are not on a worker. */
 typedef enum {
-    WAIT_NONE,
+    WAIT_NONE,      /* no placement round has reached the step yet */
     WAIT_DUE,       /* not due yet, or its queue is not in the configuration */
     WAIT_UNCERTAIN, /* a former owner may have started the job, or the idle
                        tasks may still run unseen */
@@ -114,6 +115,7 @@
     bool asking;                  /* a request for advice is pending */
     uint8_t wait_cause;           /* a WaitCause */
     int32_t waited_ms[WAITS];     /* by cause, since the step was listed */
+    int32_t reported_ms[WAITS];   /* part of waited_ms in the wait report */
     struct timespec wait_updated_at; /* when waited_ms was updated last */
     bool listed;                     /* in the cell's list of waiting steps */
     Step *next;
@@ -333,6 +335,8 @@
     size_t crash_count;
     struct timespec round_at; /* the latest placement round */
     struct timespec wait_logged_at;
+    GfWaitReport *waits; /* since waits_reported_at */
+    struct timespec waits_reported_at;
     struct timespec shares_updated_at;
     struct timespec backlogs_updated_at;
 };
@@ -365,9 +369,11 @@
 /* place_log.c */
 void CellPlaceLog_Placed(const GfCell *cell, const Step *step, uint32_t count);
 void CellPlaceLog_RecordWait(Step *step, struct timespec now, WaitCause cause);
+void CellPlaceLog_ReportWaits(GfCell *cell, struct timespec now);
 void CellPlaceLog_LongestWait(GfCell *cell, struct timespec now);
 
 /* place.c */
+bool CellPlace_IsAllowed(const GfCell *cell);
 void CellPlace_Round(GfCell *cell, struct timespec now);
 
 /* advice.c */
--- a/src/cell/job_state.c
+++ b/src/cell/job_state.c
@@ -67,6 +67,7 @@
         step->wait_updated_at = step->idle_since;
         step->wait_cause = WAIT_NONE;
         memset(step->waited_ms, 0, sizeof(step->waited_ms));
+        memset(step->reported_ms, 0, sizeof(step->reported_ms));
     }
 }
 
@@ -114,7 +115,7 @@
     }
     GfMetrics_Observe(GF_HISTOGRAM_JOB,
                       GfTime_DiffMs(job->finished_at, job->accepted_at));
-    GfLog(GF_LOG_INFO, CELL_PART, "job finished id=%s state=%s age_ms=%lld",
+    GfLog(GF_LOG_DETAIL, CELL_PART, "job finished id=%s state=%s age_ms=%lld",
           job->id.data, GfJobState_Name(state),
           (long long)GfTime_DiffMs(job->finished_at, job->accepted_at));
 }
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -228,15 +228,22 @@
     return GfTime_Before(now, step->next_ask_at) ? WAIT_CAPACITY : WAIT_CALLER;
 }
 
-/* Runs a placement round: places the tasks of the waiting steps in order,
- * within ROUND_BUDGET_MS. Nothing is done before a configuration is set and
- * placement is started, and while leases may not be granted or the worker
+/* Returns whether tasks may be placed: not before a configuration is set and
+ * placement is started, nor while leases may not be granted or the worker
  * table is out of date. */
+bool
+CellPlace_IsAllowed(const GfCell *cell)
+{
+    return cell->config != NULL && cell->placement_started &&
+           cell->may_grant_leases && cell->workers_current;
+}
+
+/* Runs a placement round: places the tasks of the waiting steps in order,
+ * within ROUND_BUDGET_MS. Does nothing while placing is not allowed. */
 void
 CellPlace_Round(GfCell *cell, struct timespec now)
 {
-    if (cell->config == NULL || !cell->placement_started ||
-        !cell->may_grant_leases || !cell->workers_current) {
+    if (!CellPlace_IsAllowed(cell)) {
         return;
     }
     cell->dirty = false;
--- a/src/cellentry/jobs.c
+++ b/src/cellentry/jobs.c
@@ -54,7 +54,19 @@
 
 static void ask_owner(Request *r);
 
-/* Logs the answer, passes it to the callback and frees the request.
+/* Returns the level at which an answer is logged. The refusal of a job that
+ * was identified has a line of its own. */
+static GfLogLevel
+answer_level(const Request *r, GfErrorKind kind)
+{
+    if (kind == GF_OK) {
+        return GF_LOG_DEBUG;
+    }
+    return r->verb == GF_JOB_SUBMIT && r->id.len > 0 ? GF_LOG_DETAIL
+                                                     : GF_LOG_NOTICE;
+}
+
+/* Logs and counts the answer, passes it to the callback and frees the request.
  * Successful status and count requests are not logged. */
 static void
 answer(Request *r, const GfJobAnswer *reply)
@@ -63,7 +75,7 @@
     full.verb = r->verb;
     if (full.kind != GF_OK || r->verb == GF_JOB_SUBMIT ||
         r->verb == GF_JOB_CANCEL) {
-        GfLog(full.kind == GF_OK ? GF_LOG_DEBUG : GF_LOG_INFO, PART,
+        GfLog(answer_level(r, full.kind), PART,
               "request answered id=%s verb=%d outcome=%s tries=%u hops=%u "
               "after_ms=%lld config=%lld owner_token=%lld",
               r->id.data, (int)r->verb, GfError_Name(full.kind), r->tries,
@@ -74,6 +86,9 @@
                                        : (long long)r->entry->config->version,
               (long long)r->entry->owner.token);
     }
+    if (r->verb == GF_JOB_SUBMIT && r->hops == 0) {
+        GfMetrics_CountRefusal(full.kind);
+    }
     r->callback(r->arg, &full);
     if (r->timer != NULL) {
         event_free(r->timer);
@@ -166,7 +181,7 @@
         return;
     }
     if (count == 0 || rows[0].value == NULL) {
-        GfLog(GF_LOG_INFO, PART,
+        GfLog(GF_LOG_NOTICE, PART,
               "job row not found id=%s rows=%zu store_version=%lld owner=%s",
               r->id.data, count, (long long)version,
               r->entry->owner.name.data);
@@ -423,7 +438,7 @@
     GfError error;
     if (!r->entry->decoder->job(request->body, request->body_len, &spec,
                                 &error)) {
-        GfLog(GF_LOG_INFO, PART, "invalid job refused id=%s cause=%s",
+        GfLog(GF_LOG_NOTICE, PART, "invalid job refused id=%s cause=%s",
               r->id.data, error.text);
         answer_kind(r, GF_BAD_REQUEST);
         return;
@@ -442,7 +457,7 @@
     GfStr row = r->row;
     r->row = (GfStr){0};
     if (refusal != GF_OK) {
-        GfLog(GF_LOG_INFO, PART,
+        GfLog(GF_LOG_NOTICE, PART,
               "job not admitted id=%s queue=%s team=%s cause=%s "
               "retry_after_ms=%u owner_token=%lld",
               r->id.data, r->queue.data, r->team.data, GfError_Name(refusal),
@@ -488,7 +503,7 @@
         return GF_OK;
     }
     if (!is_job_id(id) || !GfName_SetText(&r->id, id)) {
-        GfLog(GF_LOG_INFO, PART, "invalid job id path=%s verb=%d",
+        GfLog(GF_LOG_NOTICE, PART, "invalid job id path=%s verb=%d",
               request->path, (int)r->verb);
         return r->verb == GF_JOB_SUBMIT ? GF_BAD_REQUEST : GF_NO_SUCH_JOB;
     }
--- a/src/common/metrics.c
+++ b/src/common/metrics.c
@@ -4,9 +4,11 @@
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 /* Upper limit for the text of all metrics. */
 #define EXPOSITION_BYTES 32768
+#define LABEL_BYTES 32
 
 typedef struct {
     const char *name;
@@ -67,10 +69,39 @@
                                            250, 500, 1000, 2500, 5000, 10000};
 #define BOUND_COUNT (sizeof(BUCKET_BOUNDS_MS) / sizeof(BUCKET_BOUNDS_MS[0]))
 
+/* cause tells histograms of the same name apart, which stand together; NULL:
+ * the only one. */
+typedef struct {
+    const char *name;
+    const char *cause;
+} HistogramInfo;
+
 /* In the order of GfHistogram. */
-static const char *const HISTOGRAM_NAMES[GF_HISTOGRAMS] = {
-    "accept_ms", "step_wait_ms", "job_ms",
-    "commit_ms", "takeover_ms",  "advice_ms"};
+static const HistogramInfo HISTOGRAM_INFO[GF_HISTOGRAMS] = {
+    {"accept_ms", NULL},
+    {"step_wait_ms", NULL},
+    {"job_ms", NULL},
+    {"commit_ms", NULL},
+    {"takeover_ms", NULL},
+    {"advice_ms", NULL},
+    {"step_wait_cause_ms", "round"},
+    {"step_wait_cause_ms", "due"},
+    {"step_wait_cause_ms", "doubt"},
+    {"step_wait_cause_ms", "limit"},
+    {"step_wait_cause_ms", "caller"},
+    {"step_wait_cause_ms", "advice"},
+    {"step_wait_cause_ms", "room"},
+};
+
+/* Why jobs are refused. A kind that leaves open whether the job is stored is
+ * no refusal. */
+static const GfErrorKind REFUSAL_KINDS[] = {
+    GF_BAD_REQUEST, GF_UNAUTHENTICATED,   GF_NOT_FOUND,
+    GF_NEVER_FITS,  GF_LIMIT_REACHED,     GF_BUSY,
+    GF_NO_OWNER,    GF_STORE_UNAVAILABLE, GF_NOT_CONFIRMED};
+#define REFUSAL_KIND_COUNT (sizeof(REFUSAL_KINDS) / sizeof(REFUSAL_KINDS[0]))
+
+static uint64_t refusals[GF_ERROR_KINDS];
 
 /* Counts of each bucket on its own; the export adds them up. */
 static uint64_t bucket_counts[GF_HISTOGRAMS][BOUND_COUNT + 1];
@@ -92,6 +123,15 @@
     sums_ms[histogram] += ms > 0 ? (uint64_t)ms : 0;
 }
 
+/* Counts the answer to a submitted job by its kind; of these, the refusals
+ * are exported. */
+void
+GfMetrics_CountRefusal(GfErrorKind kind)
+{
+    assert(kind < GF_ERROR_KINDS);
+    refusals[kind]++;
+}
+
 /* Increases a counter by amount. */
 void
 GfMetrics_Add(GfMetric metric, uint64_t amount)
@@ -122,9 +162,20 @@
 static size_t
 format_histogram(char *text, size_t size, int histogram)
 {
-    const char *name = HISTOGRAM_NAMES[histogram];
-    size_t len =
-        (size_t)snprintf(text, size, "# TYPE guavaflow_%s histogram\n", name);
+    const HistogramInfo *info = &HISTOGRAM_INFO[histogram];
+    const char *name = info->name;
+    size_t len = 0;
+    if (histogram == 0 ||
+        strcmp(HISTOGRAM_INFO[histogram - 1].name, name) != 0) {
+        len = (size_t)snprintf(text, size, "# TYPE guavaflow_%s histogram\n",
+                               name);
+    }
+    char label[LABEL_BYTES] = "";  /* beside the bound */
+    char labels[LABEL_BYTES] = ""; /* alone */
+    if (info->cause != NULL) {
+        snprintf(label, sizeof(label), "cause=\"%s\",", info->cause);
+        snprintf(labels, sizeof(labels), "{cause=\"%s\"}", info->cause);
+    }
     uint64_t count = 0;
     for (size_t b = 0; b <= BOUND_COUNT && len < size; b++) {
         count += bucket_counts[histogram][b];
@@ -132,15 +183,34 @@
         if (b < BOUND_COUNT) {
             snprintf(bound, sizeof(bound), "%" PRId64, BUCKET_BOUNDS_MS[b]);
         }
-        len += (size_t)snprintf(text + len, size - len,
-                                "guavaflow_%s_bucket{le=\"%s\"} %" PRIu64 "\n",
-                                name, bound, count);
+        len +=
+            (size_t)snprintf(text + len, size - len,
+                             "guavaflow_%s_bucket{%sle=\"%s\"} %" PRIu64 "\n",
+                             name, label, bound, count);
     }
     if (len < size) {
         len += (size_t)snprintf(text + len, size - len,
-                                "guavaflow_%s_sum %" PRIu64
-                                "\nguavaflow_%s_count %" PRIu64 "\n",
-                                name, sums_ms[histogram], name, count);
+                                "guavaflow_%s_sum%s %" PRIu64
+                                "\nguavaflow_%s_count%s %" PRIu64 "\n",
+                                name, labels, sums_ms[histogram], name, labels,
+                                count);
+    }
+    return len;
+}
+
+/* Formats the refusals by reason; otherwise as format_histogram. */
+static size_t
+format_refusals(char *text, size_t size)
+{
+    size_t len = (size_t)snprintf(
+        text, size,
+        "# HELP guavaflow_jobs_refused_total Jobs refused, by reason.\n"
+        "# TYPE guavaflow_jobs_refused_total counter\n");
+    for (size_t i = 0; i < REFUSAL_KIND_COUNT && len < size; i++) {
+        len += (size_t)snprintf(
+            text + len, size - len,
+            "guavaflow_jobs_refused_total{reason=\"%s\"} %" PRIu64 "\n",
+            GfError_Name(REFUSAL_KINDS[i]), refusals[REFUSAL_KINDS[i]]);
     }
     return len;
 }
@@ -164,6 +234,9 @@
                          info->name, values[i]);
         len += n > 0 ? (size_t)n : 0;
     }
+    if (len < EXPOSITION_BYTES) {
+        len += format_refusals(text + len, EXPOSITION_BYTES - len);
+    }
     for (int i = 0; i < GF_HISTOGRAMS && len < EXPOSITION_BYTES; i++) {
         len += format_histogram(text + len, EXPOSITION_BYTES - len, i);
     }
