--- a/src/cell/place_log.c
+++ b/src/cell/place_log.c
@@ -212,10 +212,12 @@
           "steps waiting class=%u waiting=%u waited_ms=%" PRId64
           " due=%" PRId64 " doubt=%" PRId64 " limit=%" PRId64
           " caller=%" PRId64 " advice=%" PRId64 " room=%" PRId64
-          " round=%" PRId64 " over_ms=%" PRId64 " teams=%s",
+          " round=%" PRId64 " over_ms=%" PRId64 " other_teams=%" PRId64
+          " teams=%s",
           work_class, waits.waiting, waits.total_ms, w[WAIT_DUE],
           w[WAIT_UNCERTAIN], w[WAIT_LIMIT], w[WAIT_CALLER], w[WAIT_ADVICE],
-          w[WAIT_CAPACITY], w[WAIT_NONE], period_ms, teams);
+          w[WAIT_CAPACITY], w[WAIT_NONE], period_ms, waits.other_teams_ms,
+          teams);
 }
 
 /* Logs once in REPORT_MS what the steps of each class have waited since the
@@ -233,7 +235,8 @@
     Step *step;
     DL_FOREACH(cell->waiting, step)
     {
-        step->waited_ms[allowed ? step->wait_cause : WAIT_NONE] +=
+        bool held_up = !allowed && !is_not_due(step);
+        step->waited_ms[held_up ? WAIT_NONE : step->wait_cause] +=
             (int32_t)GfTime_DiffMs(now, step->wait_updated_at);
         step->wait_updated_at = now;
         add_to_report(step);
