Read no clock for log lines below the level

Cause: read-through. A discarded debug line cost a reading of the clock; and a report of dropped lines that standard output cut off would have been written again with every further line, at the cost of a token each.

Change: the level is checked first; a report that is cut off counts as a dropped line and is not repeated.

--- a/src/common/log.c
+++ b/src/common/log.c
@@ -115,20 +115,17 @@
              drops.count[GF_LOG_INFO], drops.count[GF_LOG_WARNING],
              drops.count[GF_LOG_ERROR], drops.period_ms);
     GfLogLimit_Take(&limit);
-    if (write_line(GF_LOG_WARNING, "log", note)) {
-        GfLogLimit_Reported(&limit);
+    GfLogLimit_Reported(&limit);
+    if (!write_line(GF_LOG_WARNING, "log", note)) {
+        GfLogLimit_Drop(&limit, GF_LOG_WARNING, now);
     }
 }
 
-/* Returns whether a line of this level is to be written now. A line over the
- * limit counts as dropped. */
+/* Returns whether the rate limit, if there is one, allows a line of this level
+ * now. If not, the line counts as dropped. Reports dropped lines if due. */
 static bool
-is_taken(GfLogLevel level, struct timespec now)
+is_within_limit(GfLogLevel level, struct timespec now)
 {
-    assert(level < GF_LOG_LEVELS);
-    if (level < min_level) {
-        return false;
-    }
     if (!rate_limited) {
         return true;
     }
@@ -146,7 +143,9 @@
 bool
 GfLog_IsTaken(GfLogLevel level)
 {
-    return is_taken(level, GfClock_Now(GfClock_System()));
+    assert(level < GF_LOG_LEVELS);
+    return level >= min_level &&
+           is_within_limit(level, GfClock_Now(GfClock_System()));
 }
 
 /* Writes one line: wall-clock time in seconds, level, process, part and the
@@ -156,15 +155,18 @@
 void
 GfLog(GfLogLevel level, const char *part, const char *format, ...)
 {
-    struct timespec now = GfClock_Now(GfClock_System());
-    if (!is_taken(level, now)) {
+    if (level < min_level) {
         return;
     }
-    if (rate_limited && !is_writable()) {
-        GfLogLimit_Drop(&limit, level, now);
+    struct timespec now = GfClock_Now(GfClock_System());
+    if (!is_within_limit(level, now)) {
         return;
     }
     if (rate_limited) {
+        if (!is_writable()) {
+            GfLogLimit_Drop(&limit, level, now);
+            return;
+        }
         GfLogLimit_Take(&limit);
     }
     char text[LINE_BYTES];
