--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -88,6 +88,8 @@
     cell->uncertain_until =
         GfTime_AddMs(cell->created_at, settings->uncertainty_ms);
     cell->next_serial = settings->serial_base;
+    cell->waits = GfWaitReport_Create();
+    cell->waits_reported_at = cell->created_at;
     return cell;
 }
 
@@ -135,6 +137,7 @@
     GfCallers_Destroy(cell->callers);
     free(cell->evacuated);
     free(cell->order);
+    GfWaitReport_Destroy(cell->waits);
     free(cell);
 }
 
@@ -326,7 +329,7 @@
         }
         return;
     }
-    GfLog(GF_LOG_INFO, CELL_PART,
+    GfLog(GF_LOG_NOTICE, CELL_PART,
           "start not confirmed id=%s step=%u task=%u worker=%s outcome=%s",
           id->job.data, id->step, id->index, w->info.id.data,
           GfOrderResult_Name(result));
@@ -385,7 +388,7 @@
 }
 
 /* Does the periodic work: calls workers, expires leases, runs a placement
- * round if one is due, and sends the next transaction. */
+ * round if one is due, reports waits, and sends the next transaction. */
 void
 GfCell_Tick(GfCell *cell)
 {
@@ -399,5 +402,6 @@
     if (cell->dirty) {
         CellPlace_Round(cell, now);
     }
+    CellPlaceLog_ReportWaits(cell, now);
     CellCommit_Tick(cell, now);
 }
