Name more workers in a quick request while quick ones find no caller

Steps ask again when others fill the workers they were allowed. Change: while quick requests find no caller, each names twice the workers.

--- a/include/guavaflow/callers.h
+++ b/include/guavaflow/callers.h
@@ -20,7 +20,8 @@
 size_t GfCallers_KeptForQuick(const GfCallers *callers, struct timespec now);
 const GfName *GfCallers_Find(GfCallers *callers, bool slow,
                              struct timespec now, bool *is_last);
-bool GfCallers_AreScarce(const GfCallers *callers, struct timespec now);
+bool GfCallers_AreScarce(const GfCallers *callers, bool slow,
+                         struct timespec now);
 void GfCallers_Begin(GfCallers *callers, const GfName *name, bool slow,
                      struct timespec now);
 void GfCallers_End(GfCallers *callers, const GfName *name, bool answered,
--- a/src/cell/advice.c
+++ b/src/cell/advice.c
@@ -16,6 +16,8 @@
 /* Number of workers in a slow request while callers are scarce; the service
  * takes at most 100. */
 #define SCARCE_WORKERS_ASKED 96
+/* How many times the usual number of workers a quick request names then. */
+#define SCARCE_QUICK_FACTOR 2
 /* Expected share of the workers in a request that the advice allows, where no
  * earlier advice is known: the lower of the two shares that were observed. */
 #define EXPECTED_ALLOWED 0.35
@@ -375,9 +377,11 @@
     }
     collect_candidates(cell, step, now, &list);
     const Candidate *candidates = list.all;
-    size_t n = slow && GfCallers_AreScarce(cell->callers, now)
-                   ? smaller(list.count, SCARCE_WORKERS_ASKED)
-                   : request_size(step, candidates, list.count);
+    size_t n = request_size(step, candidates, list.count);
+    if (GfCallers_AreScarce(cell->callers, slow, now)) {
+        n = smaller(list.count,
+                    slow ? SCARCE_WORKERS_ASKED : n * SCARCE_QUICK_FACTOR);
+    }
     if (n == 0 || !is_request_useful(cell, step, list.fitting, is_last, now)) {
         free(list.all);
         pause_without_candidates(step, now);
--- a/src/decide/callers.c
+++ b/src/decide/callers.c
@@ -21,7 +21,7 @@
 /* Pause of a caller after a failure; it doubles with each further one. */
 #define PAUSE_MS 100
 #define MAX_PAUSE_DOUBLINGS 4
-/* Callers count as scarce for this long after a slow request found none. */
+/* Callers count as scarce for this long after a request found none. */
 #define SCARCE_MS 1000
 
 typedef struct {
@@ -38,8 +38,9 @@
     size_t next;       /* where the search for a free caller begins */
     double quick_need; /* at need_at, decaying */
     struct timespec need_at;
-    bool was_scarce;           /* scarce_at is set */
-    struct timespec scarce_at; /* when a slow request last found none */
+    /* When a quick and a slow request last found none, and whether one did. */
+    struct timespec scarce_at[2];
+    bool was_scarce[2];
 };
 
 /* Creates an empty list of callers; never NULL. */
@@ -144,6 +145,14 @@
     }
 }
 
+/* Notes that a request of a kind found no caller. */
+static void
+note_scarce(GfCallers *c, bool slow, struct timespec now)
+{
+    c->was_scarce[slow] = true;
+    c->scarce_at[slow] = now;
+}
+
 /* Returns the name of a caller that can take a request now, or NULL. A slow
  * request leaves the callers that quick ones need; *is_last is set to whether
  * no further slow request could be taken beside it. The name belongs to the
@@ -157,8 +166,7 @@
         size_t most = c->count - GfCallers_KeptForQuick(c, now);
         *is_last = busy + 1 >= most;
         if (busy >= most) {
-            c->was_scarce = true;
-            c->scarce_at = now;
+            note_scarce(c, slow, now);
             return NULL;
         }
     }
@@ -168,19 +176,21 @@
             return &caller->name;
         }
     }
+    note_scarce(c, slow, now);
     if (!slow) {
         raise_need(c, busy + 1, now);
     }
     return NULL;
 }
 
-/* Returns whether slow requests wait for callers, so that each should name as
- * many workers as it can: the time for a worker is a small part of the time of
- * a request. */
+/* Returns whether requests of a kind wait for callers, so that each should
+ * name more workers than it needs: the time for a worker is a small part of
+ * the time of a request. */
 bool
-GfCallers_AreScarce(const GfCallers *c, struct timespec now)
+GfCallers_AreScarce(const GfCallers *c, bool slow, struct timespec now)
 {
-    return c->was_scarce && GfTime_DiffMs(now, c->scarce_at) < SCARCE_MS;
+    return c->was_scarce[slow] &&
+           GfTime_DiffMs(now, c->scarce_at[slow]) < SCARCE_MS;
 }
 
 /* Notes that a caller has a request open. The search for the next one begins
--- a/tests/unit/callers.c
+++ b/tests/unit/callers.c
@@ -176,22 +176,28 @@
     GfCallers_Destroy(c);
 }
 
-/* Callers are scarce while slow requests find none, not when quick ones do. */
+/* Callers are scarce for the kind of requests that find none. */
 static void
 test_scarce(void)
 {
     GfCallers *c = create_callers(3);
     bool is_last;
-    CU_ASSERT_FALSE(GfCallers_AreScarce(c, at(0)));
+    CU_ASSERT_FALSE(GfCallers_AreScarce(c, true, at(0)));
     GfName name = GfName_Format("c0");
     GfName other = GfName_Format("c1");
     GfCallers_Begin(c, &name, true, at(0));
     GfCallers_Begin(c, &other, true, at(0));
     CU_ASSERT_PTR_NOT_NULL(GfCallers_Find(c, false, at(0), &is_last));
-    CU_ASSERT_FALSE(GfCallers_AreScarce(c, at(0)));
+    CU_ASSERT_FALSE(GfCallers_AreScarce(c, true, at(0)));
     CU_ASSERT_PTR_NULL(GfCallers_Find(c, true, at(0), &is_last));
-    CU_ASSERT_TRUE(GfCallers_AreScarce(c, at(900)));
-    CU_ASSERT_FALSE(GfCallers_AreScarce(c, at(1100)));
+    CU_ASSERT_TRUE(GfCallers_AreScarce(c, true, at(900)));
+    CU_ASSERT_FALSE(GfCallers_AreScarce(c, true, at(1100)));
+    CU_ASSERT_FALSE(GfCallers_AreScarce(c, false, at(900)));
+    name = GfName_Format("c2");
+    GfCallers_Begin(c, &name, false, at(1200));
+    CU_ASSERT_PTR_NULL(GfCallers_Find(c, false, at(1200), &is_last));
+    CU_ASSERT_TRUE(GfCallers_AreScarce(c, false, at(1300)));
+    CU_ASSERT_FALSE(GfCallers_AreScarce(c, true, at(1300)));
     GfCallers_Destroy(c);
 }
 
