Learn the speeds of workers and keep work off slow ones

Cause: nothing knew how fast a worker runs tasks. A worker that turns several times slower for some seconds is free more often than others, so it kept getting tasks, and each of them made its job late. The percent that workers list for each run was not used.

Change: decide/worker_speed.c learns the usual speed of each worker and kind and finds slow, stuck and unsteady workers from the progress of runs; cell/speed.c keeps new work off them; cell/move.c moves tasks that would end much sooner elsewhere, and tasks with a checkpoint off workers that leave before these can end. The simulation of the tests learns speeds, progress, checkpoints and tasks of uneven length.

--- a/include/guavaflow/cell.h
+++ b/include/guavaflow/cell.h
@@ -91,6 +91,7 @@
     size_t label_count;
     GfResources capacity; /* total capacity */
     bool leaving;         /* gets no more tasks */
+    int64_t remaining_ms; /* if it leaves: least time left; 0: unknown */
 } GfWorkerInfo;
 
 /* A current run in an inventory. */
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -332,6 +332,7 @@
     if (result == GF_ORDER_DONE) {
         task->state = TASK_RUNNING;
         task->started_at = GfClock_Now(cell->clock);
+        CellSpeed_Started(task, task->started_at);
         GfMetrics_Add(GF_METRIC_TASKS_PLACED, 1);
         CellJob_SetState(step->job, GF_JOB_STARTED);
         if (task->stopping) {
@@ -404,6 +405,7 @@
 {
     struct timespec now = GfClock_Now(cell->clock);
     CellWorker_Tick(cell, now);
+    CellSpeed_Tick(cell, now);
     CellMove_Tick(cell, now);
     if (cell->waiting != NULL &&
         GfTime_DiffMs(now, cell->round_at) > ROUND_INTERVAL_MS) {
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -5,6 +5,7 @@
 #include <uthash.h>
 
 #include "guavaflow/cell.h"
+#include "guavaflow/worker_speed.h"
 
 #define CELL_PART "cell"
 /* Work classes that are accounted for separately in a team's use; higher
@@ -41,6 +42,7 @@
     int64_t *failed_runs;  /* run numbers of the counted failures, unordered */
     int64_t *crashed_keys; /* worker incarnations that crashed under it */
     char *checkpoint;      /* latest one reported, or NULL */
+    GfRunProgress progress; /* of the current run, for speed.c */
     struct timespec started_at;
     struct timespec stop_sent_at;
     struct timespec stop_acked_at;
@@ -57,6 +59,7 @@
     uint32_t uncertain_serial; /* closed worker that may run it, or 0 */
     uint8_t state;             /* a TaskState */
     bool done;
+    bool moved_off_slow; /* was stopped once, as its worker was slow */
     bool excused;        /* a crash was put down to another task */
     bool accused;        /* to be judged by crash.c; does not start */
     bool suspect;        /* counted in the cell's suspects */
@@ -116,6 +119,7 @@
     int32_t waited_ms[WAITS];     /* by cause, since the step was listed */
     struct timespec wait_updated_at; /* when waited_ms was updated last */
     bool listed;                     /* in the cell's list of waiting steps */
+    bool ran_well; /* a task has had the usual speed of its worker */
     Step *next;
     Step *prev;
 };
@@ -223,6 +227,10 @@
     bool has_crashed;            /* crashed_at is set */
     struct timespec crashed_at;  /* when its latest crash was noticed */
     uint32_t inventory_number;   /* count of inventories applied */
+    GfWorkerSpeed speed;
+    uint8_t logged_speed_state; /* a GfSpeedState */
+    struct timespec probed_at;  /* latest start while its speed was doubted */
+    struct timespec leaves_at;  /* if it leaves: earliest time */
     Task *tasks;
     UT_hash_handle hh; /* by id */
     UT_hash_handle by_serial;
@@ -335,6 +343,10 @@
     struct timespec wait_logged_at;
     struct timespec shares_updated_at;
     struct timespec backlogs_updated_at;
+    GfSpeedKinds speed_kinds;
+    size_t doubted_workers; /* in number, as of speeds_checked_at */
+    struct timespec speeds_checked_at;
+    struct timespec stragglers_moved_at;
 };
 
 /* order.c */
@@ -362,6 +374,25 @@
                              const GfName *rack, bool needs_advice,
                              struct timespec now);
 
+/* speed.c */
+void CellSpeed_Started(Task *task, struct timespec now);
+void CellSpeed_BeginInventory(GfCell *cell, Worker *w, struct timespec now);
+void CellSpeed_Listed(GfCell *cell, Worker *w, Task *task, int percent,
+                      struct timespec now);
+void CellSpeed_Completed(GfCell *cell, Worker *w, Task *task);
+void CellSpeed_EndInventory(GfCell *cell, Worker *w, struct timespec now);
+void CellSpeed_Lost(GfCell *cell, Worker *w, struct timespec now);
+void CellSpeed_Restarted(GfCell *cell, Worker *w, struct timespec now);
+bool CellSpeed_Allows(const GfCell *cell, const Worker *w, const Step *step,
+                      struct timespec now);
+double CellSpeed_Cost(const GfCell *cell, const Worker *w, const Step *step,
+                      struct timespec now);
+bool CellSpeed_IsDoubted(const GfCell *cell, const Worker *w,
+                         struct timespec now);
+int64_t CellSpeed_LeftMs(const Worker *w, const Task *task,
+                         struct timespec now);
+void CellSpeed_Tick(GfCell *cell, struct timespec now);
+
 /* place_log.c */
 void CellPlaceLog_Placed(const GfCell *cell, const Step *step, uint32_t count);
 void CellPlaceLog_RecordWait(Step *step, struct timespec now, WaitCause cause);
--- a/src/cell/fit.c
+++ b/src/cell/fit.c
@@ -136,7 +136,7 @@
         !GfName_Equal(CellWorker_Rack(w), &step->spec->preferred_rack)) {
         s += OTHER_RACK_PENALTY;
     }
-    return s;
+    return s + CellSpeed_Cost(step->job->cell, w, step, now);
 }
 
 /* Returns whether a task failed within the last RECENT_FAILURE_MS, so that
@@ -209,6 +209,7 @@
         if (w == NULL || !CellFit_IsCandidate(cell, w, step) ||
             (rack != NULL && !GfName_Equal(CellWorker_Rack(w), rack)) ||
             CellCrash_Excludes(cell, w, task) ||
+            !CellSpeed_Allows(cell, w, step, now) ||
             (reliable_only && is_unreliable(w, task, now))) {
             continue;
         }
--- a/src/cell/inventory.c
+++ b/src/cell/inventory.c
@@ -110,6 +110,9 @@
     if (completion->kind != GF_COMPLETION_DONE) {
         CellTask_SetCheckpoint(task, completion->checkpoint);
     }
+    if (current && completion->kind == GF_COMPLETION_DONE) {
+        CellSpeed_Completed(cell, w, task);
+    }
     if (current) {
         CellTask_Release(task);
     }
@@ -213,7 +216,7 @@
  * adopts the run if the task is idle, or stops the run as an orphan. A run
  * whose job is still being looked up is only counted as unidentified. */
 static void
-apply_run(GfCell *cell, Worker *w, const GfRunRow *row)
+apply_run(GfCell *cell, Worker *w, const GfRunRow *row, struct timespec now)
 {
     Task *task = CellJob_Task(cell, &row->task);
     if (!is_job_resolved(cell, &row->task.job)) {
@@ -240,6 +243,7 @@
     }
     task->inventory_number = w->inventory_number;
     CellTask_SetCheckpoint(task, row->checkpoint);
+    CellSpeed_Listed(cell, w, task, row->percent, now);
     if (task->state == TASK_RUNNING && job->state == GF_JOB_QUEUED) {
         CellJob_SetState(job, GF_JOB_STARTED);
     }
@@ -313,6 +317,7 @@
     }
     size_t orphans_before = w->orphan_count + w->unidentified_runs;
     CellWorker_ClearOrphans(cell, w);
+    CellSpeed_BeginInventory(cell, w, now);
     for (size_t i = 0; i < inventory->completion_count; i++) {
         const GfCompletionRow *completion = &inventory->completions[i];
         if (completion->number <= w->applied_completion) {
@@ -327,8 +332,9 @@
         w->applied_completion = completion->number;
     }
     for (size_t i = 0; i < inventory->run_count; i++) {
-        apply_run(cell, w, &inventory->runs[i]);
+        apply_run(cell, w, &inventory->runs[i], now);
     }
+    CellSpeed_EndInventory(cell, w, now);
     handle_missing(w, sent_at);
     if (!w->contacted && w->unidentified_runs == 0) {
         /* With an unidentified run the worker's state stays uncertain. */
--- a/src/cell/preempt.c
+++ b/src/cell/preempt.c
@@ -102,6 +102,7 @@
     uint32_t stopped = 0;
     for (Worker *w = cell->workers; w != NULL && wanted > 0; w = w->hh.next) {
         if (!CellFit_Eligible(cell, w, step) ||
+            !CellSpeed_Allows(cell, w, step, now) ||
             (needs_advice &&
              CellAdvice_FindTicket(step, w->serial, now) == NULL) ||
             (step->spec->max_per_worker > 0 &&
--- a/src/cell/tasks.c
+++ b/src/cell/tasks.c
@@ -105,6 +105,8 @@
     task->stop_acked = false;
     task->stop_in_flight = false;
     task->started_at = GfClock_Now(cell->clock);
+    task->progress = (GfRunProgress){0};
+    w->probed_at = task->started_at;
     DL_APPEND(w->tasks, task);
     w->used = GfResources_Add(w->used, CellTask_CapacityTaken(step));
     w->backfill_tasks += step->spec->backfill;
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -34,6 +34,8 @@
 /* How much longer than its nominal length a lease may last because of
  * transport and timers. */
 #define LEASE_MARGIN_MS 150
+/* How long a worker that leaves stays at least, if it does not report it. */
+#define LEAVE_NOTICE_MS 1800
 #define PERCENT 100
 #define MS_PER_S 1000
 /* A new owner waits at most this long for all workers to answer before it
@@ -114,6 +116,7 @@
 CellWorker_BeginIncarnation(GfCell *cell, Worker *w, int64_t incarnation)
 {
     CellCrash_WorkerRestarted(cell, w);
+    CellSpeed_Restarted(cell, w, GfClock_Now(cell->clock));
     CellWorker_ReleaseTasks(w, "restarted");
     CellWorker_ClearOrphans(cell, w);
     w->info.incarnation = incarnation;
@@ -174,6 +177,12 @@
     else if (info->incarnation > w->info.incarnation) {
         CellWorker_BeginIncarnation(cell, w, info->incarnation);
     }
+    if (info->leaving &&
+        (!w->info.leaving || info->remaining_ms != w->info.remaining_ms)) {
+        w->leaves_at = GfTime_AddMs(GfClock_Now(cell->clock),
+                                    info->remaining_ms > 0 ? info->remaining_ms
+                                                           : LEAVE_NOTICE_MS);
+    }
     if (w->info.leaving != info->leaving) {
         GfLog(GF_LOG_INFO, CELL_PART,
               "worker leaving state changed worker=%s leaving=%d",
@@ -382,6 +391,9 @@
         w->listed = false;
     }
     if (result != GF_ORDER_DONE) {
+        if (w->hold_failures == 0) {
+            CellSpeed_Lost(cell, w, now);
+        }
         w->hold_failures++;
         uint32_t tries = w->hold_failures < HOLD_RETRY_STEPS
                              ? w->hold_failures
--- a/src/common/metrics.c
+++ b/src/common/metrics.c
@@ -57,6 +57,8 @@
     {"workers_heard", GAUGE, "Workers that answered the last call."},
     {"owner_token", GAUGE, "Highest token of an owner known here."},
     {"tasks_preempted_total", COUNTER, "Tasks stopped for urgent ones."},
+    {"workers_slow", GAUGE, "Workers believed slow or stuck."},
+    {"tasks_moved_off_slow_total", COUNTER, "Tasks moved off slow workers."},
     {"advice_asked_total", COUNTER, "Questions for advice."},
     {"log_lines_left_out", GAUGE, "Log lines over the bound."},
 };
--- a/tests/support/cell_sim.c
+++ b/tests/support/cell_sim.c
@@ -39,7 +39,11 @@
 typedef struct Run {
     GfTaskId task;
     int64_t run;
-    int64_t complete_at_ms;
+    int64_t complete_at_ms; /* at speed 1 from now on */
+    int64_t work_ms;        /* of the whole task, at speed 1 */
+    double behind_ms;       /* not yet added to complete_at_ms */
+    int64_t saved_ms;       /* work done when it was stopped */
+    bool checkpointed;
     int64_t crash_at_ms; /* when it crashes its worker; INT64_MAX: never */
     bool fails;
     bool stopping;
@@ -56,6 +60,7 @@
     GfTaskId task;
     int64_t run;
     GfCompletionKind kind;
+    char checkpoint[16]; /* work done in ms */
     struct Completion *next;
     struct Completion *prev;
 } Completion;
@@ -82,6 +87,7 @@
     bool alive;
     bool failing;
     bool starts_delayed;
+    double speed; /* work done in a ms, in ms at speed 1 */
     bool isolated_from[CELL_SIM_MAX_OWNERS]; /* by index of the owner */
     bool isolated;                           /* from all owners */
     bool unlisted;
@@ -104,6 +110,7 @@
     GfTaskId task;
     int64_t run;
     int64_t until_ms; /* end of the lease that a start or hold asks for */
+    int64_t done_ms;  /* work saved in the checkpoint of a start */
     int64_t acked;    /* highest acknowledged completion */
     int64_t wait_until_ms;
     struct timespec sent_at;
@@ -291,6 +298,9 @@
     Message *m = send_order(o->sim, START, o->index, &order->target);
     set_run(o->sim, m, &order->task, order->run);
     m->until_ms = order->until_ms;
+    if (order->checkpoint != NULL) {
+        m->done_ms = strtol(order->checkpoint, NULL, 10);
+    }
 }
 
 static void
@@ -379,17 +389,30 @@
                               .look_up = op_look_up,
                               .fenced = op_fenced};
 
+/* Returns the ms of work that a run has done; work_ms if it never ends. */
+static int64_t
+work_done_ms(const CellSim *w, const Run *run)
+{
+    int64_t left_ms = run->complete_at_ms - CellSim_NowMs(w);
+    return run->complete_at_ms == INT64_MAX || left_ms < 0
+               ? run->work_ms
+               : run->work_ms - left_ms;
+}
+
 /* Ends a run and adds it to the worker's completions. Frees the run. */
 static void
 complete_run(CellSim *w, SimWorker *s, Run *run, GfCompletionKind kind)
 {
-    (void)w;
     Completion *c = calloc(1, sizeof(*c));
     assert(c != NULL);
     c->number = ++s->last_completion;
     c->task = run->task;
     c->run = run->run;
     c->kind = kind;
+    if (w->settings.checkpoints && run->checkpointed) {
+        snprintf(c->checkpoint, sizeof(c->checkpoint), "%lld",
+                 (long long)run->saved_ms);
+    }
     DL_APPEND(s->completions, c);
     DL_DELETE(s->runs, run);
     free(run);
@@ -455,6 +478,16 @@
     }
 }
 
+/* Returns whether a task is one of those of the job that take longer. All its
+ * runs do. */
+static bool
+is_long(const SimJob *job, const GfTaskId *task)
+{
+    GfName name = GfName_Format("%u.%u", task->step, task->index);
+    uint64_t hash = GfName_Hash(&name, GfName_Hash(&job->id, 0));
+    return (double)(hash % 1000) < job->spec.long_share * 1000;
+}
+
 /* Carries out a start order at a worker. A repeated order for the same run
  * succeeds; one for another run of a task that runs, or for a run that was
  * stopped before, is superseded; one whose lease end has passed is late. */
@@ -490,8 +523,17 @@
     run->backfill = job->spec.step.backfill;
     run->serving = job->spec.step.latency_target_ms > 0;
     run->fails = s->failing || random_fraction(w) < w->settings.fail_run;
+    run->work_ms = job->spec.run_ms > 0 ? job->spec.run_ms : 1;
+    if (is_long(job, &run->task)) {
+        run->work_ms = (int64_t)((double)run->work_ms * job->spec.long_factor);
+    }
+    run->checkpointed = job->spec.step.checkpointed;
     run->complete_at_ms =
-        now + (run->fails ? job->spec.run_ms / 3 + 1 : job->spec.run_ms);
+        now + (run->fails ? run->work_ms / 3 + 1 : run->work_ms);
+    if (w->settings.checkpoints && run->checkpointed) {
+        run->saved_ms = m->done_ms;
+        run->complete_at_ms -= m->done_ms;
+    }
     if (job->spec.step.long_running) {
         run->complete_at_ms = INT64_MAX;
     }
@@ -524,6 +566,7 @@
         if (same_task(&r->task, &m->task) && r->run <= m->run &&
             !r->stopping) {
             r->stopping = true;
+            r->saved_ms = work_done_ms(w, r);
             int64_t by = CellSim_NowMs(w) + STOP_DELAY_MS;
             r->complete_at_ms =
                 by < r->complete_at_ms ? by : r->complete_at_ms;
@@ -575,8 +618,12 @@
     Run *r;
     DL_FOREACH(s->runs, r)
     {
-        runs[inventory.run_count++] = (GfRunRow){
-            .task = r->task, .run = r->run, .checkpoint = "", .percent = 100};
+        int64_t done_ms = r->stopping ? r->saved_ms : work_done_ms(w, r);
+        runs[inventory.run_count++] =
+            (GfRunRow){.task = r->task,
+                       .run = r->run,
+                       .checkpoint = "",
+                       .percent = (int)(done_ms * 100 / r->work_ms)};
     }
     Completion *c;
     DL_FOREACH(s->completions, c)
@@ -587,7 +634,7 @@
                                   .task = c->task,
                                   .run = c->run,
                                   .kind = c->kind,
-                                  .checkpoint = ""};
+                                  .checkpoint = c->checkpoint};
         }
     }
     Owner *o = &w->owners[m->owner];
@@ -742,7 +789,9 @@
     assert(spec.steps != NULL);
     for (size_t i = 0; i < spec.step_count; i++) {
         spec.steps[i] = job->spec.step;
-        spec.steps[i].estimate_ms = job->spec.run_ms;
+        spec.steps[i].estimate_ms = job->spec.estimate_ms > 0
+                                        ? job->spec.estimate_ms
+                                        : job->spec.run_ms;
         if (i > 0) {
             spec.steps[i].prerequisites = malloc(sizeof(uint32_t));
             assert(spec.steps[i].prerequisites != NULL);
@@ -899,6 +948,19 @@
     }
 }
 
+/* Moves the end of a run by what a speed other than 1 adds in a time step. */
+static void
+slow_down(Run *run, double speed)
+{
+    if (speed == 1 || run->stopping || run->complete_at_ms == INT64_MAX) {
+        return;
+    }
+    run->behind_ms += CELL_SIM_STEP_MS * (1 - speed);
+    int64_t whole_ms = (int64_t)run->behind_ms;
+    run->complete_at_ms += whole_ms;
+    run->behind_ms -= (double)whole_ms;
+}
+
 /* Completes a worker's runs that are due; all its runs lapse once its lease
  * has expired. A deadly run that is due crashes the worker. */
 static void
@@ -910,6 +972,7 @@
     Run *tmp;
     DL_FOREACH_SAFE(s->runs, r, tmp)
     {
+        slow_down(r, s->speed);
         if (s->lease_until_ms <= now) {
             complete_run(w, s, r, GF_COMPLETION_LAPSED);
         }
@@ -1047,6 +1110,7 @@
     for (int i = 0; i < settings->workers; i++) {
         SimWorker *s = &w->workers[i];
         s->alive = true;
+        s->speed = 1;
         s->info = (GfWorkerInfo){
             .id = GfName_Format("w%d", i),
             .incarnation = 1,
@@ -1438,6 +1502,34 @@
     w->workers[worker].failing = failing;
 }
 
+/* Sets how fast a worker runs its tasks from now on, from 0 on: not at all. */
+void
+CellSim_SetSpeed(CellSim *w, int worker, double speed)
+{
+    w->workers[worker].speed = speed;
+}
+
+/* Sets how long a worker says that it stays when it leaves; to be called
+ * before CellSim_SetLeaving. */
+void
+CellSim_SetRemainingMs(CellSim *w, int worker, int64_t ms)
+{
+    w->workers[worker].info.remaining_ms = ms;
+}
+
+/* Counts the runs on a worker. */
+int
+CellSim_RunsOn(const CellSim *w, int worker)
+{
+    int count = 0;
+    Run *r;
+    DL_FOREACH(w->workers[worker].runs, r)
+    {
+        count++;
+    }
+    return count;
+}
+
 /* Makes a worker carry out later starts 2 to 12 s late and without a reply, or
  * ends that. */
 void
--- a/tests/support/cell_sim.h
+++ b/tests/support/cell_sim.h
@@ -42,6 +42,8 @@
     double late_order;   /* carried out 2 to 12 s later, without a reply */
     double fail_run;     /* the run fails */
     GfFeatures features; /* optional parts that are on */
+    bool checkpoints;    /* stopped runs of checkpointed steps resume where
+                            they were; else they start again */
     bool new_ids; /* each incarnation of a worker has an id of its own */
     int64_t worker_back_ms;   /* from a crash through a deadly task until the
                                  worker's next incarnation starts; 0: never */
@@ -58,7 +60,10 @@
 typedef struct {
     const char *queue;
     const char *team;
-    int64_t run_ms; /* of each task */
+    int64_t run_ms;      /* of each task, at speed 1 */
+    int64_t estimate_ms; /* 0: run_ms */
+    double long_share;   /* of the tasks, which take long_factor as long */
+    double long_factor;
     GfStepSpec step;
     int steps;        /* length of the chain of equal steps; 0: 1 */
     bool denied;      /* advice allows no worker */
@@ -111,6 +116,9 @@
 void CellSim_SetListed(CellSim *sim, int worker, bool listed);
 void CellSim_SetLeaving(CellSim *sim, int worker, bool leaving);
 void CellSim_SetFailing(CellSim *sim, int worker, bool failing);
+void CellSim_SetSpeed(CellSim *sim, int worker, double speed);
+void CellSim_SetRemainingMs(CellSim *sim, int worker, int64_t ms);
+int CellSim_RunsOn(const CellSim *sim, int worker);
 void CellSim_SetStartsDelayed(CellSim *sim, int worker, bool delayed);
 int CellSim_BackfillOn(const CellSim *sim, int worker);
 int CellSim_ServingOn(const CellSim *sim, int worker);
