Bound how long the speed of workers keeps a step waiting

Cause: a step that only slow or stuck workers suit, by its label or by advice, waited until the belief was dropped, up to 6 s, beside free capacity; a job may not wait for 3 s while half of the capacity is free.

Change: after 1.5 s such a step starts on any worker, unless more than 60 percent of all processors are in use; a long-running step always. The decoder of workers has a test for the time that is left to one that leaves.

--- a/src/cell/speed.c
+++ b/src/cell/speed.c
@@ -27,6 +27,13 @@
 /* Pause between tasks that are started on a worker to find out its speed; the
  * progress of the first one is known by then. */
 #define PROBE_PAUSE_MS 1000
+/* A step that has waited for this long takes any worker, as long as much of
+ * the capacity is free: no work is to wait beside free workers for long, also
+ * if those that suit it are all slow. */
+#define MAX_WAIT_MS 1500
+/* From this share of processors in use on, capacity is short, and slow workers
+ * are left to work that is in time there. */
+#define BUSY_PERCENT 60
 /* Interval at which workers in doubt are counted. */
 #define CHECK_INTERVAL_MS 100
 #define PERCENT 100
@@ -165,15 +172,27 @@
     return job->objective_ms == 0 || done_ms <= job->objective_ms;
 }
 
+/* Returns whether a step has waited too long to do without a worker for its
+ * speed. That of a long-running step does not depend on the capacity in
+ * use. */
+static bool
+takes_any_worker(const GfCell *cell, const Step *step, struct timespec now)
+{
+    return (step->spec->long_running || !cell->busy) &&
+           GfTime_DiffMs(now, step->idle_since) > MAX_WAIT_MS;
+}
+
 /* Returns whether a worker's speed allows to start a task of the step there:
  * none on one that stands still; on a slow one those whose job is in time all
  * the same, or whose end does not depend on the speed; and during probation
- * one task at a time, which is in time or can be moved. */
+ * one task at a time, which is in time or can be moved. A step that has waited
+ * for long may start on any. */
 bool
 CellSpeed_Allows(const GfCell *cell, const Worker *w, const Step *step,
                  struct timespec now)
 {
-    if (!CellSpeed_IsDoubted(cell, w, now)) {
+    if (!CellSpeed_IsDoubted(cell, w, now) ||
+        takes_any_worker(cell, step, now)) {
         return true;
     }
     const GfStepSpec *spec = step->spec;
@@ -233,7 +252,7 @@
     return left_ms > since_ms ? left_ms - since_ms : 0;
 }
 
-/* Counts the workers in doubt. */
+/* Counts the workers in doubt and finds out whether capacity is short. */
 void
 CellSpeed_Tick(GfCell *cell, struct timespec now)
 {
@@ -243,10 +262,15 @@
     }
     cell->speeds_checked_at = now;
     cell->doubted_workers = 0;
+    int64_t used = 0;
+    int64_t capacity = 0;
     for (const Worker *w = cell->workers; w != NULL; w = w->hh.next) {
         cell->doubted_workers +=
             w->speed.state != GF_SPEED_TRUSTED &&
             GfWorkerSpeed_State(&w->speed, now) != GF_SPEED_TRUSTED;
+        used += w->used.mcores;
+        capacity += w->info.capacity.mcores;
     }
+    cell->busy = used * PERCENT >= capacity * BUSY_PERCENT;
     GfMetrics_Set(GF_METRIC_WORKERS_SLOW, cell->doubted_workers);
 }
--- a/tests/unit/decode.c
+++ b/tests/unit/decode.c
@@ -82,9 +82,34 @@
     }
 }
 
+/* A worker that leaves says how long it stays at least; the number of one that
+ * does not leave is ignored. */
+static void
+test_remaining_time(void)
+{
+    static const struct {
+        const char *state;
+        int64_t remaining_ms;
+    } CASES[] = {{"draining", 1700}, {"ready", 0}};
+    GfWorkerInfo info;
+    GfError error;
+    for (size_t i = 0; i < sizeof(CASES) / sizeof(CASES[0]); i++) {
+        GfStr row = GfStr_Format(
+            "{\"state\":\"%s\",\"service\":\"s\",\"zone\":\"z\","
+            "\"born\":5,\"capacity\":{\"cpu\":2000,\"memMb\":512},"
+            "\"address\":\"10.0.0.1:80\",\"remainingMs\":1700}",
+            CASES[i].state);
+        CU_ASSERT_TRUE_FATAL(
+            PlatformDecoder()->worker("w1", row.data, row.len, &info, &error));
+        CU_ASSERT_EQUAL(info.remaining_ms, CASES[i].remaining_ms);
+        GfStr_Clear(&row);
+    }
+}
+
 static const SuiteTest TESTS[] = {
     {"entries left out", test_malformed_elements},
     {"unreadable", test_unreadable},
-    {"worker", test_worker}};
+    {"worker", test_worker},
+    {"remaining time", test_remaining_time}};
 
 SUITE_MAIN("decode", TESTS)
--- a/tests/unit/uneven_workers.c
+++ b/tests/unit/uneven_workers.c
@@ -22,6 +22,9 @@
 #define QUICK_MS 640
 #define BATCH_MS 4800
 #define MAX_JOBS 2000
+/* A job with free capacity has to start within 3 s, with a second for other
+ * delays. */
+#define MAX_START_MS 2000
 #define UNFINISHED_MS 30000 /* counted for a job that does not complete */
 
 /* What happens to the fleet. */
@@ -372,14 +375,47 @@
     finish_fleet(&fleet);
 }
 
-static const SuiteTest TESTS[] = {{"slow workers", test_slow_workers},
-                                  {"stuck workers", test_stuck_workers},
-                                  {"flapping workers", test_flapping_workers},
-                                  {"owner replaced", test_owner_replaced},
-                                  {"lost inventories", test_lost_inventories},
-                                  {"quicker kind", test_quicker_kind},
-                                  {"short notice", test_short_notice},
-                                  {"task is moved once", test_moved_once},
-                                  {"tasks that stay", test_tasks_that_stay}};
+/* All workers that suit a job are slow, and others free: the job waits for a
+ * short time at most. */
+static void
+test_only_slow_workers_suit(void)
+{
+    static const Scenario EVEN = {.speed = 1};
+    Fleet fleet = create_fleet(true, &EVEN);
+    CellSimJob job = {.queue = "batch",
+                      .team = "a",
+                      .run_ms = 2 * BATCH_MS,
+                      .step = {.task_count = WORKERS / 3,
+                               .need = {1000, 100, 0},
+                               .max_per_worker = 1,
+                               .required_label = GfName_Format("b")}};
+    CellSim_Submit(fleet.sim, &job);
+    CellSim_Submit(fleet.sim, &job);
+    CellSim_Run(fleet.sim, 1000);
+    for (int i = 2; i < WORKERS; i += 3) {
+        CellSim_SetSpeed(fleet.sim, i, 0); /* those with the label b */
+    }
+    CellSim_Run(fleet.sim, 5000);
+    job.queue = "quick";
+    job.run_ms = QUICK_MS;
+    int number = CellSim_Submit(fleet.sim, &job);
+    CellSim_Run(fleet.sim, 500);
+    CU_ASSERT_EQUAL(CellSim_JobStarts(fleet.sim, number), 0);
+    CellSim_Run(fleet.sim, MAX_START_MS - 500);
+    CU_ASSERT_EQUAL(CellSim_JobStarts(fleet.sim, number), WORKERS / 3);
+    finish_fleet(&fleet);
+}
+
+static const SuiteTest TESTS[] = {
+    {"slow workers", test_slow_workers},
+    {"stuck workers", test_stuck_workers},
+    {"flapping workers", test_flapping_workers},
+    {"owner replaced", test_owner_replaced},
+    {"lost inventories", test_lost_inventories},
+    {"quicker kind", test_quicker_kind},
+    {"short notice", test_short_notice},
+    {"task is moved once", test_moved_once},
+    {"tasks that stay", test_tasks_that_stay},
+    {"only slow workers suit", test_only_slow_workers_suit}};
 
 SUITE_MAIN("uneven_workers", TESTS)
