Test changing speeds of workers beside faults

Workers turn slow and stop while orders are lost and late, owners are replaced and a worker is isolated.

--- a/tests/unit/uneven_workers.c
+++ b/tests/unit/uneven_workers.c
@@ -22,6 +22,7 @@
 #define QUICK_MS 640
 #define BATCH_MS 4800
 #define MAX_JOBS 2000
+#define SEEDS 30
 /* A job with free capacity has to start within 3 s, with a second for other
  * delays. */
 #define MAX_START_MS 2000
@@ -406,6 +407,56 @@
     finish_fleet(&fleet);
 }
 
+/* Workers change their speeds while orders are lost or late, the owner is
+ * replaced and a worker is isolated: tasks are moved, none runs twice, no
+ * limit is exceeded, and all jobs complete. */
+static void
+test_faults_at_random(void)
+{
+    for (uint32_t seed = 1; seed <= SEEDS; seed++) {
+        CellSimSettings settings = {.workers = 8,
+                                    .mcores = 16000,
+                                    .memory_mb = 64000,
+                                    .rack_size = 4,
+                                    .callers = 4,
+                                    .latency_ms = 2,
+                                    .checkpoints = true,
+                                    .lose_order = 0.02,
+                                    .lose_answer = 0.03,
+                                    .late_order = 0.02,
+                                    .features.worker_speeds = true,
+                                    .seed = seed};
+        Fleet fleet = {.config = CellSim_MakeConfig(80000)};
+        fleet.sim = CellSim_Create(&settings, fleet.config);
+        CellSim_TakeOver(fleet.sim);
+        CellSim_Run(fleet.sim, 300);
+        for (int i = 0; i < 60; i++) {
+            submit_quick(&fleet);
+            if (i % 4 == 0) {
+                fleet.jobs[fleet.count++] = submit_batch(&fleet, 2);
+            }
+            if (i % 10 == 0) {
+                CellSim_SetSpeed(fleet.sim, (i / 10 + (int)seed) % 8,
+                                 i % 20 == 0 ? SLOW_SPEED : 0);
+            }
+            if (i % 10 == 9) {
+                CellSim_SetSpeed(fleet.sim, (i / 10 + (int)seed + 7) % 8, 1);
+            }
+            if (i == 20 || i == 40) {
+                CellSim_TakeOver(fleet.sim);
+            }
+            CellSim_SetIsolated(fleet.sim, (int)seed % 8, i >= 25 && i < 35);
+            CellSim_Run(fleet.sim, 200);
+        }
+        for (int i = 0; i < settings.workers; i++) {
+            CellSim_SetSpeed(fleet.sim, i, 1);
+        }
+        CellSim_Run(fleet.sim, 60000);
+        CU_ASSERT_EQUAL(judge(&fleet, fleet.jobs, fleet.count).unfinished, 0);
+        finish_fleet(&fleet);
+    }
+}
+
 static const SuiteTest TESTS[] = {
     {"slow workers", test_slow_workers},
     {"stuck workers", test_stuck_workers},
@@ -416,6 +467,7 @@
     {"short notice", test_short_notice},
     {"task is moved once", test_moved_once},
     {"tasks that stay", test_tasks_that_stay},
-    {"only slow workers suit", test_only_slow_workers_suit}};
+    {"only slow workers suit", test_only_slow_workers_suit},
+    {"faults at random", test_faults_at_random}};
 
 SUITE_MAIN("uneven_workers", TESTS)
