Count what a run has done only from its own start

Cause: how long a run still takes was counted from the worker's latest inventory, also if the run had begun after it, by up to 1.5 s too little: such tasks were left on stuck workers. A long-running task could not be moved off a leaving worker to a slow one, which is better than to lose it.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -345,7 +345,7 @@
     struct timespec backlogs_updated_at;
     GfSpeedKinds speed_kinds;
     size_t doubted_workers; /* in number, as of speeds_checked_at */
-    bool busy; /* little capacity is free, as of speeds_checked_at */
+    bool capacity_short;    /* as of speeds_checked_at */
     struct timespec speeds_checked_at;
     struct timespec stragglers_moved_at;
 };
--- a/src/cell/move.c
+++ b/src/cell/move.c
@@ -63,7 +63,8 @@
 }
 
 /* Returns a worker that can take a task beside the tasks that are being moved
- * there, with a ticket if the queue needs advice; NULL if there is none. */
+ * there, with a ticket if the queue needs advice; NULL if there is none. A
+ * slow worker can only take a long-running task. */
 static Worker *
 find_target(GfCell *cell, const Task *task, struct timespec now)
 {
@@ -77,7 +78,7 @@
         bool reserved = w->reserved.mcores + w->reserved.memory_mb > 0;
         if (CellFit_IsCandidate(cell, w, step) &&
             !CellCrash_Excludes(cell, w, task) &&
-            !CellSpeed_IsDoubted(cell, w, now) &&
+            (step->spec->long_running || !CellSpeed_IsDoubted(cell, w, now)) &&
             GfResources_Fit(w->info.capacity, used, step->spec->need) &&
             !(reserved && step->spec->max_per_worker > 0) &&
             (!needs_advice ||
--- a/src/cell/speed.c
+++ b/src/cell/speed.c
@@ -178,7 +178,7 @@
 static bool
 takes_any_worker(const GfCell *cell, const Step *step, struct timespec now)
 {
-    return (step->spec->long_running || !cell->busy) &&
+    return (step->spec->long_running || !cell->capacity_short) &&
            GfTime_DiffMs(now, step->idle_since) > MAX_WAIT_MS;
 }
 
@@ -237,19 +237,23 @@
 }
 
 /* Returns how long in ms the current run of a task is expected to go on. Since
- * the latest inventory the run is taken to have advanced as expected. */
+ * it was last listed, or began, the run is taken to have advanced as
+ * expected. */
 int64_t
 CellSpeed_LeftMs(const Worker *w, const Task *task, struct timespec now)
 {
+    const GfRunProgress *progress = &task->progress;
     int64_t work_ms = task->step->spec->estimate_ms *
-                      (PERCENT - task->progress.percent) / PERCENT;
+                      (PERCENT - progress->percent) / PERCENT;
     int64_t left_ms = GfWorkerSpeed_RunMs(&w->speed, work_ms, now);
-    int64_t since_ms = 0;
-    if (task->progress.clock_ms > 0) {
-        since_ms =
-            GfTime_ToMs(now) + w->clock_offset_ms - w->inventory_clock_ms;
+    if (progress->clock_ms == 0) {
+        return left_ms; /* not listed yet, its start is not known */
     }
-    return left_ms > since_ms ? left_ms - since_ms : 0;
+    int64_t known_ms = progress->clock_ms > w->inventory_clock_ms
+                           ? progress->clock_ms
+                           : w->inventory_clock_ms;
+    left_ms -= GfTime_ToMs(now) + w->clock_offset_ms - known_ms;
+    return left_ms > 0 ? left_ms : 0;
 }
 
 /* Counts the workers in doubt and finds out whether capacity is short. */
@@ -271,6 +275,6 @@
         used += w->used.mcores;
         capacity += w->info.capacity.mcores;
     }
-    cell->busy = used * PERCENT >= capacity * BUSY_PERCENT;
+    cell->capacity_short = used * PERCENT >= capacity * BUSY_PERCENT;
     GfMetrics_Set(GF_METRIC_WORKERS_SLOW, cell->doubted_workers);
 }
