Merge the speeds of workers, and ask about quick ones first

Reviewed by one who did not write it. Beside the merge: a request for advice names the quicker of the workers that fit equally many tasks, and none that stands still; where a queue needs advice the scheduler can only choose among these.

--- a/src/cell/advice.c
+++ b/src/cell/advice.c
@@ -42,8 +42,8 @@
 #define MAX_DOUBLINGS 3
 /* Parts of the rank by which workers are asked about, lowest rank first:
  * workers with free capacity that advice allowed before, then those on which
- * more tasks fit, counted up to CAPACITY_RANK_MAX; workers to avoid come
- * last. */
+ * more tasks fit, counted up to CAPACITY_RANK_MAX, of these the quicker ones
+ * first; workers to avoid come last. */
 #define CAPACITY_RANK_MAX 4
 #define ALLOWED_RANK 8
 #define AVOID_RANK 16
@@ -202,6 +202,7 @@
               struct timespec now, CandidateList *list)
 {
     if (!CellFit_Eligible(cell, w, step) || is_denied(step, w->serial) ||
+        !CellSpeed_Allows(cell, w, step, now) ||
         CellAdvice_FindTicket(step, w->serial, now) != NULL) {
         return;
     }
@@ -218,7 +219,7 @@
     else {
         list->with_capacity += fit > 0;
     }
-    rank += tie_break(w, step);
+    rank += tie_break(w, step) + CellSpeed_Cost(cell, w, step, now);
     list->fitting =
         list->fitting + fit < INT32_MAX ? list->fitting + fit : INT32_MAX;
     list->all[list->count++] = (Candidate){.worker = w, .rank = rank};
