--- a/tests/bench/slopes.c
+++ b/tests/bench/slopes.c
@@ -16,6 +16,7 @@
 #include "guavaflow/allot.h"
 #include "guavaflow/job_tracker.h"
 #include "guavaflow/log.h"
+#include "guavaflow/selection.h"
 
 #define MAX_POINTS 8
 #define HASH "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
@@ -494,6 +495,57 @@
     print_series(&bytes);
 }
 
+/* Measures the processor time to order waiting steps under overload, by
+ * waiting steps of 20 teams and by teams of 10,000 steps. Most steps cannot
+ * be in time. */
+static void
+measure_selection(void)
+{
+    enum { MOST_STEPS = 10000, MOST_TEAMS = 650 };
+    static const int STEPS[] = {100, 1000, 4000, MOST_STEPS};
+    static const int TEAMS[] = {6, 50, 200, MOST_TEAMS};
+    Series by_steps = {
+        .name = "order under overload", .x_unit = "step", .y_unit = "us"};
+    Series by_teams = {
+        .name = "order under overload", .x_unit = "team", .y_unit = "us"};
+    GfSelectionStep *steps = calloc(MOST_STEPS, sizeof(*steps));
+    uint32_t *order = calloc(MOST_STEPS, sizeof(*order));
+    GfSelectionTeam teams[MOST_TEAMS];
+    GfSelectionRoom room = {.mcores = 10000000, .used_mcores = {10000000}};
+    srand(1);
+    for (size_t i = 0; i < 8; i++) {
+        int count = i < 4 ? STEPS[i] : MOST_STEPS;
+        int team_count = i < 4 ? 20 : TEAMS[i - 4];
+        for (int t = 0; t < team_count; t++) {
+            teams[t] = (GfSelectionTeam){.weight = 1 + t % 3,
+                                         .used_mcores = rand() % 100000};
+        }
+        for (int k = 0; k < count; k++) {
+            steps[k] =
+                (GfSelectionStep){.latest_start_ms = rand() % 1200 - 200,
+                                  .latest_value_ms = 3000,
+                                  .age_ms = rand() % 1000,
+                                  .room_mcores = 45000,
+                                  .work = 1000.0 * (rand() % 60000 + 1),
+                                  .worth = 1 + rand() % 100 / 100.0,
+                                  .team = (uint32_t)(rand() % team_count),
+                                  .work_class = rand() % 10 == 0 ? 2 : 0,
+                                  .begun = rand() % 10 == 0};
+        }
+        double start = cpu_us();
+        for (int k = 0; k < 20; k++) {
+            GfSelection_Order(steps, (size_t)count, teams, (size_t)team_count,
+                              &room, order);
+        }
+        add_point(i < 4 ? &by_steps : &by_teams, i < 4 ? count : team_count,
+                  (cpu_us() - start) / 20);
+    }
+    print_series(&by_steps);
+    print_series(&by_teams);
+    free(steps);
+    free(order);
+}
+
 /* Runs all measurements. */
 int
 main(void)
@@ -505,6 +557,7 @@
     GfManualClock_Init(&manual_clock, 100000);
     printf("size of a task's record: job tracker %zu, rack %zu bytes\n",
            sizeof(GfJobTask), sizeof(GfTask));
+    measure_selection();
     measure_renewals();
     measure_teams();
     measure_heartbeats();
