Serve what can be in time first under overload

Cause: the order by lateness, class, share and age spreads the room over all jobs, so that under overload nearly all are late. With the feature overload_order on, the order of the waiting steps comes from GfSelection, with latest starts and chances from GfRunTimes; steps that are not kept do not preempt. With it off, nothing changes. Ruled out: the longest of a step's runs as its run time (fewer in time beside batch jobs, as what is unlikely counts as late), and to preempt at once for steps with little time (no gain).

Tests: the loads of cell_load also run with the feature on, with the same bounds. The simulation's jobs can have run times that differ from their estimates.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -87,6 +87,7 @@
     cell->uncertain_until =
         GfTime_AddMs(cell->created_at, settings->uncertainty_ms);
     cell->next_serial = settings->serial_base;
+    cell->run_times = GfRunTimes_Create();
     return cell;
 }
 
@@ -134,6 +135,8 @@
     free(cell->callers);
     free(cell->evacuated);
     free(cell->order);
+    CellOrder_Free(cell);
+    GfRunTimes_Destroy(cell->run_times);
     free(cell);
 }
 
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -5,6 +5,7 @@
 #include <uthash.h>
 
 #include "guavaflow/cell.h"
+#include "guavaflow/run_time.h"
 
 #define CELL_PART "cell"
 /* Work classes that are accounted for separately in a team's use; higher
@@ -19,6 +20,7 @@
 typedef struct Worker Worker;
 typedef struct Waiter Waiter;
 typedef struct TeamUse TeamUse;
+typedef struct OverloadOrder OverloadOrder;
 
 /* State of a task on a worker. IDLE: on none. STARTING: the start order has no
  * outcome yet (a pending start). UNCONFIRMED: its outcome is unknown; if the
@@ -63,6 +65,7 @@
     bool stopping;       /* to be stopped; orders are repeated */
     bool stop_in_flight; /* a stop order has no outcome yet */
     bool stop_acked;     /* the worker carried out a stop order */
+    bool whole_run;      /* the run began here and without a checkpoint */
 };
 
 /* Why the idle tasks of a step are not on a worker. */
@@ -116,6 +119,7 @@
     int32_t waited_ms[WAITS];     /* by cause, since the step was listed */
     struct timespec wait_updated_at; /* when waited_ms was updated last */
     bool listed;                     /* in the cell's list of waiting steps */
+    bool deferred; /* other work goes first: does not preempt */
     Step *next;
     Step *prev;
 };
@@ -154,6 +158,8 @@
     struct timespec accepted_at;
     struct timespec finished_at;
     int64_t objective_ms;   /* from acceptance; 0: none */
+    double worth;           /* 1 for a job of its queue's mean work */
+    bool counted_set_back;  /* in the count of jobs set back */
     Waiter *waiters;        /* for the next transaction */
     Waiter *commit_waiters; /* for the pending transaction */
     Job *next_dirty;
@@ -214,7 +220,9 @@
     OrphanRun *orphans; /* those that have not ended yet */
     size_t orphan_count;
     size_t unidentified_runs; /* runs of unknown size or unresolved job */
-    uint32_t latency_tasks;   /* tasks with a latency target */
+    int64_t class_mcores[CELL_CLASSES]; /* parts of used, by timed tasks */
+    int64_t long_running_mcores;        /* part of used */
+    uint32_t latency_tasks;             /* tasks with a latency target */
     uint32_t backfill_tasks;
     uint32_t consecutive_failures; /* first failures of different tasks */
     bool has_success;              /* last_success_at is set */
@@ -245,6 +253,7 @@
     double starts_per_s;                    /* smoothed */
     GfResources uncertain_use; /* may run on workers that have not answered */
     GfResources peak[CELL_CLASSES]; /* decaying, of by_class + waiting_need */
+    uint32_t number; /* among the teams of a placement round; scratch */
     UT_hash_handle hh;
 };
 
@@ -293,6 +302,8 @@
     Step *waiting; /* steps with idle tasks and no unfinished prerequisites */
     Step **order;  /* waiting steps in scheduling order; scratch */
     size_t order_capacity;
+    OverloadOrder *overload; /* state of order.c; NULL: not used yet */
+    GfRunTimes *run_times;
     AdviceCaller *callers;
     size_t caller_count;
     TeamUse *uses;
@@ -339,6 +350,8 @@
 
 /* order.c */
 size_t CellOrder_Sort(GfCell *cell, struct timespec now);
+void CellOrder_AddJob(Job *job);
+void CellOrder_Free(GfCell *cell);
 
 /* share.c */
 void CellShare_Update(GfCell *cell, struct timespec now);
--- a/src/cell/inventory.c
+++ b/src/cell/inventory.c
@@ -93,6 +93,22 @@
     return CellJob_Find(cell, job) != NULL || CellJob_IsAbsent(cell, job);
 }
 
+/* Passes on how long a run took that has completed its task, if it did all of
+ * the task's work. A backfill task's run time depends on what others leave
+ * it. */
+static void
+observe_run_time(GfCell *cell, const Task *task)
+{
+    const GfStepSpec *spec = task->step->spec;
+    if (task->whole_run && !task->stopping && !spec->long_running &&
+        !spec->backfill) {
+        struct timespec now = GfClock_Now(cell->clock);
+        GfRunTimes_Observe(cell->run_times, &task->step->job->queue,
+                           &task->step->job->team, spec->estimate_ms,
+                           GfTime_DiffMs(now, task->started_at), now);
+    }
+}
+
 /* Applies a completion that a worker reports: releases the task if this was
  * its current run, and records its result or failure, or its checkpoint. */
 static void
@@ -111,6 +127,9 @@
         CellTask_SetCheckpoint(task, completion->checkpoint);
     }
     if (current) {
+        if (completion->kind == GF_COMPLETION_DONE) {
+            observe_run_time(cell, task);
+        }
         CellTask_Release(task);
     }
     if (!CellJob_Active(job)) {
--- a/src/cell/job_state.c
+++ b/src/cell/job_state.c
@@ -363,6 +363,7 @@
     job->work_class = q == NULL || q->work_class >= CELL_CLASSES
                           ? CELL_CLASSES - 1
                           : q->work_class;
+    CellOrder_AddJob(job);
     CellJob_ForgetLookup(cell, id);
     HASH_ADD(hh, cell->jobs, id.data, job->id.len, job);
     if (progress != NULL) {
--- a/src/cell/preempt.c
+++ b/src/cell/preempt.c
@@ -89,12 +89,12 @@
 /* Stops tasks of later classes on eligible workers, with a valid ticket if the
  * queue needs advice, for as many of the wanted tasks of the step as possible,
  * those that could start at once. Done at most every PREEMPT_PAUSE_MS for a
- * step. */
+ * step, and not for a deferred one. */
 void
 CellPreempt_FreeCapacity(GfCell *cell, Step *step, uint32_t wanted,
                          bool needs_advice, struct timespec now)
 {
-    if (GfTime_Before(now, step->next_preempt_at) ||
+    if (step->deferred || GfTime_Before(now, step->next_preempt_at) ||
         GfTime_DiffMs(now, step->idle_since) < PREEMPT_AFTER_MS) {
         return;
     }
--- a/src/cell/tasks.c
+++ b/src/cell/tasks.c
@@ -90,6 +90,19 @@
     return need;
 }
 
+/* Adds mcores, which may be negative, to what tasks of the step's kind use of
+ * a worker's processors. */
+static void
+count_mcores(Worker *w, const Step *step, int64_t mcores)
+{
+    if (step->spec->long_running) {
+        w->long_running_mcores += mcores;
+    }
+    else {
+        w->class_mcores[step->job->work_class] += mcores;
+    }
+}
+
 /* Assigns an idle task to a worker and accounts for its resources there and in
  * its team's use. */
 void
@@ -107,6 +120,8 @@
     task->started_at = GfClock_Now(cell->clock);
     DL_APPEND(w->tasks, task);
     w->used = GfResources_Add(w->used, CellTask_CapacityTaken(step));
+    count_mcores(w, step, CellTask_CapacityTaken(step).mcores);
+    task->whole_run = state == TASK_STARTING && task->checkpoint == NULL;
     w->backfill_tasks += step->spec->backfill;
     w->latency_tasks += step->spec->latency_target_ms > 0;
     CellShare_AddTask(step);
@@ -134,6 +149,7 @@
     Worker *w = task->worker;
     DL_DELETE(w->tasks, task);
     w->used = GfResources_Subtract(w->used, CellTask_CapacityTaken(step));
+    count_mcores(w, step, -CellTask_CapacityTaken(step).mcores);
     w->backfill_tasks -= step->spec->backfill;
     w->latency_tasks -= step->spec->latency_target_ms > 0;
     CellShare_RemoveTask(step);
--- a/src/common/metrics.c
+++ b/src/common/metrics.c
@@ -59,6 +59,7 @@
     {"tasks_preempted_total", COUNTER, "Tasks stopped for urgent ones."},
     {"advice_asked_total", COUNTER, "Questions for advice."},
     {"log_lines_left_out", GAUGE, "Log lines over the bound."},
+    {"jobs_set_back_total", COUNTER, "Jobs served after others, for room."},
 };
 
 /* Inclusive upper bounds of the histogram buckets in milliseconds; one more
--- a/tests/support/cell_sim.c
+++ b/tests/support/cell_sim.c
@@ -490,8 +490,10 @@
     run->backfill = job->spec.step.backfill;
     run->serving = job->spec.step.latency_target_ms > 0;
     run->fails = s->failing || random_fraction(w) < w->settings.fail_run;
-    run->complete_at_ms =
-        now + (run->fails ? job->spec.run_ms / 3 + 1 : job->spec.run_ms);
+    int64_t run_ms = job->spec.task_run_ms == NULL
+                         ? job->spec.run_ms
+                         : job->spec.task_run_ms[task_position(job, &m->task)];
+    run->complete_at_ms = now + (run->fails ? run_ms / 3 + 1 : run_ms);
     if (job->spec.step.long_running) {
         run->complete_at_ms = INT64_MAX;
     }
--- a/tests/support/cell_sim.h
+++ b/tests/support/cell_sim.h
@@ -58,7 +58,9 @@
 typedef struct {
     const char *queue;
     const char *team;
-    int64_t run_ms; /* of each task */
+    int64_t run_ms;             /* of each task, as estimated */
+    const int64_t *task_run_ms; /* what the runs take, by the task's number;
+                                   NULL: run_ms */
     GfStepSpec step;
     int steps;        /* length of the chain of equal steps; 0: 1 */
     bool denied;      /* advice allows no worker */
--- a/tests/unit/cell_load.c
+++ b/tests/unit/cell_load.c
@@ -13,6 +13,11 @@
 #include "guavaflow/log.h"
 #include "suite.h"
 
+/* Initializers of the features that are on; the build also makes this program
+ * with others than the default. */
+#ifndef FEATURES
+#define FEATURES .overload_order = false
+#endif
 #define TARGET_PERCENT 70
 /* Without regard to failures, a quarter of the starts would fall on failing
  * workers here; excluding those must save at least half of that. */
@@ -33,7 +38,8 @@
                                       .rack_size = 6,
                                       .callers = 6,
                                       .latency_ms = 2,
-                                      .seed = 3};
+                                      .seed = 3,
+                                      .features = {FEATURES}};
 
 /* A simulation, and the jobs whose completion times are checked. */
 typedef struct {
