--- a/tests/support/cell_sim.c
+++ b/tests/support/cell_sim.c
@@ -523,7 +523,10 @@
     run->backfill = job->spec.step.backfill;
     run->serving = job->spec.step.latency_target_ms > 0;
     run->fails = s->failing || random_fraction(w) < w->settings.fail_run;
-    run->work_ms = job->spec.run_ms > 0 ? job->spec.run_ms : 1;
+    int64_t run_ms = job->spec.task_run_ms == NULL
+                         ? job->spec.run_ms
+                         : job->spec.task_run_ms[task_position(job, &m->task)];
+    run->work_ms = run_ms > 0 ? run_ms : 1;
     if (is_long(job, &run->task)) {
         run->work_ms = (int64_t)((double)run->work_ms * job->spec.long_factor);
     }
--- a/tests/support/cell_sim.h
+++ b/tests/support/cell_sim.h
@@ -64,6 +64,8 @@
     int64_t estimate_ms; /* 0: run_ms */
     double long_share;   /* of the tasks, which take long_factor as long */
     double long_factor;
+    const int64_t *task_run_ms; /* what the runs take, by the task's number;
+                                   NULL: run_ms */
     GfStepSpec step;
     int steps;        /* length of the chain of equal steps; 0: 1 */
     bool denied;      /* advice allows no worker */
