--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -90,6 +90,7 @@
     cell->next_serial = settings->serial_base;
     cell->waits = GfWaitReport_Create();
     cell->waits_reported_at = cell->created_at;
+    cell->run_times = GfRunTimes_Create();
     return cell;
 }
 
@@ -138,6 +139,8 @@
     free(cell->evacuated);
     free(cell->order);
     GfWaitReport_Destroy(cell->waits);
+    CellOrder_Free(cell);
+    GfRunTimes_Destroy(cell->run_times);
     free(cell);
 }
 
