Refuse at once what will be of no value, and say when to come back

Cause: under overload all but no job was refused. Work that came too late took capacity, and its callers waited for nothing. Change: the owner makes a forecast every 200 ms (cell/foresee.c) and gives it to the entries with its answers to heartbeats and to notifications of jobs. An entry refuses a job that would be done later than three times its objective, the doubt and the age of the forecast allowed for, as busy or, if its team's limit is the cause, as limit_reached. Retry-After is when there is capacity, and successive refusals get successive times at the rate of half of the spare capacity. A forecast counts for 600 ms; a new owner has none for 3 s. Off unless overload_refusal is set. The objective is computed in one place for owner and entries (GfQueue_ObjectiveMs). The forecast does not wait until all workers of a former owner have answered, as the limits do: their capacity is left out. The stub of the store's table in the tests takes transactions now.

--- a/include/guavaflow/cell.h
+++ b/include/guavaflow/cell.h
@@ -284,6 +284,7 @@
 void GfCell_Place(GfCell *cell);
 void GfCell_Tick(GfCell *cell);
 void GfCell_UpdateAdmission(GfCell *cell, GfAdmission *admission);
+void GfCell_UpdateForecast(GfCell *cell, GfAdmission *admission);
 void GfCell_UpdateMetrics(const GfCell *cell);
 json_t *GfCell_Describe(const GfCell *cell);
 
--- a/include/guavaflow/cell_config.h
+++ b/include/guavaflow/cell_config.h
@@ -32,6 +32,11 @@
     int64_t ticket_valid_ms; /* validity of a ticket; not used by scheduler */
 } GfQueue;
 
+/* Work that takes longer than its objective is late, and beyond this multiple
+ * of the objective its result has no value to the caller; this is the
+ * documented definition. */
+#define GF_NO_VALUE_FACTOR 3
+
 /* A team, whose jobs share resources with those of other teams by weight. */
 typedef struct {
     GfName name;
@@ -63,6 +68,8 @@
                                       const GfName *name);
 const GfQueue *GfCellConfig_Route(const GfCellConfig *config, const char *host,
                                   size_t host_len, const char *path);
+int64_t GfQueue_AdviceMs(const GfQueue *queue);
+int64_t GfQueue_ObjectiveMs(const GfQueue *queue, int64_t path_ms);
 const GfCellTeam *GfCellConfig_FindTeam(const GfCellConfig *config,
                                         const GfName *name);
 const GfCellTeam *GfCellConfig_FindTeamByKey(const GfCellConfig *config,
--- a/src/cell/admission.c
+++ b/src/cell/admission.c
@@ -1,8 +1,10 @@
 /* Admission checks at submission. A job is refused if one of its tasks needs
  * more of a resource than any known worker has, as it would wait for ever, or
  * if its team's backlog is full: a team that submits far more than gets
- * started would take the owner's memory from the other teams. A job that is
- * merely late is accepted, since its caller relies on it being done. */
+ * started would take the owner's memory from the other teams. It is also
+ * refused if the owner's forecast says that it would be done too late to be of
+ * value, as its caller can do something else meanwhile. A job that is merely
+ * late is accepted, since its caller relies on it being done. */
 #include "guavaflow/admission.h"
 
 #include <assert.h>
@@ -30,6 +32,18 @@
 #define OUTAGE_RETRY_MIN_MS 1000
 #define OUTAGE_RETRY_MAX_MS 3000
 
+/* A forecast that is older says nothing of a load that begins or ends within
+ * seconds. It is several times the interval of the owner's heartbeats. */
+#define FORECAST_VALID_MS 600
+/* Longest retry time of a job refused by the forecast. Callers that were told
+ * to come back sooner than there is capacity for all of them would be the next
+ * overload. Longer times are spread over RETURN_SPREAD_MS before it. */
+#define RETURN_MAX_MS 60000
+#define RETURN_SPREAD_MS 20000
+/* Time from the completion of a job's last task until the result is stored and
+ * visible. */
+#define REPORT_DELAY_MS 60
+
 /* Returns the larger of a and b. */
 static int64_t
 larger(int64_t a, int64_t b)
@@ -164,3 +178,137 @@
     }
     return GF_OK;
 }
+
+/* Removes the forecast, so that no job is refused for it. */
+void
+GfAdmission_ForgetForecast(GfAdmission *a)
+{
+    assert(a != NULL);
+    a->forecast.number = 0;
+    a->forecast.queue_count = 0;
+    a->forecast.wait_count = 0;
+}
+
+/* Returns the forecast wait of a team's jobs in a queue, or NULL if they do
+ * not have to wait. */
+static const GfTeamWait *
+find_wait(const GfAdmissionForecast *f, const GfName *queue,
+          const GfName *team)
+{
+    const GfTeamWait *any = NULL;
+    for (size_t i = 0; i < f->wait_count; i++) {
+        const GfTeamWait *w = &f->waits[i];
+        if (w->queue >= f->queue_count ||
+            !GfName_Equal(&f->queues[w->queue].queue, queue)) {
+            continue;
+        }
+        if (w->team.len == 0) {
+            any = w;
+        }
+        else if (GfName_Equal(&w->team, team)) {
+            return w;
+        }
+    }
+    return any;
+}
+
+/* Returns the work of a job in mcore-ms. */
+static double
+work_core_ms(const GfJobSpec *spec)
+{
+    double sum = 0;
+    for (size_t i = 0; i < spec->step_count; i++) {
+        const GfStepSpec *step = &spec->steps[i];
+        sum += (double)step->need.mcores * step->task_count *
+               (double)step->estimate_ms;
+    }
+    return sum;
+}
+
+/* Returns the time for which the next caller of a queue is told to come back;
+ * NULL beyond GF_ADMISSION_MAX_QUEUES. Names of removed queues stay. */
+static GfReturnTime *
+find_return(GfAdmission *a, const GfName *queue)
+{
+    for (size_t i = 0; i < a->return_count; i++) {
+        if (GfName_Equal(&a->returns[i].queue, queue)) {
+            return &a->returns[i];
+        }
+    }
+    if (a->return_count == GF_ADMISSION_MAX_QUEUES) {
+        return NULL;
+    }
+    GfReturnTime *r = &a->returns[a->return_count++];
+    *r = (GfReturnTime){.queue = *queue};
+    return r;
+}
+
+/* Returns when a refused caller should retry. Capacity opens in opens_ms;
+ * from then on callers come back in the order in which they were refused, each
+ * after the time in which this entry's part of the spare capacity does the
+ * work of the one before. */
+static uint32_t
+return_ms(GfAdmission *a, const GfName *queue, int64_t opens_ms,
+          uint32_t spare_mcores, double core_ms, struct timespec now)
+{
+    int64_t ms = larger(opens_ms, RETRY_MIN_MS);
+    GfReturnTime *r = find_return(a, queue);
+    if (r != NULL) {
+        struct timespec first = GfTime_AddMs(now, ms);
+        if (GfTime_Before(r->next_at, first)) {
+            r->next_at = first;
+        }
+        ms = GfTime_DiffMs(r->next_at, now);
+        double step = core_ms / (spare_mcores > 0 ? spare_mcores : 1);
+        if (ms < 2 * RETURN_MAX_MS && step < RETURN_MAX_MS) {
+            r->next_at = GfTime_AddMs(r->next_at, (int64_t)step);
+        }
+    }
+    return (uint32_t)(ms <= RETURN_MAX_MS
+                          ? ms
+                          : RETURN_MAX_MS - ms % RETURN_SPREAD_MS);
+}
+
+/* Decides whether to accept a job by the owner's forecast. A job of a queue
+ * without an objective, a long-running job and one that is due later are
+ * accepted, and so is every job if the forecast is too old. Returns GF_OK;
+ * GF_BUSY if the job would be done too late to be of value; or
+ * GF_LIMIT_REACHED if that is so because of its team's limit. Fills in
+ * check. */
+GfErrorKind
+GfAdmission_CheckForecast(GfAdmission *a, const GfQueue *queue,
+                          const GfName *team, const GfJobSpec *spec,
+                          struct timespec now, GfForecastCheck *check)
+{
+    assert(a != NULL && queue != NULL && team != NULL && spec != NULL);
+    *check = (GfForecastCheck){0};
+    const GfAdmissionForecast *f = &a->forecast;
+    check->age_ms = f->number == 0 ? 0 : GfTime_DiffMs(now, f->made_at);
+    if (f->number == 0 || check->age_ms > FORECAST_VALID_MS ||
+        GfJobSpec_IsLongRunning(spec) || spec->first_due_ms > 0) {
+        return GF_OK;
+    }
+    const GfTeamWait *w = find_wait(f, &queue->name, team);
+    int64_t path_ms = GfJobSpec_CriticalPathMs(spec, GfQueue_AdviceMs(queue));
+    int64_t objective_ms = GfQueue_ObjectiveMs(queue, path_ms);
+    if (w == NULL || objective_ms <= 0) {
+        return GF_OK;
+    }
+    path_ms += REPORT_DELAY_MS;
+    const GfQueueForecast *q = &f->queues[w->queue];
+    int64_t growth_ms = check->age_ms * q->growth_ms / MS_PER_S;
+    check->wait_ms = w->wait_ms == 0 ? 0 : w->wait_ms + growth_ms;
+    check->doubt_ms = w->doubt_ms + check->age_ms;
+    if (check->wait_ms == 0 || check->wait_ms + path_ms <= objective_ms) {
+        return GF_OK;
+    }
+    check->wait_ms = w->late_wait_ms;
+    if (w->late_wait_ms + path_ms - check->doubt_ms <=
+        objective_ms * GF_NO_VALUE_FACTOR) {
+        return GF_OK;
+    }
+    check->retry_after_ms =
+        return_ms(a, &queue->name, w->late_wait_ms - check->age_ms,
+                  q->spare_mcores, work_core_ms(spec), now);
+    return w->at_limit ? GF_LIMIT_REACHED : GF_BUSY;
+}
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -131,6 +131,7 @@
         HASH_DELETE(hh, cell->uses, use);
         free(use);
     }
+    CellForesee_Destroy(cell->foresight);
     free(cell->callers);
     free(cell->evacuated);
     free(cell->order);
--- a/src/cell/cell_config.c
+++ b/src/cell/cell_config.c
@@ -5,6 +5,32 @@
 #include <string.h>
 #include <strings.h>
 
+/* Workers asked about for each step when the critical path is computed for a
+ * job's objective; this is part of the objective's documented definition. */
+#define OBJECTIVE_ADVICE_WORKERS 30
+
+/* Returns the ms for advice that the critical path of the queue's jobs counts
+ * for each step. */
+int64_t
+GfQueue_AdviceMs(const GfQueue *queue)
+{
+    assert(queue != NULL);
+    return queue->needs_advice
+               ? (int64_t)(queue->advice_ms + queue->advice_ms_per_worker *
+                                                  OBJECTIVE_ADVICE_WORKERS)
+               : 0;
+}
+
+/* Returns the objective in ms from its submission of a job of the queue whose
+ * critical path takes path_ms, advice included; 0 if the queue has none. */
+int64_t
+GfQueue_ObjectiveMs(const GfQueue *queue, int64_t path_ms)
+{
+    assert(queue != NULL);
+    return (int64_t)(queue->stretch * (double)path_ms) +
+           queue->latency_target_ms;
+}
+
 /* Returns the queue with this name, or NULL. The result belongs to config. */
 const GfQueue *
 GfCellConfig_FindQueue(const GfCellConfig *config, const GfName *name)
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -19,6 +19,7 @@
 typedef struct Worker Worker;
 typedef struct Waiter Waiter;
 typedef struct TeamUse TeamUse;
+typedef struct Foresight Foresight;
 
 /* State of a task on a worker. IDLE: on none. STARTING: the start order has no
  * outcome yet (a pending start). UNCONFIRMED: its outcome is unknown; if the
@@ -154,6 +155,9 @@
     struct timespec accepted_at;
     struct timespec finished_at;
     int64_t objective_ms;   /* from acceptance; 0: none */
+    bool foreseen;          /* counted in the forecast's arrivals */
+    uint32_t foreseen_at;   /* number of the latest forecast that counted the
+                               steps behind its running ones */
     Waiter *waiters;        /* for the next transaction */
     Waiter *commit_waiters; /* for the pending transaction */
     Job *next_dirty;
@@ -238,6 +242,7 @@
 /* Resource use of a team, in total and by class, and its start rate. */
 struct TeamUse {
     GfName team;
+    uint32_t number; /* counts from 1 in the forecast; 0: not in it yet */
     GfResources used;
     GfResources by_class[CELL_CLASSES];     /* parts of used */
     GfResources waiting_need[CELL_CLASSES]; /* of the waiting tasks */
@@ -335,6 +340,7 @@
     struct timespec wait_logged_at;
     struct timespec shares_updated_at;
     struct timespec backlogs_updated_at;
+    Foresight *foresight; /* NULL: none yet */
 };
 
 /* order.c */
@@ -346,6 +352,9 @@
 void CellShare_AddTask(const Step *step);
 void CellShare_RemoveTask(const Step *step);
 
+/* foresee.c */
+void CellForesee_Destroy(Foresight *foresight);
+
 /* preempt.c */
 void CellPreempt_FreeCapacity(GfCell *cell, Step *step, uint32_t wanted,
                               bool needs_advice, struct timespec now);
--- a/src/cell/job_state.c
+++ b/src/cell/job_state.c
@@ -9,10 +9,6 @@
 #include "guavaflow/log.h"
 #include "guavaflow/metrics.h"
 
-/* Workers asked about for each step when the critical path is computed for a
- * job's objective; this is part of the objective's documented definition. */
-#define OBJECTIVE_ADVICE_WORKERS 30
-
 /* Returns the job, or NULL if it is not known. */
 Job *
 CellJob_Find(const GfCell *cell, const GfName *id)
@@ -281,14 +277,9 @@
     if (queue == NULL) {
         return;
     }
-    int64_t per_step = 0;
-    if (queue->needs_advice) {
-        per_step = (int64_t)(queue->advice_ms + queue->advice_ms_per_worker *
-                                                    OBJECTIVE_ADVICE_WORKERS);
-    }
-    int64_t path_ms = GfJobSpec_CriticalPathMs(&job->spec, per_step);
-    job->objective_ms =
-        (int64_t)(queue->stretch * (double)path_ms) + queue->latency_target_ms;
+    int64_t per_step = GfQueue_AdviceMs(queue);
+    job->objective_ms = GfQueue_ObjectiveMs(
+        queue, GfJobSpec_CriticalPathMs(&job->spec, per_step));
     int64_t remaining[GF_JOB_MAX_STEPS];
     GfJobSpec_RemainingMs(&job->spec, per_step, remaining);
     for (size_t i = 0; i < job->step_total; i++) {
--- a/src/cellentry/accept.c
+++ b/src/cellentry/accept.c
@@ -113,17 +113,29 @@
     evtimer_add(a->timer, &tv);
 }
 
-/* Logs a notification that failed. The owner finds the row in the store
- * then. */
+/* A notification of the owner in progress. */
+typedef struct {
+    Peer *owner;
+    struct timespec sent_at;
+} Notification;
+
+/* Applies the forecast in the owner's answer, or logs a notification that
+ * failed. The owner finds the row in the store then. */
 static void
 on_owner_notified(void *arg, const GfRpcOutcome *outcome)
 {
-    (void)arg;
-    if (outcome->kind != GF_OK) {
+    Notification *n = arg;
+    if (outcome->kind == GF_OK) {
+        const gfc_job_reply *reply = outcome->result;
+        EntryForecast_Apply(n->owner->entry, n->owner, n->sent_at,
+                            &reply->forecast);
+    }
+    else {
         GfLog(GF_LOG_DEBUG, PART,
               "owner not notified of a stored job cause=%s",
               GfError_Name(outcome->kind));
     }
+    free(n);
 }
 
 /* Notifies the owner of a job whose row is stored, without waiting for an
@@ -146,11 +158,17 @@
     }
     gfc_job_call call = {.verb = GF_JOB_SUBMIT,
                          .job = (char *)id->data,
-                         .queue = (char *)queue->data};
+                         .queue = (char *)queue->data,
+                         .forecast_number = EntryForecast_KnownNumber(entry)};
     call.body.body_val = row->data;
     call.body.body_len = (u_int)row->len;
+    Notification *n = malloc(sizeof(*n));
+    if (n == NULL) {
+        abort();
+    }
+    *n = (Notification){owner, GfClock_Now(entry->clock)};
     GfRpcClient_Start(owner->client, GFC_JOB, &call, sizeof(gfc_job_reply),
-                      NOTIFY_TIMEOUT_MS, on_owner_notified, NULL);
+                      NOTIFY_TIMEOUT_MS, on_owner_notified, n);
 }
 
 /* Returns whether the store has been failing long enough to refuse callers
--- a/src/cellentry/entry_private.h
+++ b/src/cellentry/entry_private.h
@@ -163,6 +163,18 @@
 void TableWatch_Resume(TableWatch *watch);
 void TableWatch_Destroy(TableWatch *watch);
 
+/* forecast.c: the owner's forecast between entries. */
+typedef struct {
+    gfc_queue_forecast queues[GFC_MAX_QUEUES];
+    gfc_team_wait waits[GFC_MAX_WAITS];
+} ForecastRows;
+void EntryForecast_Fill(GfCellEntry *entry, uint64_t known_number,
+                        ForecastRows *rows, gfc_forecast *out);
+uint64_t EntryForecast_KnownNumber(const GfCellEntry *entry);
+void EntryForecast_Apply(GfCellEntry *entry, const Peer *from,
+                         struct timespec sent_at,
+                         const gfc_forecast *forecast);
+
 /* control.c: the operators' configuration. */
 void EntryControl_Begin(GfCellEntry *entry);
 void EntryControl_SetOwner(GfCellEntry *entry, bool owner);
--- a/src/cellentry/jobs.c
+++ b/src/cellentry/jobs.c
@@ -43,8 +43,7 @@
     int64_t caller_timeout_ms; /* from started_at */
     uint32_t tries;            /* attempts to have the owner answer */
     uint32_t hops;             /* how often the request was forwarded */
-    uint32_t retry_after_ms;   /* of a refusal because the team's backlog is
-                                * full */
+    uint32_t retry_after_ms;   /* of a refusal by admission */
     bool uncertain;            /* a cancel that may have been carried out */
     bool answer_from_row;      /* the row is enough for a STATUS */
     struct event *timer;
@@ -96,7 +95,7 @@
 answer_kind(Request *r, GfErrorKind kind)
 {
     GfJobAnswer reply = {.kind = kind};
-    if (kind == GF_LIMIT_REACHED) {
+    if (kind == GF_LIMIT_REACHED || kind == GF_BUSY) {
         reply.retry_after_ms = r->retry_after_ms;
         GfMetrics_Add(GF_METRIC_REQUESTS_REFUSED, 1);
     }
@@ -335,6 +334,23 @@
     GfRpcCall_Reply(arg, &xdr);
 }
 
+/* Handles the notification of a stored job. The answer has the forecast, as
+ * the entry that accepts jobs needs the newest. */
+static void
+answer_notification(GfCellEntry *entry, const gfc_job_call *call,
+                    GfRpcCall *rpc, const GfName *id)
+{
+    gfc_job_reply reply = {.kind = GF_NO_OWNER};
+    ForecastRows rows;
+    if (EntryTerm_IsReady(entry)) {
+        reply.kind = GF_OK;
+        EntryTerm_AddJobRow(entry, id->data, call->body.body_val,
+                            call->body.body_len, NULL, false);
+    }
+    EntryForecast_Fill(entry, call->forecast_number, &rows, &reply.forecast);
+    GfRpcCall_Reply(rpc, &reply);
+}
+
 /* Handles a request from another entry: a forwarded request of a caller
  * (STATUS, COUNT, CANCEL), notification of a stored job (SUBMIT), or a job
  * to store on its behalf (STORE). call is borrowed; rpc is answered exactly
@@ -353,12 +369,7 @@
         return;
     }
     if (call->verb == GF_JOB_SUBMIT) {
-        reply.kind = EntryTerm_IsReady(entry) ? GF_OK : GF_NO_OWNER;
-        if (reply.kind == GF_OK) {
-            EntryTerm_AddJobRow(entry, id.data, call->body.body_val,
-                                call->body.body_len, NULL, false);
-        }
-        reply_to_peer(rpc, &reply);
+        answer_notification(entry, call, rpc, &id);
         return;
     }
     if (call->verb == GF_JOB_STORE && EntryAccept_StoreIsUnavailable(entry)) {
@@ -414,6 +425,28 @@
     return (GfStr){.len = strlen(text), .data = text};
 }
 
+/* Checks a job against the limits and the forecast of the owner. Without an
+ * owner there is no forecast. Sets the time to retry; fills in forecast. */
+static GfErrorKind
+check_admission(Request *r, const GfQueue *queue, const GfJobSpec *spec,
+                GfForecastCheck *forecast)
+{
+    GfCellEntry *entry = r->entry;
+    GfErrorKind refusal =
+        GfAdmission_Check(&entry->admission, &queue->service, &r->team, spec,
+                          &r->retry_after_ms);
+    bool has_owner = entry->term != NULL || (entry->owner.token != 0 &&
+                                             !entry->owner.denies_ownership);
+    if (refusal == GF_OK && has_owner &&
+        entry->settings->features.overload_refusal) {
+        refusal =
+            GfAdmission_CheckForecast(&entry->admission, queue, &r->team, spec,
+                                      GfClock_Now(entry->clock), forecast);
+        r->retry_after_ms = forecast->retry_after_ms;
+    }
+    return refusal;
+}
+
 /* Decodes and checks a submitted job, then stores its row. If admission
  * refuses the job, an earlier accepted submit of the same id still counts. */
 static void
@@ -430,9 +463,8 @@
     }
     const GfQueue *queue = GfCellConfig_FindQueue(r->entry->config, &r->queue);
     assert(queue != NULL); /* resolve_request has found it before */
-    GfErrorKind refusal =
-        GfAdmission_Check(&r->entry->admission, &queue->service, &r->team,
-                          &spec, &r->retry_after_ms);
+    GfForecastCheck forecast = {0};
+    GfErrorKind refusal = check_admission(r, queue, &spec, &forecast);
     GfJobSpec_Clear(&spec);
     r->row = encode_row(r, request);
     if (r->row.data == NULL) {
@@ -444,9 +476,12 @@
     if (refusal != GF_OK) {
         GfLog(GF_LOG_INFO, PART,
               "job not admitted id=%s queue=%s team=%s cause=%s "
-              "retry_after_ms=%u owner_token=%lld",
+              "retry_after_ms=%u wait_ms=%lld wait_doubt_ms=%lld "
+              "forecast_age_ms=%lld owner_token=%lld",
               r->id.data, r->queue.data, r->team.data, GfError_Name(refusal),
-              r->retry_after_ms, (long long)r->entry->owner.token);
+              r->retry_after_ms, (long long)forecast.wait_ms,
+              (long long)forecast.doubt_ms, (long long)forecast.age_ms,
+              (long long)r->entry->owner.token);
         EntryAccept_RefuseUnlessStored(r->entry, &r->id, &r->queue, row,
                                        r->caller_timeout_ms, refusal,
                                        on_accepted, r);
--- a/src/cellentry/peers.c
+++ b/src/cellentry/peers.c
@@ -217,6 +217,7 @@
     if (reply->owns && entry->term == NULL) {
         entry->members_digest = reply->members_digest;
         apply_admission(entry, reply);
+        EntryForecast_Apply(entry, peer, sent_at, &reply->forecast);
     }
     EntryControl_SyncWithPeer(entry, peer, reply->config_version);
     EntryStore_HandleReport(entry, peer, reply->has_store);
@@ -240,6 +241,7 @@
     gfc_beat heartbeat = {
         .token = (uint64_t)entry->owner.token,
         .members_digest = entry->members_digest,
+        .forecast_number = EntryForecast_KnownNumber(entry),
         .config_version =
             entry->config == NULL ? 0 : (uint64_t)entry->config->version,
         .owns = entry->term != NULL,
@@ -358,7 +360,10 @@
     }
     gfc_room capacities[GFC_MAX_SERVICES];
     gfc_full_team full[GFC_MAX_TEAMS];
+    ForecastRows rows;
     if (entry->term != NULL) {
+        EntryForecast_Fill(entry, heartbeat->forecast_number, &rows,
+                           &reply.forecast);
         add_admission(&entry->admission, capacities, full, &reply);
         if (heartbeat->token > reply.token) {
             GfRpcCall_Reply(call, &reply);
--- a/src/cellentry/term.c
+++ b/src/cellentry/term.c
@@ -33,6 +33,9 @@
  * are updated at this interval. */
 #define ADMISSION_DELAY_MS 3000
 #define ADMISSION_INTERVAL_MS 1000
+/* Interval of the forecast, which goes out with the next answer to a call of
+ * an entry. */
+#define FORECAST_INTERVAL_MS 200
 /* How long the store holds calls open to wait for changes, and the pause
  * after changes. A worker that leaves must get no tasks within 2 s, also if
  * the connection of a call has gone silent and the call times out. */
@@ -212,6 +215,7 @@
         /* It was an earlier process on this host, or an earlier term. */
         GfCell_FormerOwnerEnded(term->cell);
     }
+    GfAdmission_ForgetForecast(&entry->admission);
     entry->term = term;
     entry->owner = (OwnerView){.name = entry->self, .token = token};
     entry->owner.last_contact_at = term->begun_at;
@@ -242,6 +246,7 @@
     }
     GfLog(GF_LOG_INFO, PART, "term ended token=%lld", (long long)term->token);
     entry->term = NULL;
+    GfAdmission_ForgetForecast(&entry->admission);
     EntryControl_SetOwner(entry, false);
     entry->commands->ops->set_sink(entry->commands, NULL, NULL);
     TermLoader_Cancel(term->loader);
@@ -512,18 +517,26 @@
     }
 }
 
-/* Updates the limits of admission, once workers have had the time to
- * answer. */
+/* Updates the limits of admission and the forecast, once workers have had the
+ * time to answer. */
 static void
 update_admission(Term *term, struct timespec now)
 {
-    if (GfCell_IsReady(term->cell) && GfCell_AllContacted(term->cell) &&
-        GfTime_DiffMs(now, term->loaded_at) > ADMISSION_DELAY_MS &&
+    if (!GfCell_IsReady(term->cell) ||
+        GfTime_DiffMs(now, term->loaded_at) <= ADMISSION_DELAY_MS) {
+        return;
+    }
+    if (GfCell_AllContacted(term->cell) &&
         GfTime_DiffMs(now, term->admission_updated_at) >=
             ADMISSION_INTERVAL_MS) {
         term->admission_updated_at = now;
         GfCell_UpdateAdmission(term->cell, &term->entry->admission);
     }
+    if (GfTime_DiffMs(now, term->forecast_updated_at) >=
+        FORECAST_INTERVAL_MS) {
+        term->forecast_updated_at = now;
+        GfCell_UpdateForecast(term->cell, &term->entry->admission);
+    }
 }
 
 /* Runs the periodic work of the term. Scheduling begins once a configuration
--- a/src/cellentry/term_private.h
+++ b/src/cellentry/term_private.h
@@ -32,6 +32,7 @@
     bool commit_uncertain;       /* an attempt may have been committed */
     struct timespec verified_at; /* ownership last verified */
     struct timespec admission_updated_at;
+    struct timespec forecast_updated_at;
     struct timespec commit_sent_at; /* newest attempt sent */
     int64_t store_ms; /* duration of the attempt that was committed last */
     struct timespec commit_opened_at; /* first attempt of the commit sent */
--- a/src/common/metrics.c
+++ b/src/common/metrics.c
@@ -59,6 +59,7 @@
     {"tasks_preempted_total", COUNTER, "Tasks stopped for urgent ones."},
     {"advice_asked_total", COUNTER, "Questions for advice."},
     {"log_lines_left_out", GAUGE, "Log lines over the bound."},
+    {"forecast_wait_ms", GAUGE, "Longest wait that the owner forecasts."},
 };
 
 /* Inclusive upper bounds of the histogram buckets in milliseconds; one more
--- a/src/rpc/cell_xdr.c
+++ b/src/rpc/cell_xdr.c
@@ -46,6 +46,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->members_digest))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->forecast_number))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->owns))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->stopping))
@@ -83,6 +85,105 @@
 	return TRUE;
 }
 
+bool_t
+xdr_gfc_queue_forecast (XDR *xdrs, gfc_queue_forecast *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_gfc_name (xdrs, &objp->queue))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->spare_mcores))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->growth_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gfc_team_wait (XDR *xdrs, gfc_team_wait *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_int (xdrs, &objp->queue))
+			 return FALSE;
+		 if (!xdr_gfc_name (xdrs, &objp->team))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->wait_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->late_wait_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->doubt_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->at_limit))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->wait_ms);
+			IXDR_PUT_U_LONG(buf, objp->late_wait_ms);
+			IXDR_PUT_U_LONG(buf, objp->doubt_ms);
+			IXDR_PUT_BOOL(buf, objp->at_limit);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_int (xdrs, &objp->queue))
+			 return FALSE;
+		 if (!xdr_gfc_name (xdrs, &objp->team))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->wait_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->late_wait_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->doubt_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->at_limit))
+				 return FALSE;
+		} else {
+			objp->wait_ms = IXDR_GET_U_LONG(buf);
+			objp->late_wait_ms = IXDR_GET_U_LONG(buf);
+			objp->doubt_ms = IXDR_GET_U_LONG(buf);
+			objp->at_limit = IXDR_GET_BOOL(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->queue))
+		 return FALSE;
+	 if (!xdr_gfc_name (xdrs, &objp->team))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->late_wait_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->doubt_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->at_limit))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gfc_forecast (XDR *xdrs, gfc_forecast *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->queues.queues_val, (u_int *) &objp->queues.queues_len, GFC_MAX_QUEUES,
+		sizeof (gfc_queue_forecast), (xdrproc_t) xdr_gfc_queue_forecast))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->waits.waits_val, (u_int *) &objp->waits.waits_len, GFC_MAX_WAITS,
+		sizeof (gfc_team_wait), (xdrproc_t) xdr_gfc_team_wait))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_gfc_beat_reply (XDR *xdrs, gfc_beat_reply *objp)
 {
@@ -134,6 +235,8 @@
 		 if (!xdr_array (xdrs, (char **)&objp->full.full_val, (u_int *) &objp->full.full_len, GFC_MAX_TEAMS,
 			sizeof (gfc_full_team), (xdrproc_t) xdr_gfc_full_team))
 			 return FALSE;
+		 if (!xdr_gfc_forecast (xdrs, &objp->forecast))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_gfc_peer (xdrs, &objp->from))
@@ -180,6 +283,8 @@
 		 if (!xdr_array (xdrs, (char **)&objp->full.full_val, (u_int *) &objp->full.full_len, GFC_MAX_TEAMS,
 			sizeof (gfc_full_team), (xdrproc_t) xdr_gfc_full_team))
 			 return FALSE;
+		 if (!xdr_gfc_forecast (xdrs, &objp->forecast))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -216,6 +321,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->full.full_val, (u_int *) &objp->full.full_len, GFC_MAX_TEAMS,
 		sizeof (gfc_full_team), (xdrproc_t) xdr_gfc_full_team))
 		 return FALSE;
+	 if (!xdr_gfc_forecast (xdrs, &objp->forecast))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -232,6 +339,8 @@
 		 return FALSE;
 	 if (!xdr_gfc_name (xdrs, &objp->queue))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->forecast_number))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, GFC_BODY_BYTES))
 		 return FALSE;
 	return TRUE;
@@ -254,12 +363,15 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
 				 return FALSE;
+
 		} else {
-			IXDR_PUT_LONG(buf, objp->kind);
-			IXDR_PUT_LONG(buf, objp->state);
-			IXDR_PUT_U_LONG(buf, objp->waiting);
-			IXDR_PUT_U_LONG(buf, objp->retry_after_ms);
+		IXDR_PUT_LONG(buf, objp->kind);
+		IXDR_PUT_LONG(buf, objp->state);
+		IXDR_PUT_U_LONG(buf, objp->waiting);
+		IXDR_PUT_U_LONG(buf, objp->retry_after_ms);
 		}
+		 if (!xdr_gfc_forecast (xdrs, &objp->forecast))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
@@ -272,12 +384,15 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
 				 return FALSE;
+
 		} else {
-			objp->kind = IXDR_GET_LONG(buf);
-			objp->state = IXDR_GET_LONG(buf);
-			objp->waiting = IXDR_GET_U_LONG(buf);
-			objp->retry_after_ms = IXDR_GET_U_LONG(buf);
+		objp->kind = IXDR_GET_LONG(buf);
+		objp->state = IXDR_GET_LONG(buf);
+		objp->waiting = IXDR_GET_U_LONG(buf);
+		objp->retry_after_ms = IXDR_GET_U_LONG(buf);
 		}
+		 if (!xdr_gfc_forecast (xdrs, &objp->forecast))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -289,6 +404,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
 		 return FALSE;
+	 if (!xdr_gfc_forecast (xdrs, &objp->forecast))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/rpc/cell_xdr.h
+++ b/src/rpc/cell_xdr.h
@@ -20,6 +20,8 @@
 #define GFC_MAX_WORKERS 128
 #define GFC_MAX_SERVICES 16
 #define GFC_MAX_TEAMS 64
+#define GFC_MAX_QUEUES 16
+#define GFC_MAX_WAITS 256
 
 typedef char *gfc_name;
 
@@ -37,6 +39,7 @@
 	u_quad_t token;
 	u_quad_t config_version;
 	u_quad_t members_digest;
+	u_quad_t forecast_number;
 	bool_t owns;
 	bool_t stopping;
 	bool_t has_store;
@@ -57,6 +60,37 @@
 };
 typedef struct gfc_full_team gfc_full_team;
 
+struct gfc_queue_forecast {
+	gfc_name queue;
+	u_int spare_mcores;
+	u_int growth_ms;
+};
+typedef struct gfc_queue_forecast gfc_queue_forecast;
+
+struct gfc_team_wait {
+	u_int queue;
+	gfc_name team;
+	u_int wait_ms;
+	u_int late_wait_ms;
+	u_int doubt_ms;
+	bool_t at_limit;
+};
+typedef struct gfc_team_wait gfc_team_wait;
+
+struct gfc_forecast {
+	u_quad_t number;
+	u_int age_ms;
+	struct {
+		u_int queues_len;
+		gfc_queue_forecast *queues_val;
+	} queues;
+	struct {
+		u_int waits_len;
+		gfc_team_wait *waits_val;
+	} waits;
+};
+typedef struct gfc_forecast gfc_forecast;
+
 struct gfc_beat_reply {
 	gfc_peer from;
 	bool_t owns;
@@ -82,6 +116,7 @@
 		u_int full_len;
 		gfc_full_team *full_val;
 	} full;
+	gfc_forecast forecast;
 };
 typedef struct gfc_beat_reply gfc_beat_reply;
 
@@ -90,6 +125,7 @@
 	u_int hops;
 	gfc_name job;
 	gfc_name queue;
+	u_quad_t forecast_number;
 	struct {
 		u_int body_len;
 		char *body_val;
@@ -102,6 +138,7 @@
 	int state;
 	u_int waiting;
 	u_int retry_after_ms;
+	gfc_forecast forecast;
 };
 typedef struct gfc_job_reply gfc_job_reply;
 
@@ -187,6 +224,9 @@
 extern  bool_t xdr_gfc_beat (XDR *, gfc_beat*);
 extern  bool_t xdr_gfc_room (XDR *, gfc_room*);
 extern  bool_t xdr_gfc_full_team (XDR *, gfc_full_team*);
+extern  bool_t xdr_gfc_queue_forecast (XDR *, gfc_queue_forecast*);
+extern  bool_t xdr_gfc_team_wait (XDR *, gfc_team_wait*);
+extern  bool_t xdr_gfc_forecast (XDR *, gfc_forecast*);
 extern  bool_t xdr_gfc_beat_reply (XDR *, gfc_beat_reply*);
 extern  bool_t xdr_gfc_job_call (XDR *, gfc_job_call*);
 extern  bool_t xdr_gfc_job_reply (XDR *, gfc_job_reply*);
@@ -202,6 +242,9 @@
 extern bool_t xdr_gfc_beat ();
 extern bool_t xdr_gfc_room ();
 extern bool_t xdr_gfc_full_team ();
+extern bool_t xdr_gfc_queue_forecast ();
+extern bool_t xdr_gfc_team_wait ();
+extern bool_t xdr_gfc_forecast ();
 extern bool_t xdr_gfc_beat_reply ();
 extern bool_t xdr_gfc_job_call ();
 extern bool_t xdr_gfc_job_reply ();
--- a/src/rpc/cell_xdr.x
+++ b/src/rpc/cell_xdr.x
@@ -5,6 +5,8 @@
 const GFC_MAX_WORKERS = 128;
 const GFC_MAX_SERVICES = 16;
 const GFC_MAX_TEAMS = 64;
+const GFC_MAX_QUEUES = 16;
+const GFC_MAX_WAITS = 256;
 
 typedef string gfc_name<GFC_NAME_BYTES>;
 
@@ -21,6 +23,7 @@
     unsigned hyper token;
     unsigned hyper config_version;
     unsigned hyper members_digest;
+    unsigned hyper forecast_number;
     bool owns;
     bool stopping;
     bool has_store;
@@ -38,6 +41,28 @@
     unsigned int retry_after_ms;
 };
 
+struct gfc_queue_forecast {
+    gfc_name queue;
+    unsigned int spare_mcores;
+    unsigned int growth_ms;
+};
+
+struct gfc_team_wait {
+    unsigned int queue;
+    gfc_name team;
+    unsigned int wait_ms;
+    unsigned int late_wait_ms;
+    unsigned int doubt_ms;
+    bool at_limit;
+};
+
+struct gfc_forecast {
+    unsigned hyper number;
+    unsigned int age_ms;
+    gfc_queue_forecast queues<GFC_MAX_QUEUES>;
+    gfc_team_wait waits<GFC_MAX_WAITS>;
+};
+
 struct gfc_beat_reply {
     gfc_peer from;
     bool owns;
@@ -54,6 +79,7 @@
     gfc_peer members<GFC_MAX_MEMBERS>;
     gfc_room rooms<GFC_MAX_SERVICES>;
     gfc_full_team full<GFC_MAX_TEAMS>;
+    gfc_forecast forecast;
 };
 
 struct gfc_job_call {
@@ -61,6 +87,7 @@
     unsigned int hops;
     gfc_name job;
     gfc_name queue;
+    unsigned hyper forecast_number;
     opaque body<GFC_BODY_BYTES>;
 };
 
@@ -69,6 +96,7 @@
     int state;
     unsigned int waiting;
     unsigned int retry_after_ms;
+    gfc_forecast forecast;
 };
 
 struct gfc_advice_ask {
--- a/tests/support/stub_table.c
+++ b/tests/support/stub_table.c
@@ -35,6 +35,16 @@
              (StubCall){.after = after, .callback = callback, .arg = arg});
 }
 
+static void
+stub_transact(GfTable *table, const GfTableTransaction *transaction,
+              GfTableCallback callback, void *arg)
+{
+    (void)transaction;
+    add_call(
+        table,
+        (StubCall){.is_transaction = true, .callback = callback, .arg = arg});
+}
+
 static void
 stub_abandon_older(GfTable *table)
 {
@@ -43,6 +53,7 @@
 
 static const GfTableOps OPS = {.read = stub_read,
                                .follow = stub_follow,
+                               .transact = stub_transact,
                                .abandon_older = stub_abandon_older};
 
 /* Prepares a table without calls. */
--- a/tests/support/stub_table.h
+++ b/tests/support/stub_table.h
@@ -12,6 +12,7 @@
  */
 typedef struct {
     bool is_read;
+    bool is_transaction;
     char part[64];
     int64_t after;
     GfTableCallback callback;
--- a/tests/unit/admission.c
+++ b/tests/unit/admission.c
@@ -1,6 +1,8 @@
 /* Admission of jobs. The tests guard against jobs that are refused although
- * they can be served, jobs that are accepted although they fit no worker or
- * their team has a full backlog, and times to retry that are out of bounds. */
+ * they can be served, jobs that are accepted although they fit no worker,
+ * their team has a full backlog or they will be of no value, refusals by a
+ * forecast that does not hold any more, and times to retry that are out of
+ * bounds or bring all callers back at once. */
 #include "guavaflow/admission.h"
 
 #include <string.h>
@@ -136,12 +138,173 @@
     }
 }
 
+/* An objective of 1.5 times the critical path and 250 ms more. */
+static const GfQueue QUICK = {
+    .name = {5, "quick"}, .stretch = 1.5, .latency_target_ms = 250};
+
+/* Returns limits with the forecast that every job of the queue waits for so
+ * long, made at 10 s. */
+static GfAdmission
+forecast(uint32_t wait_ms, uint32_t late_wait_ms)
+{
+    set_names();
+    GfAdmission a = {.forecast = {.number = 1,
+                                  .made_at = GfTime_FromMs(10000),
+                                  .queue_count = 1,
+                                  .wait_count = 1}};
+    a.forecast.queues[0] = (GfQueueForecast){QUICK.name, 1000, 0};
+    a.forecast.waits[0] = (GfTeamWait){
+        .wait_ms = wait_ms, .late_wait_ms = late_wait_ms, .doubt_ms = 100};
+    return a;
+}
+
+/* Checks a job with a critical path of 1 s and 1000 mcore-s of work against
+ * the forecast, some ms after it was made. */
+static GfErrorKind
+check_forecast(GfAdmission *a, const GfQueue *queue, const GfName *team,
+               int64_t after_ms, GfForecastCheck *result)
+{
+    GfStepSpec step = {
+        .task_count = 1, .need = {1000, 1, 0}, .estimate_ms = 1000};
+    GfJobSpec spec = {.steps = &step, .step_count = 1};
+    return GfAdmission_CheckForecast(a, queue, team, &spec,
+                                     GfTime_FromMs(10000 + after_ms), result);
+}
+
+/* The objective of these jobs is 1.75 s, so a wait of 600 ms is in time, and
+ * one of up to 4 s, with the doubt, of value. What waits longer is refused. */
+static void
+test_forecast_of_value(void)
+{
+    GfForecastCheck c;
+    GfAdmission a = forecast(600, 50000);
+    CU_ASSERT_EQUAL(check_forecast(&a, &QUICK, &team_a, 0, &c), GF_OK);
+    CU_ASSERT_EQUAL(c.wait_ms, 600);
+    a = forecast(900, 4200);
+    CU_ASSERT_EQUAL(check_forecast(&a, &QUICK, &team_a, 0, &c), GF_OK);
+    CU_ASSERT_EQUAL(c.retry_after_ms, 0);
+    a = forecast(900, 4500);
+    CU_ASSERT_EQUAL(check_forecast(&a, &QUICK, &team_a, 0, &c), GF_BUSY);
+    CU_ASSERT_EQUAL(c.wait_ms, 4500);
+    CU_ASSERT_EQUAL(c.doubt_ms, 100);
+    CU_ASSERT_EQUAL(c.retry_after_ms, 4500);
+    /* There is room for it now, whatever comes later. */
+    a = forecast(0, 50000);
+    CU_ASSERT_EQUAL(check_forecast(&a, &QUICK, &team_a, 0, &c), GF_OK);
+}
+
+/* A forecast counts for 600 ms, and its age adds to its doubt. Without one,
+ * nobody is refused. */
+static void
+test_forecast_too_old(void)
+{
+    GfForecastCheck c;
+    GfAdmission a = forecast(900, 50000);
+    CU_ASSERT_EQUAL(check_forecast(&a, &QUICK, &team_a, 600, &c), GF_BUSY);
+    CU_ASSERT_EQUAL(c.age_ms, 600);
+    CU_ASSERT_EQUAL(c.doubt_ms, 700);
+    CU_ASSERT_EQUAL(check_forecast(&a, &QUICK, &team_a, 601, &c), GF_OK);
+    a = forecast(900, 4500);
+    CU_ASSERT_EQUAL(check_forecast(&a, &QUICK, &team_a, 300, &c), GF_OK);
+    GfAdmission_ForgetForecast(&a);
+    CU_ASSERT_EQUAL(check_forecast(&a, &QUICK, &team_a, 0, &c), GF_OK);
+}
+
+/* Waits that grow are taken as they are when the job is submitted. */
+static void
+test_forecast_of_growing_wait(void)
+{
+    GfForecastCheck c;
+    GfAdmission a = forecast(600, 50000);
+    a.forecast.queues[0].growth_ms = 1000;
+    CU_ASSERT_EQUAL(check_forecast(&a, &QUICK, &team_a, 0, &c), GF_OK);
+    CU_ASSERT_EQUAL(check_forecast(&a, &QUICK, &team_a, 200, &c), GF_BUSY);
+}
+
+/* Jobs without an objective, long-running ones, ones that are due later and
+ * ones of other queues are never refused for a forecast. */
+static void
+test_forecast_does_not_apply(void)
+{
+    GfForecastCheck c;
+    GfAdmission a = forecast(900, 50000);
+    GfQueue none = {.name = QUICK.name};
+    GfQueue other = QUICK;
+    CU_ASSERT(GfName_SetText(&other.name, "other"));
+    CU_ASSERT_EQUAL(check_forecast(&a, &none, &team_a, 0, &c), GF_OK);
+    CU_ASSERT_EQUAL(check_forecast(&a, &other, &team_a, 0, &c), GF_OK);
+    GfStepSpec step = {
+        .task_count = 1, .estimate_ms = 1000, .long_running = true};
+    GfJobSpec spec = {.steps = &step, .step_count = 1};
+    struct timespec now = GfTime_FromMs(10000);
+    CU_ASSERT_EQUAL(
+        GfAdmission_CheckForecast(&a, &QUICK, &team_a, &spec, now, &c), GF_OK);
+    step.long_running = false;
+    spec.first_due_ms = 1;
+    CU_ASSERT_EQUAL(
+        GfAdmission_CheckForecast(&a, &QUICK, &team_a, &spec, now, &c), GF_OK);
+}
+
+/* A team's own wait goes before that of all teams, and a team that waits for
+ * its limit is told so. */
+static void
+test_forecast_by_team(void)
+{
+    GfForecastCheck c;
+    GfAdmission a = forecast(0, 0);
+    a.forecast.waits[a.forecast.wait_count++] =
+        (GfTeamWait){.team = team_a,
+                     .wait_ms = 900,
+                     .late_wait_ms = 9000,
+                     .at_limit = true};
+    CU_ASSERT_EQUAL(check_forecast(&a, &QUICK, &team_a, 0, &c),
+                    GF_LIMIT_REACHED);
+    CU_ASSERT_EQUAL(check_forecast(&a, &QUICK, &team_b, 0, &c), GF_OK);
+    a = forecast(900, 9000);
+    a.forecast.waits[a.forecast.wait_count++] = (GfTeamWait){.team = team_a};
+    CU_ASSERT_EQUAL(check_forecast(&a, &QUICK, &team_a, 0, &c), GF_OK);
+    CU_ASSERT_EQUAL(check_forecast(&a, &QUICK, &team_b, 0, &c), GF_BUSY);
+    a.forecast.waits[1].queue = 9;
+    CU_ASSERT_EQUAL(check_forecast(&a, &QUICK, &team_a, 0, &c), GF_BUSY);
+}
+
+/* Refused callers come back in the order in which they were refused, each a
+ * second after the one before, as the spare capacity does the work of one of
+ * their jobs in a second; never later than a minute, and then not all at one
+ * time. */
+static void
+test_forecast_retry(void)
+{
+    GfForecastCheck c;
+    GfAdmission a = forecast(900, 9000);
+    for (uint32_t i = 0; i < 50; i++) {
+        CU_ASSERT_EQUAL(check_forecast(&a, &QUICK, &team_a, 0, &c), GF_BUSY);
+        CU_ASSERT_EQUAL(c.retry_after_ms, 9000 + i * 1000);
+    }
+    uint32_t before = 0;
+    for (uint32_t i = 0; i < 500; i++) {
+        CU_ASSERT_EQUAL(check_forecast(&a, &QUICK, &team_b, 0, &c), GF_BUSY);
+        CU_ASSERT_TRUE(c.retry_after_ms >= 40000 && c.retry_after_ms <= 60000);
+        CU_ASSERT_TRUE(i > 50 || c.retry_after_ms != before);
+        before = c.retry_after_ms;
+    }
+    a.forecast.queues[0].spare_mcores = 0;
+    CU_ASSERT_EQUAL(check_forecast(&a, &QUICK, &team_b, 0, &c), GF_BUSY);
+    CU_ASSERT_TRUE(c.retry_after_ms >= 1000 && c.retry_after_ms <= 60000);
+}
+
 static const SuiteTest TESTS[] = {
     {"no worker known", test_no_worker_known},
     {"never fits", test_never_fits},
     {"backlog", test_backlog},
     {"all teams together", test_all_teams_together},
     {"outage", test_outage},
+    {"forecast: of value or not", test_forecast_of_value},
+    {"forecast: too old", test_forecast_too_old},
+    {"forecast: growing wait", test_forecast_of_growing_wait},
+    {"forecast: jobs it does not apply to", test_forecast_does_not_apply},
+    {"forecast: by team", test_forecast_by_team},
+    {"forecast: times to retry", test_forecast_retry},
 };
 
 SUITE_MAIN("admission", TESTS)
