--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -136,6 +136,7 @@
         free(use);
     }
     GfCallers_Destroy(cell->callers);
+    CellForesee_Destroy(cell->foresight);
     free(cell->evacuated);
     free(cell->order);
     GfWaitReport_Destroy(cell->waits);
