--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -24,6 +24,7 @@
 typedef struct Waiter Waiter;
 typedef struct TeamUse TeamUse;
 typedef struct OverloadOrder OverloadOrder;
+typedef struct Foresight Foresight;
 
 /* State of a task on a worker. IDLE: on none. STARTING: the start order has no
  * outcome yet (a pending start). UNCONFIRMED: its outcome is unknown; if the
@@ -167,6 +168,9 @@
     int64_t objective_ms;   /* from acceptance; 0: none */
     double worth;           /* 1 for a job of its queue's mean work */
     bool counted_set_back;  /* in the count of jobs set back */
+    bool foreseen;          /* counted in the forecast's arrivals */
+    uint32_t foreseen_at;   /* number of the latest forecast that counted the
+                               steps behind its running ones */
     Waiter *waiters;        /* for the next transaction */
     Waiter *commit_waiters; /* for the pending transaction */
     Job *next_dirty;
@@ -250,6 +254,7 @@
 /* Resource use of a team, in total and by class, and its start rate. */
 struct TeamUse {
     GfName team;
+    uint32_t forecast_number; /* counts from 1; 0: not in the forecast yet */
     GfResources used;
     GfResources by_class[CELL_CLASSES];     /* parts of used */
     GfResources waiting_need[CELL_CLASSES]; /* of the waiting tasks */
@@ -357,6 +362,7 @@
     bool capacity_short;    /* as of speeds_checked_at */
     struct timespec speeds_checked_at;
     struct timespec stragglers_moved_at;
+    Foresight *foresight; /* NULL: none yet */
 };
 
 /* order.c */
@@ -370,6 +376,9 @@
 void CellShare_AddTask(const Step *step);
 void CellShare_RemoveTask(const Step *step);
 
+/* foresee.c */
+void CellForesee_Destroy(Foresight *foresight);
+
 /* preempt.c */
 void CellPreempt_FreeCapacity(GfCell *cell, Step *step, uint32_t wanted,
                               bool needs_advice, struct timespec now);
--- a/src/common/metrics.c
+++ b/src/common/metrics.c
@@ -64,6 +64,7 @@
     {"advice_asked_total", COUNTER, "Questions for advice."},
     {"log_lines_left_out", GAUGE, "Log lines over the bound."},
     {"jobs_set_back_total", COUNTER, "Jobs served after others, for room."},
+    {"forecast_wait_ms", GAUGE, "Longest wait that the owner forecasts."},
 };
 
 /* Inclusive upper bounds of the histogram buckets in milliseconds; one more
