--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -11,6 +11,9 @@
 #include "guavaflow/run_time.h"
 
 #define CELL_PART "cell"
+/* Time from the completion of a job's last task until the result is stored and
+ * visible: the worker's report, the commit interval and a transaction. */
+#define CELL_REPORT_DELAY_MS 60
 /* Work classes that are accounted for separately in a team's use; higher
  * classes count as the last one. */
 #define CELL_CLASSES 4
@@ -366,6 +369,7 @@
 };
 
 /* order.c */
+uint32_t CellOrder_Lateness(const Step *step, int64_t age_ms);
 size_t CellOrder_Sort(GfCell *cell, struct timespec now);
 void CellOrder_AddJob(Job *job);
 void CellOrder_Free(GfCell *cell);
--- a/src/cell/foresee.c
+++ b/src/cell/foresee.c
@@ -24,9 +24,6 @@
 /* Shortest expected time until the end of a run that takes longer than was
  * estimated. */
 #define OVERRUN_MS 50
-/* Time from the completion of a job's last task until the result is stored and
- * visible. */
-#define REPORT_DELAY_MS 60
 /* Waits of a team that differ by less from those of a new team are not
  * listed. */
 #define SAME_WAIT_MS 50
@@ -196,7 +193,7 @@
     update_mean(&s->classes[c].run_ms, core_ms / mcores, weight);
     int64_t path_ms = GfJobSpec_CriticalPathMs(
         &job->spec, GfQueue_AdviceMs(job->queue_in_force));
-    int64_t slack_ms = job->objective_ms - path_ms - REPORT_DELAY_MS;
+    int64_t slack_ms = job->objective_ms - path_ms - CELL_REPORT_DELAY_MS;
     update_mean(&s->classes[c].slack_ms, slack_ms > 0 ? (double)slack_ms : 1,
                 weight);
 }
@@ -244,21 +241,6 @@
     }
 }
 
-/* Returns how late a step would be done if it started now: 0 in time, 1 late,
- * 2 too late to be of value. */
-static int
-lateness(const Step *step, struct timespec now)
-{
-    const Job *job = step->job;
-    int64_t done_ms = GfTime_DiffMs(now, job->accepted_at) +
-                      step->remaining_ms + REPORT_DELAY_MS;
-    if (step->spec->long_running || job->objective_ms == 0 ||
-        done_ms <= job->objective_ms) {
-        return 0;
-    }
-    return done_ms <= job->objective_ms * GF_NO_VALUE_FACTOR ? 1 : 2;
-}
-
 /* Adds tasks of a step as waiting. Work that cannot be done in time to be of
  * value is left out, as it comes last. */
 static void
@@ -266,7 +248,8 @@
             struct timespec now)
 {
     const Job *job = step->job;
-    int late = lateness(step, now);
+    int late = (int)CellOrder_Lateness(
+        step, GfTime_DiffMs(now, step->job->accepted_at));
     if (step->spec->backfill || late > 1) {
         return;
     }
@@ -446,7 +429,8 @@
     for (const Step *step = cell->waiting; queue->needs_advice && step != NULL;
          step = step->next) {
         if (step->job->queue_in_force == queue && step->allowed_count == 0) {
-            requests[lateness(step, now)]++;
+            requests[CellOrder_Lateness(
+                step, GfTime_DiffMs(now, step->job->accepted_at))]++;
         }
     }
     int64_t ms = GfQueue_AdviceMs(queue);
--- a/src/cell/order.c
+++ b/src/cell/order.c
@@ -15,13 +15,6 @@
 #include "guavaflow/metrics.h"
 #include "guavaflow/selection.h"
 
-/* Work that takes longer than its objective is late, and beyond three times
- * the objective its result has no value to the caller; this is the documented
- * definition. */
-#define NO_VALUE_FACTOR 3
-/* Time from the completion of a job's last task until the result is stored and
- * visible: the worker's report, the commit interval and a transaction. */
-#define REPORT_DELAY_MS 60
 /* A job is worth a fixed part, and a part in proportion to its work against
  * the mean of its queue; this is the documented definition. */
 #define FIXED_WORTH 0.3
@@ -90,16 +83,16 @@
 /* Returns how late the job would be done if the step started now: 0 in time, 1
  * late, 2 too late to be of value. A long-running step is never late, as all
  * its run time counts. */
-static uint32_t
-lateness(const Step *step, int64_t age_ms)
+uint32_t
+CellOrder_Lateness(const Step *step, int64_t age_ms)
 {
     const Job *job = step->job;
-    int64_t done_ms = age_ms + step->remaining_ms + REPORT_DELAY_MS;
+    int64_t done_ms = age_ms + step->remaining_ms + CELL_REPORT_DELAY_MS;
     if (step->spec->long_running || job->objective_ms == 0 ||
         done_ms <= job->objective_ms) {
         return 0;
     }
-    return done_ms <= job->objective_ms * NO_VALUE_FACTOR ? 1 : 2;
+    return done_ms <= job->objective_ms * GF_NO_VALUE_FACTOR ? 1 : 2;
 }
 
 /* Returns the sort key of a step. */
@@ -111,7 +104,7 @@
     const GfQueue *queue = job->queue_in_force;
     const GfCellTeam *team = job->team_in_force;
     r.age_ms = GfTime_DiffMs(now, job->accepted_at);
-    r.lateness = lateness(step, r.age_ms);
+    r.lateness = CellOrder_Lateness(step, r.age_ms);
     r.work_class = queue == NULL ? UINT32_MAX : queue->work_class;
     double weight = team == NULL || team->weight <= 0 ? 1 : team->weight;
     r.share = (double)job->use->used.mcores / weight;
@@ -307,7 +300,7 @@
     if (job->objective_ms > 0) {
         int64_t left_ms = GfRunTimes_RemainingMs(
             cell->run_times, &job->queue, &job->team, step->remaining_ms, 0);
-        int64_t done_ms = age_ms + left_ms + REPORT_DELAY_MS;
+        int64_t done_ms = age_ms + left_ms + CELL_REPORT_DELAY_MS;
         if (step->remaining_ms > 0) {
             v.work *= (double)left_ms / (double)step->remaining_ms;
         }
@@ -315,7 +308,7 @@
         v.worth *= GfRunTimes_ChanceWithin(
             cell->run_times, &job->queue, &job->team, step->remaining_ms,
             step->spec->task_count, v.latest_start_ms + left_ms);
-        v.latest_value_ms = job->objective_ms * NO_VALUE_FACTOR - done_ms;
+        v.latest_value_ms = job->objective_ms * GF_NO_VALUE_FACTOR - done_ms;
     }
     return v;
 }
--- a/src/cell/speed.c
+++ b/src/cell/speed.c
@@ -22,8 +22,6 @@
 #define LASTING_PREFERENCE (-0.25)
 /* Most that the preference adds. */
 #define MAX_PREFERENCE_COST 0.9
-/* From a run's end until its result is stored and visible. */
-#define REPORT_DELAY_MS 60
 /* Pause between tasks that are started on a worker to find out its speed; the
  * progress of the first one is known by then. */
 #define PROBE_PAUSE_MS 1000
@@ -168,7 +166,7 @@
     int64_t work_ms = step->spec->estimate_ms;
     int64_t done_ms =
         GfTime_DiffMs(now, job->accepted_at) + step->remaining_ms - work_ms +
-        GfWorkerSpeed_RunMs(&w->speed, work_ms, now) + REPORT_DELAY_MS;
+        GfWorkerSpeed_RunMs(&w->speed, work_ms, now) + CELL_REPORT_DELAY_MS;
     return job->objective_ms == 0 || done_ms <= job->objective_ms;
 }
 
