--- a/include/guavaflow/cell.h
+++ b/include/guavaflow/cell.h
@@ -151,6 +151,14 @@
     int64_t run;
 } GfStopOrder;
 
+/* Lets a run work, and disturb other runs, at a share of its full pace. */
+typedef struct {
+    GfOrderTarget target;
+    GfTaskId task;
+    int64_t run;
+    int percent; /* 0 to 100; a run starts with 100 */
+} GfPaceOrder;
+
 /* Extends a worker's lease, acknowledges completions and requests an
  * inventory. The worker may delay its answer until a run ends. */
 typedef struct {
@@ -192,11 +200,12 @@
 } GfCellCommit;
 
 /* Callbacks that carry out orders; ctx is that of GfCell_Create. Outcomes are
- * reported with GfCell_StartDone, GfCell_StopDone, GfCell_HoldDone,
- * GfCell_AdviceDone and GfCell_CommitDone. */
+ * reported with GfCell_StartDone, GfCell_StopDone, GfCell_PaceDone,
+ * GfCell_HoldDone, GfCell_AdviceDone and GfCell_CommitDone. */
 typedef struct {
     void (*start)(void *ctx, const GfStartOrder *order);
     void (*stop)(void *ctx, const GfStopOrder *order);
+    void (*pace)(void *ctx, const GfPaceOrder *order);
     void (*hold)(void *ctx, const GfHoldOrder *order);
     void (*advise)(void *ctx, const GfAdviceOrder *order);
     void (*commit)(void *ctx, const GfCellCommit *commit);
@@ -273,6 +282,8 @@
                       int64_t run, GfOrderResult result);
 void GfCell_StopDone(GfCell *cell, uint32_t serial, const GfTaskId *task,
                      int64_t run, GfOrderResult result);
+void GfCell_PaceDone(GfCell *cell, uint32_t serial, const GfTaskId *task,
+                     int64_t run, GfOrderResult result);
 void GfCell_HoldDone(GfCell *cell, uint32_t serial, struct timespec sent_at,
                      GfOrderResult result, const GfInventory *inventory);
 void GfCell_AdviceDone(GfCell *cell, const GfName *caller, const GfName *job,
--- a/include/guavaflow/commands.h
+++ b/include/guavaflow/commands.h
@@ -19,6 +19,8 @@
                        int64_t run, GfOrderResult result);
     void (*stop_done)(void *ctx, uint32_t serial, const GfTaskId *task,
                       int64_t run, GfOrderResult result);
+    void (*pace_done)(void *ctx, uint32_t serial, const GfTaskId *task,
+                      int64_t run, GfOrderResult result);
     void (*hold_done)(void *ctx, uint32_t serial, struct timespec sent_at,
                       GfOrderResult result, const GfInventory *inventory);
 } GfCommandSink;
@@ -32,16 +34,18 @@
                                  const GfTicket *tickets, size_t count,
                                  int64_t valid_ms);
 
-/* start, stop and hold send a command to a worker and copy what they need of
- * it. A hold extends the worker's lease, if until_ms is not 0, acknowledges
- * completions and fetches the inventory; it is a long poll that the worker
- * answers after wait_ms milliseconds at the latest. advise asks which of the
- * workers may run a step and gives up after timeout_ms milliseconds; arg is
- * passed to the callback. set_sink sets the receiver of outcomes, which is
- * borrowed; with NULL they are dropped. destroy frees the client. */
+/* start, stop, pace and hold send a command to a worker and copy what they
+ * need of it. A hold extends the worker's lease, if until_ms is not 0,
+ * acknowledges completions and fetches the inventory; it is a long poll that
+ * the worker answers after wait_ms milliseconds at the latest. advise asks
+ * which of the workers may run a step and gives up after timeout_ms
+ * milliseconds; arg is passed to the callback. set_sink sets the receiver of
+ * outcomes, which is borrowed; with NULL they are dropped. destroy frees the
+ * client. */
 typedef struct {
     void (*start)(GfCommands *commands, const GfStartOrder *order);
     void (*stop)(GfCommands *commands, const GfStopOrder *order);
+    void (*pace)(GfCommands *commands, const GfPaceOrder *order);
     void (*hold)(GfCommands *commands, const GfHoldOrder *order);
     void (*advise)(GfCommands *commands, const char *step,
                    const GfName *workers, size_t count, int timeout_ms,
--- a/include/guavaflow/job_spec.h
+++ b/include/guavaflow/job_spec.h
@@ -33,10 +33,11 @@
     uint32_t max_per_worker;   /* tasks on one worker at a time; 0: no limit */
     uint32_t max_interrupted;  /* most tasks that planned work may stop;
                                   not used by the scheduler */
-    int64_t latency_target_ms; /* above 0: excludes backfill tasks */
+    int64_t latency_target_ms; /* above 0: it serves, and backfill tasks
+                                  must not slow it beyond this */
     GfName required_label;     /* runs only on workers with this label */
     GfName preferred_rack;     /* runs there if there is free capacity */
-    GfName image;              /* not used by the scheduler */
+    GfName image;              /* what it runs; empty: not known */
     bool checkpointed; /* saves its state when stopped and can resume */
     bool gang;         /* all tasks run together or none does */
     bool same_rack;    /* a gang is placed in one rack if possible */
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -87,6 +87,9 @@
     cell->uncertain_until =
         GfTime_AddMs(cell->created_at, settings->uncertainty_ms);
     cell->next_serial = settings->serial_base;
+    if (settings->features.neighbour_separation) {
+        cell->interference = GfInterference_Create();
+    }
     return cell;
 }
 
@@ -134,6 +137,7 @@
     free(cell->callers);
     free(cell->evacuated);
     free(cell->order);
+    GfInterference_Destroy(cell->interference);
     free(cell);
 }
 
@@ -405,6 +409,7 @@
     struct timespec now = GfClock_Now(cell->clock);
     CellWorker_Tick(cell, now);
     CellMove_Tick(cell, now);
+    CellNeighbours_Tick(cell, now);
     if (cell->waiting != NULL &&
         GfTime_DiffMs(now, cell->round_at) > ROUND_INTERVAL_MS) {
         cell->dirty = true;
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -5,6 +5,7 @@
 #include <uthash.h>
 
 #include "guavaflow/cell.h"
+#include "guavaflow/interference.h"
 
 #define CELL_PART "cell"
 /* Work classes that are accounted for separately in a team's use; higher
@@ -19,6 +20,7 @@
 typedef struct Worker Worker;
 typedef struct Waiter Waiter;
 typedef struct TeamUse TeamUse;
+typedef struct TaskSharing TaskSharing; /* of neighbours.c */
 
 /* State of a task on a worker. IDLE: on none. STARTING: the start order has no
  * outcome yet (a pending start). UNCONFIRMED: its outcome is unknown; if the
@@ -41,6 +43,7 @@
     int64_t *failed_runs;  /* run numbers of the counted failures, unordered */
     int64_t *crashed_keys; /* worker incarnations that crashed under it */
     char *checkpoint;      /* latest one reported, or NULL */
+    TaskSharing *sharing;  /* NULL if idle, or if separation is off */
     struct timespec started_at;
     struct timespec stop_sent_at;
     struct timespec stop_acked_at;
@@ -169,6 +172,23 @@
     bool backfill;
 } OrphanRun;
 
+/* How the tasks of a worker share it: what neighbours.c knows of the tails of
+ * its tasks with a latency target, in relation to their targets. */
+typedef struct {
+    struct timespec accrued_at;  /* times beside each other counted to here */
+    struct timespec reported_at; /* latest inventory, if any */
+    struct timespec sampled_at;
+    struct timespec over_since;    /* a tail is over its target; 0: none is */
+    struct timespec paced_at;      /* latest change of a wanted pace */
+    struct timespec raise_at;      /* no pace is raised before */
+    struct timespec cut_at;        /* latest cut of a pace */
+    struct timespec fill_again_at; /* no backfill task starts here before */
+    int64_t raise_pause_ms;        /* the latest pauses; they double */
+    int64_t fill_pause_ms;
+    double worst_tail; /* largest share of a target in that inventory */
+    bool all_tails_known;
+} WorkerSharing;
+
 /* A worker and its current incarnation. Its completions are applied, then
  * stored, and only then acknowledged; three fields hold the highest completion
  * number at these stages. */
@@ -223,6 +243,7 @@
     bool has_crashed;            /* crashed_at is set */
     struct timespec crashed_at;  /* when its latest crash was noticed */
     uint32_t inventory_number;   /* count of inventories applied */
+    WorkerSharing sharing;
     Task *tasks;
     UT_hash_handle hh; /* by id */
     UT_hash_handle by_serial;
@@ -335,6 +356,8 @@
     struct timespec wait_logged_at;
     struct timespec shares_updated_at;
     struct timespec backlogs_updated_at;
+    GfInterference *interference; /* NULL: separation of neighbours is off */
+    struct timespec interference_updated_at;
 };
 
 /* order.c */
@@ -427,6 +450,17 @@
 /* move.c */
 void CellMove_Tick(GfCell *cell, struct timespec now);
 
+/* neighbours.c */
+void CellNeighbours_Assigned(Task *task);
+void CellNeighbours_Released(Task *task);
+void CellNeighbours_Completed(Task *task);
+void CellNeighbours_Report(Task *task, const GfRunRow *row);
+void CellNeighbours_InventoryApplied(Worker *w);
+void CellNeighbours_Tick(GfCell *cell, struct timespec now);
+bool CellNeighbours_MayShare(const Worker *w, const Step *step);
+double CellNeighbours_Cost(const Worker *w, const Step *step);
+json_t *CellNeighbours_Describe(const GfCell *cell);
+
 /* commit.c */
 void CellCommit_Tick(GfCell *cell, struct timespec now);
 
--- a/src/cell/describe.c
+++ b/src/cell/describe.c
@@ -137,10 +137,11 @@
     const Step *step;
     DL_COUNT(cell->waiting, step, waiting);
     return json_pack(
-        "{s:I,s:o,s:i,s:i,s:I,s:I,s:o,s:o,s:b}", "token",
+        "{s:I,s:o,s:i,s:i,s:I,s:I,s:o,s:o,s:o,s:b}", "token",
         (json_int_t)cell->settings.token, "jobs", describe_jobs(cell, NULL),
         "workers_listed", listed, "workers_heard", contacted, "tasks_running",
         (json_int_t)cell->running, "steps_waiting", (json_int_t)waiting,
         "teams", describe_teams(cell), "waiting", describe_waiting(cell),
-        "in_doubt", cell->in_uncertainty_period);
+        "interference", CellNeighbours_Describe(cell), "in_doubt",
+        cell->in_uncertainty_period);
 }
--- a/src/cell/fit.c
+++ b/src/cell/fit.c
@@ -1,14 +1,15 @@
 /* Which workers a task may start on, and which of them is best. Tasks with a
- * latency target and backfill tasks, which use idle processors, never share a
- * worker, since the latter slow the former by an unpredictable amount. */
+ * latency target and backfill tasks, which use idle processors, share a worker
+ * only where neighbours.c allows it, since the latter slow the former by an
+ * unpredictable amount. */
 #include "cell_private.h"
 
 /* Backfill tasks share a worker's idle processors; a second one would mostly
  * slow the first. */
 #define BACKFILL_TASKS_PER_WORKER 1
-/* Added to a worker's score, whose base, the free share of its processors, is
- * below 1. Each penalty outweighs the base and all penalties below it
- * together. */
+/* Added to a worker's score, whose base, the free share of its processors, and
+ * cost of slowing other tasks are each below 1. Each penalty outweighs the
+ * base and all penalties below it together. */
 #define SUSPECT_PENALTY 16
 #define AVOID_PENALTY 8
 #define FAILED_HERE_PENALTY 4
@@ -87,7 +88,8 @@
 }
 
 /* Returns whether one more task of the step fits beside the current runs.
- * Backfill tasks and tasks with a latency target exclude each other. */
+ * Backfill tasks and tasks with a latency target exclude each other, unless
+ * they bear each other. */
 bool
 CellFit_HasCapacity(const Worker *w, const Step *step)
 {
@@ -95,11 +97,12 @@
     if (step->spec->backfill) {
         need.mcores = 0;
         if (w->backfill_tasks >= BACKFILL_TASKS_PER_WORKER ||
-            w->latency_tasks > 0) {
+            (w->latency_tasks > 0 && !CellNeighbours_MayShare(w, step))) {
             return false;
         }
     }
-    if (step->spec->latency_target_ms > 0 && w->backfill_tasks > 0) {
+    if (step->spec->latency_target_ms > 0 && w->backfill_tasks > 0 &&
+        !CellNeighbours_MayShare(w, step)) {
         return false;
     }
     return GfResources_Fit(w->info.capacity, w->used, need);
@@ -123,6 +126,7 @@
 {
     double s = (double)(w->info.capacity.mcores - w->used.mcores) /
                (double)(w->info.capacity.mcores + 1);
+    s += CellNeighbours_Cost(w, step);
     if (CellCrash_Discourages(step->job->cell, w, task)) {
         s += SUSPECT_PENALTY;
     }
--- a/src/cell/inventory.c
+++ b/src/cell/inventory.c
@@ -111,6 +111,9 @@
         CellTask_SetCheckpoint(task, completion->checkpoint);
     }
     if (current) {
+        if (completion->kind == GF_COMPLETION_DONE) {
+            CellNeighbours_Completed(task);
+        }
         CellTask_Release(task);
     }
     if (!CellJob_Active(job)) {
@@ -239,6 +242,7 @@
         return;
     }
     task->inventory_number = w->inventory_number;
+    CellNeighbours_Report(task, row);
     CellTask_SetCheckpoint(task, row->checkpoint);
     if (task->state == TASK_RUNNING && job->state == GF_JOB_QUEUED) {
         CellJob_SetState(job, GF_JOB_STARTED);
@@ -330,6 +334,7 @@
         apply_run(cell, w, &inventory->runs[i]);
     }
     handle_missing(w, sent_at);
+    CellNeighbours_InventoryApplied(w);
     if (!w->contacted && w->unidentified_runs == 0) {
         /* With an unidentified run the worker's state stays uncertain. */
         w->contacted = true;
--- a/src/cell/tasks.c
+++ b/src/cell/tasks.c
@@ -64,13 +64,16 @@
     return true;
 }
 
-/* Frees the checkpoint, the failed runs and the crashes of a task. */
+/* Frees the checkpoint, the failed runs, the crashes and the sharing of a
+ * task. */
 void
 CellTask_Clear(Task *task)
 {
     free(task->checkpoint);
     free(task->failed_runs);
     free(task->crashed_keys);
+    free(task->sharing);
+    task->sharing = NULL;
     task->checkpoint = NULL;
     task->failed_runs = NULL;
     task->crashed_keys = NULL;
@@ -109,6 +112,7 @@
     w->used = GfResources_Add(w->used, CellTask_CapacityTaken(step));
     w->backfill_tasks += step->spec->backfill;
     w->latency_tasks += step->spec->latency_target_ms > 0;
+    CellNeighbours_Assigned(task);
     CellShare_AddTask(step);
     cell->running++;
     task->intended_serial = 0;
@@ -132,6 +136,7 @@
     Step *step = task->step;
     GfCell *cell = step->job->cell;
     Worker *w = task->worker;
+    CellNeighbours_Released(task);
     DL_DELETE(w->tasks, task);
     w->used = GfResources_Subtract(w->used, CellTask_CapacityTaken(step));
     w->backfill_tasks -= step->spec->backfill;
--- a/src/cellentry/term_orders.c
+++ b/src/cellentry/term_orders.c
@@ -26,6 +26,14 @@
     term->entry->commands->ops->stop(term->entry->commands, order);
 }
 
+/* Sends an order that sets the pace of a run. */
+static void
+op_pace(void *ctx, const GfPaceOrder *order)
+{
+    const Term *term = ctx;
+    term->entry->commands->ops->pace(term->entry->commands, order);
+}
+
 /* Sends an order that extends a worker's lease and fetches its inventory. */
 static void
 op_hold(void *ctx, const GfHoldOrder *order)
@@ -207,6 +215,7 @@
 
 const GfCellOps TERM_CELL_OPS = {.start = op_start,
                                  .stop = op_stop,
+                                 .pace = op_pace,
                                  .hold = op_hold,
                                  .advise = op_advise,
                                  .commit = Term_Commit,
@@ -236,6 +245,16 @@
     }
 }
 
+static void
+sink_pace(void *ctx, uint32_t serial, const GfTaskId *task, int64_t run,
+          GfOrderResult result)
+{
+    const GfCellEntry *entry = ctx;
+    if (entry->term != NULL) {
+        GfCell_PaceDone(entry->term->cell, serial, task, run, result);
+    }
+}
+
 static void
 sink_hold(void *ctx, uint32_t serial, struct timespec sent_at,
           GfOrderResult result, const GfInventory *inventory)
@@ -250,5 +269,7 @@
     }
 }
 
-const GfCommandSink TERM_SINK = {
-    .start_done = sink_start, .stop_done = sink_stop, .hold_done = sink_hold};
+const GfCommandSink TERM_SINK = {.start_done = sink_start,
+                                 .stop_done = sink_stop,
+                                 .pace_done = sink_pace,
+                                 .hold_done = sink_hold};
--- a/src/cli/cmd_cell.c
+++ b/src/cli/cmd_cell.c
@@ -74,6 +74,13 @@
                integer_member(item, "waited_ms"),
                string_member(item, "waits_for"));
     }
+    json_array_foreach(json_object_get(cell, "interference"), i, item)
+    {
+        printf("slowed   %s by %s: %.1f times, %lld tasks now\n",
+               string_member(item, "victim"), string_member(item, "disturber"),
+               json_real_value(json_object_get(item, "factor")),
+               integer_member(item, "tasks"));
+    }
 }
 
 /* Prints the entry, the owner of the cell with its token and the time since it
--- a/src/common/metrics.c
+++ b/src/common/metrics.c
@@ -59,6 +59,10 @@
     {"tasks_preempted_total", COUNTER, "Tasks stopped for urgent ones."},
     {"advice_asked_total", COUNTER, "Questions for advice."},
     {"log_lines_left_out", GAUGE, "Log lines over the bound."},
+    {"interference_pairs", GAUGE, "Kinds of tasks that slow others down."},
+    {"backfill_shared", GAUGE, "Workers where backfill runs beside serving."},
+    {"backfill_paced_total", COUNTER, "Backfill tasks slowed for others."},
+    {"backfill_moved_total", COUNTER, "Backfill tasks stopped for others."},
 };
 
 /* Inclusive upper bounds of the histogram buckets in milliseconds; one more
--- a/tests/support/cell_sim.c
+++ b/tests/support/cell_sim.c
@@ -46,6 +46,13 @@
     GfResources need;
     bool backfill;
     bool serving;
+    double left_ms; /* of its work, at full pace and alone */
+    double tail_ms; /* as reported: the mean of the last half second */
+    int64_t started_ms;
+    int64_t over_since_ms; /* above its target through backfill; 0: is not */
+    double pace;           /* 0 to 1 */
+    double next_pace;      /* from next_pace_ms on */
+    int64_t next_pace_ms;
     struct Run *next;
     struct Run *prev;
 } Run;
@@ -87,7 +94,7 @@
     bool unlisted;
 } SimWorker;
 
-typedef enum { START, STOP, HOLD, ADVISE, COMMIT, LOOK_UP } MessageKind;
+typedef enum { START, STOP, PACE, HOLD, ADVISE, COMMIT, LOOK_UP } MessageKind;
 
 /* An order in transit, or the reply to it. Each kind uses some of the fields,
  * which are named as in the scheduler's orders. */
@@ -105,6 +112,7 @@
     int64_t run;
     int64_t until_ms; /* end of the lease that a start or hold asks for */
     int64_t acked;    /* highest acknowledged completion */
+    int percent;      /* pace */
     int64_t wait_until_ms;
     struct timespec sent_at;
     GfOrderResult result;
@@ -170,6 +178,11 @@
     int start_count;
     int crash_count; /* of workers, through deadly tasks */
     int advice_count;
+    bool paces_lost;
+    int64_t serving_ms;
+    int64_t over_ms;
+    int64_t longest_over_ms;
+    double backfill_ms;
     char violation[256];
 };
 
@@ -248,7 +261,7 @@
     const SimWorker *s = &w->workers[m->worker];
     double fraction = random_fraction(w);
     if (s->isolated || s->isolated_from[owner] || !s->alive ||
-        fraction < w->settings.lose_order) {
+        fraction < w->settings.lose_order || (kind == PACE && w->paces_lost)) {
         m->is_reply = true;
         m->result = GF_ORDER_UNKNOWN;
         m->due_ms += ORDER_TIMEOUT_MS;
@@ -301,6 +314,15 @@
     set_run(o->sim, m, &order->task, order->run);
 }
 
+static void
+op_pace(void *ctx, const GfPaceOrder *order)
+{
+    Owner *o = ctx;
+    Message *m = send_order(o->sim, PACE, o->index, &order->target);
+    set_run(o->sim, m, &order->task, order->run);
+    m->percent = order->percent;
+}
+
 static void
 op_hold(void *ctx, const GfHoldOrder *order)
 {
@@ -373,6 +395,7 @@
 
 static const GfCellOps OPS = {.start = op_start,
                               .stop = op_stop,
+                              .pace = op_pace,
                               .hold = op_hold,
                               .advise = op_advise,
                               .commit = op_commit,
@@ -489,10 +512,13 @@
     run->need = job->spec.step.need;
     run->backfill = job->spec.step.backfill;
     run->serving = job->spec.step.latency_target_ms > 0;
+    run->started_ms = now;
+    run->pace = 1;
+    run->left_ms = (double)job->spec.run_ms;
     run->fails = s->failing || random_fraction(w) < w->settings.fail_run;
     run->complete_at_ms =
         now + (run->fails ? job->spec.run_ms / 3 + 1 : job->spec.run_ms);
-    if (job->spec.step.long_running) {
+    if (job->spec.step.long_running || w->settings.factor != NULL) {
         run->complete_at_ms = INT64_MAX;
     }
     run->crash_at_ms = (int64_t)run->task.index < job->spec.deadly_tasks
@@ -532,6 +558,22 @@
     return GF_ORDER_DONE;
 }
 
+/* Carries out a pace order at a worker, after pace_ms. */
+static GfOrderResult
+execute_pace(CellSim *w, SimWorker *s, const Message *m)
+{
+    Run *r;
+    DL_FOREACH(s->runs, r)
+    {
+        if (same_task(&r->task, &m->task) && r->run == m->run) {
+            r->next_pace = m->percent / 100.0;
+            r->next_pace_ms = CellSim_NowMs(w) + w->settings.pace_ms;
+            return GF_ORDER_DONE;
+        }
+    }
+    return GF_ORDER_SUPERSEDED;
+}
+
 /* Drops the completions up to number acked. The owner may acknowledge a
  * completion only once the store has it, so the job of a task that succeeded
  * must have a stored row. */
@@ -575,8 +617,11 @@
     Run *r;
     DL_FOREACH(s->runs, r)
     {
-        runs[inventory.run_count++] = (GfRunRow){
-            .task = r->task, .run = r->run, .checkpoint = "", .percent = 100};
+        runs[inventory.run_count++] = (GfRunRow){.task = r->task,
+                                                 .run = r->run,
+                                                 .checkpoint = "",
+                                                 .percent = 100,
+                                                 .load = (int64_t)r->tail_ms};
     }
     Completion *c;
     DL_FOREACH(s->completions, c)
@@ -611,6 +656,9 @@
     else if (m->kind == STOP) {
         GfCell_StopDone(o->cell, m->serial, &m->task, m->run, m->result);
     }
+    else if (m->kind == PACE) {
+        GfCell_PaceDone(o->cell, m->serial, &m->task, m->run, m->result);
+    }
     else if (m->kind == HOLD) {
         GfCell_HoldDone(o->cell, m->serial, m->sent_at, m->result, NULL);
     }
@@ -661,6 +709,9 @@
     if (m->kind == STOP) {
         return make_reply(w, m, execute_stop(w, s, m));
     }
+    if (m->kind == PACE) {
+        return make_reply(w, m, execute_pace(w, s, m));
+    }
     if (m->until_ms > s->lease_until_ms) {
         s->lease_until_ms = m->until_ms;
     }
@@ -899,6 +950,85 @@
     }
 }
 
+/* Returns the factor by which the other runs of a worker lengthen a run; of
+ * these, with without_fill, all but the backfill tasks. */
+static double
+lengthening(CellSim *w, const SimWorker *s, const Run *run, bool without_fill)
+{
+    const SimJob *job = find_job(w, &run->task.job);
+    double factor = 1;
+    const Run *r;
+    DL_FOREACH(s->runs, r)
+    {
+        if (r != run && !(without_fill && r->backfill)) {
+            const SimJob *other = find_job(w, &r->task.job);
+            double full =
+                w->settings.factor(&job->spec.step.image,
+                                   &other->spec.step.image, CellSim_NowMs(w));
+            factor *= 1 + (full - 1) * r->pace;
+        }
+    }
+    return factor;
+}
+
+/* Updates the tail of a run that serves, and the times above its target. */
+static void
+tick_tail(CellSim *w, const SimWorker *s, Run *r, const SimJob *job)
+{
+    double tail = (double)job->spec.tail_ms * lengthening(w, s, r, false);
+    double alone = (double)job->spec.tail_ms * lengthening(w, s, r, true);
+    double target = (double)job->spec.tail_target_ms;
+    int64_t now = CellSim_NowMs(w);
+    double noise = 1 + w->settings.noise * (2 * random_fraction(w) - 1);
+    if (now - r->started_ms >= 500) {
+        double last = r->tail_ms > 0 ? r->tail_ms : tail;
+        r->tail_ms = last + (tail * noise - last) * CELL_SIM_STEP_MS / 250;
+    }
+    w->serving_ms += CELL_SIM_STEP_MS;
+    w->over_ms += tail > target ? CELL_SIM_STEP_MS : 0;
+    if (tail <= target || alone > target) {
+        r->over_since_ms = 0;
+        return;
+    }
+    r->over_since_ms = r->over_since_ms == 0 ? now : r->over_since_ms;
+    int64_t over_ms = now - r->over_since_ms;
+    w->longest_over_ms =
+        over_ms > w->longest_over_ms ? over_ms : w->longest_over_ms;
+    if (over_ms >= CELL_SIM_HARM_MS) {
+        report_violation(w, "tail above its target at %lld ms: job %s",
+                         (long long)now, r->task.job.data);
+    }
+}
+
+/* Lets the runs of a worker work for a step at their paces, slowed by each
+ * other. */
+static void
+tick_neighbours(CellSim *w, SimWorker *s)
+{
+    int64_t now = CellSim_NowMs(w);
+    Run *r;
+    DL_FOREACH(s->runs, r)
+    {
+        if (r->next_pace_ms > 0 && r->next_pace_ms <= now) {
+            r->pace = r->next_pace;
+            r->next_pace_ms = 0;
+        }
+    }
+    DL_FOREACH(s->runs, r)
+    {
+        const SimJob *job = find_job(w, &r->task.job);
+        if (job->spec.tail_ms > 0) {
+            tick_tail(w, s, r, job);
+        }
+        w->backfill_ms += r->backfill ? CELL_SIM_STEP_MS * r->pace : 0;
+        if (!job->spec.step.long_running && !r->stopping) {
+            r->left_ms -=
+                CELL_SIM_STEP_MS * r->pace / lengthening(w, s, r, false);
+            r->complete_at_ms = r->left_ms <= 0 ? now : INT64_MAX;
+        }
+    }
+}
+
 /* Completes a worker's runs that are due; all its runs lapse once its lease
  * has expired. A deadly run that is due crashes the worker. */
 static void
@@ -970,6 +1100,9 @@
         GfManualClock_Advance(&w->clock, CELL_SIM_STEP_MS);
         for (int i = 0; i < w->settings.workers; i++) {
             if (w->workers[i].alive) {
+                if (w->settings.factor != NULL) {
+                    tick_neighbours(w, &w->workers[i]);
+                }
                 tick_worker(w, i);
             }
             else {
@@ -1472,6 +1605,59 @@
     return count;
 }
 
+/* Sets the tail latency that the tasks of a job have alone. */
+void
+CellSim_SetTail(CellSim *w, int job, int64_t tail_ms)
+{
+    w->jobs[job].spec.tail_ms = tail_ms;
+}
+
+/* Makes all pace orders be lost, or ends that. */
+void
+CellSim_SetPacesLost(CellSim *w, bool lost)
+{
+    w->paces_lost = lost;
+}
+
+/* Begins to count the times of neighbours anew. */
+void
+CellSim_ResetTimes(CellSim *w)
+{
+    w->serving_ms = 0;
+    w->over_ms = 0;
+    w->longest_over_ms = 0;
+    w->backfill_ms = 0;
+}
+
+/* Returns the time that tasks with a tail have run. */
+int64_t
+CellSim_ServingMs(const CellSim *w)
+{
+    return w->serving_ms;
+}
+
+/* Returns the part of that time with the tail above its target. */
+int64_t
+CellSim_OverTargetMs(const CellSim *w)
+{
+    return w->over_ms;
+}
+
+/* Returns the longest time on end for which a tail was above its target and
+ * would not have been without backfill tasks. */
+int64_t
+CellSim_LongestOverMs(const CellSim *w)
+{
+    return w->longest_over_ms;
+}
+
+/* Returns how long backfill tasks have run, weighted with their pace. */
+int64_t
+CellSim_BackfillMs(const CellSim *w)
+{
+    return (int64_t)w->backfill_ms;
+}
+
 /* Describes the first violated invariant, or returns NULL. The text belongs to
  * the simulation. */
 const char *
--- a/tests/support/cell_sim.h
+++ b/tests/support/cell_sim.h
@@ -5,9 +5,12 @@
  * themselves or through a task that they run, or be isolated from owners.
  * Several owners may act at once, as around a takeover.
  *
+ * Tasks on one worker can slow each other down, in proportion to their paces.
+ *
  * The simulation checks these invariants: no task runs twice at once or again
- * after its completion, no worker exceeds its capacity, no team its limit, and
- * no completion is acknowledged before it is stored. CellSim_Violation returns
+ * after its completion, no worker exceeds its capacity, no team its limit, no
+ * completion is acknowledged before it is stored, and backfill tasks keep no
+ * tail above its target for CELL_SIM_HARM_MS on end. CellSim_Violation returns
  * the first violation.
  *
  * Times are ms of simulated time, processors are in mcores. Jobs and workers
@@ -20,9 +23,15 @@
 /* How many owners a simulation can have, former ones included. */
 #define CELL_SIM_MAX_OWNERS 8
 #define CELL_SIM_STEP_MS 10
+#define CELL_SIM_HARM_MS 4000
 
 typedef struct CellSim CellSim;
 
+/* Returns the factor by which a task that runs the image disturber lengthens
+ * the run time, or the tail, of one on the same worker that runs victim. */
+typedef double (*CellSimFactor)(const GfName *victim, const GfName *disturber,
+                                int64_t now_ms);
+
 /* The size of the simulation, its faults as probabilities from 0 to 1, and
  * the safety mechanisms to leave out: without one of them the checks must find
  * a violation. */
@@ -37,11 +46,14 @@
     bool
         table_lags; /* takeovers read a restarted worker's former row, first */
     uint32_t seed;
-    double lose_order;   /* the order does not arrive */
-    double lose_answer;  /* the reply does not arrive */
-    double late_order;   /* carried out 2 to 12 s later, without a reply */
-    double fail_run;     /* the run fails */
-    GfFeatures features; /* optional parts that are on */
+    double lose_order;    /* the order does not arrive */
+    double lose_answer;   /* the reply does not arrive */
+    double late_order;    /* carried out 2 to 12 s later, without a reply */
+    double fail_run;      /* the run fails */
+    CellSimFactor factor; /* NULL: tasks do not slow each other down */
+    int64_t pace_ms;      /* from a pace order until it takes effect */
+    double noise;         /* of reported tails: 0.1 is up to a tenth */
+    GfFeatures features;  /* optional parts that are on */
     bool new_ids; /* each incarnation of a worker has an id of its own */
     int64_t worker_back_ms;   /* from a crash through a deadly task until the
                                  worker's next incarnation starts; 0: never */
@@ -63,6 +75,9 @@
     int steps;        /* length of the chain of equal steps; 0: 1 */
     bool denied;      /* advice allows no worker */
     int deadly_tasks; /* the first ones of each step crash their worker */
+    int64_t tail_ms;  /* above 0: tail latency of a task alone */
+    int64_t tail_target_ms; /* what the simulation compares it with; the step's
+                               target is what owners know */
     int64_t crash_after_ms; /* from the start of a deadly task's run, if it
                                does not end before */
 } CellSimJob;
@@ -115,6 +130,17 @@
 int CellSim_BackfillOn(const CellSim *sim, int worker);
 int CellSim_ServingOn(const CellSim *sim, int worker);
 
+/* Neighbours. Times are sums over all tasks: those with a tail, also above
+ * the target, and of backfill tasks weighted with their pace. The time until
+ * CellSim_ResetTimes does not count. */
+void CellSim_SetTail(CellSim *sim, int job, int64_t tail_ms);
+void CellSim_SetPacesLost(CellSim *sim, bool lost);
+void CellSim_ResetTimes(CellSim *sim);
+int64_t CellSim_ServingMs(const CellSim *sim);
+int64_t CellSim_OverTargetMs(const CellSim *sim);
+int64_t CellSim_LongestOverMs(const CellSim *sim);
+int64_t CellSim_BackfillMs(const CellSim *sim);
+
 /* Results. */
 const char *CellSim_Violation(const CellSim *sim);
 int CellSim_CountStarts(const CellSim *sim);
