--- a/src/cell/neighbours.c
+++ b/src/cell/neighbours.c
@@ -64,6 +64,9 @@
 #define REPEAT_MS 200
 #define REFRESH_MS 500
 #define UPDATE_MS 500
+/* A growth of tails is expected to be at most this many standard deviations
+ * above its mean. */
+#define CERTAIN_DEVIATIONS 2.0
 #define SAMPLE_MS 400
 /* Costs in placing: the lengthening at which it is highest; of a task with a
  * latency target and a backfill task on one worker, plus a part of the tail;
@@ -139,9 +142,15 @@
         return GfInterference_Class(job->cell->interference, &spec->image,
                                     now);
     }
-    char kind = spec->latency_target_ms > 0 ? 's' : spec->backfill ? 'f' : 't';
+    const char *kind = "task";
+    if (spec->latency_target_ms > 0) {
+        kind = "serving";
+    }
+    else if (spec->backfill) {
+        kind = "backfill";
+    }
     GfName name =
-        GfName_Format("%.28s/%.28s/%c", job->queue.data, job->team.data, kind);
+        GfName_Format("%.26s/%.26s/%s", job->queue.data, job->team.data, kind);
     return GfInterference_Class(job->cell->interference, &name, now);
 }
 
@@ -232,42 +241,6 @@
     }
 }
 
-/* Begins to observe a task that was assigned to a worker. The pace of a run
- * that a former owner started is unknown; beside a task with a latency target
- * it is set to 0 until the tails are known. */
-void
-CellNeighbours_Assigned(Task *task)
-{
-    GfCell *cell = task->step->job->cell;
-    if (cell->interference == NULL) {
-        return;
-    }
-    Worker *w = task->worker;
-    struct timespec now = GfClock_Now(cell->clock);
-    accrue(w, now);
-    TaskSharing *s = calloc(1, sizeof(*s));
-    if (s == NULL) {
-        abort();
-    }
-    bool adopted = task->state == TASK_RUNNING;
-    s->class = class_of(task->step, now);
-    s->resumed = adopted || task->checkpoint != NULL;
-    s->pace = adopted ? PACE_UNKNOWN : PACE_FULL;
-    s->wanted = PACE_FULL;
-    free(task->sharing);
-    task->sharing = s;
-    if (!is_shared(w)) {
-        return;
-    }
-    if (is_serving(task) || adopted) {
-        pause_backfill(w, now);
-    }
-    else if (task->step->spec->backfill) {
-        s->wanted = PACE_START;
-        w->sharing.paced_at = now;
-    }
-}
-
 /* Ends the observation of a task that is about to be released. */
 void
 CellNeighbours_Released(Task *task)
@@ -414,6 +387,42 @@
     return true;
 }
 
+/* Returns the pace, a multiple of PACE_STEP, up to which the evidence says
+ * with some certainty that all tails on a worker stay low if a backfill task
+ * of a class changes its pace; pace, its present one, if it says nothing. */
+static int
+borne_pace(const Worker *w, GfTaskClass class, int pace, struct timespec now)
+{
+    const GfCell *cell = w->tasks->step->job->cell;
+    double left = INFINITY; /* by which the log of a tail may grow */
+    double most = 0;        /* growth of it with the full pace */
+    const Task *t;
+    DL_FOREACH(w->tasks, t)
+    {
+        if (!is_serving(t)) {
+            continue;
+        }
+        GfInterferencePair pair;
+        if (t->sharing == NULL || t->sharing->tail == 0 ||
+            !GfInterference_Estimate(cell->interference, t->sharing->class,
+                                     class, now, &pair)) {
+            return pace;
+        }
+        double tail = (double)t->sharing->tail /
+                      (double)t->step->spec->latency_target_ms;
+        double room = log(TAIL_CALM) - log(tail);
+        double growth = pair.effect + CERTAIN_DEVIATIONS * pair.doubt;
+        left = room < left ? room : left;
+        most = growth > most ? growth : most;
+    }
+    int best = pace;
+    while (best < PACE_FULL &&
+           most * (best + PACE_STEP - pace) / PACE_FULL < left) {
+        best += PACE_STEP;
+    }
+    return best < PACE_FULL ? best : PACE_FULL;
+}
+
 /* Returns the pause that follows *pause: twice as long, or the first if the
  * event before it was long ago. */
 static int64_t
@@ -481,8 +490,8 @@
     }
 }
 
-/* Raises the paces of the backfill tasks on a worker by PACE_STEP where the
- * tails are expected to bear it. */
+/* Raises the paces of the backfill tasks on a worker where the tails are
+ * expected to bear it: by PACE_STEP, or more where the evidence allows it. */
 static void
 raise_paces(Worker *w, struct timespec now)
 {
@@ -494,6 +503,8 @@
             continue;
         }
         int next = t->sharing->wanted + PACE_STEP;
+        int borne = borne_pace(w, t->sharing->class, t->sharing->wanted, now);
+        next = borne > next ? borne : next;
         want_pace(t, next < PACE_FULL ? next : PACE_FULL, now);
     }
 }
@@ -545,6 +556,43 @@
     stop_parked(w, now);
 }
 
+/* Begins to observe a task that was assigned to a worker. The pace of a run
+ * that a former owner started is unknown; beside a task with a latency target
+ * it is set to 0 until the tails are known. */
+void
+CellNeighbours_Assigned(Task *task)
+{
+    GfCell *cell = task->step->job->cell;
+    if (cell->interference == NULL) {
+        return;
+    }
+    Worker *w = task->worker;
+    struct timespec now = GfClock_Now(cell->clock);
+    accrue(w, now);
+    TaskSharing *s = calloc(1, sizeof(*s));
+    if (s == NULL) {
+        abort();
+    }
+    bool adopted = task->state == TASK_RUNNING;
+    s->class = class_of(task->step, now);
+    s->resumed = adopted || task->checkpoint != NULL;
+    s->pace = adopted ? PACE_UNKNOWN : PACE_FULL;
+    s->wanted = PACE_FULL;
+    free(task->sharing);
+    task->sharing = s;
+    if (!is_shared(w)) {
+        return;
+    }
+    if (is_serving(task) || adopted) {
+        pause_backfill(w, now);
+    }
+    else if (task->step->spec->backfill) {
+        int borne = borne_pace(w, s->class, 0, now);
+        s->wanted = borne > PACE_START ? borne : PACE_START;
+        w->sharing.paced_at = now;
+    }
+}
+
 /* Uses the tails in an inventory that was applied. */
 void
 CellNeighbours_InventoryApplied(Worker *w)
--- a/src/decide/interference.c
+++ b/src/decide/interference.c
@@ -79,12 +79,9 @@
 } Class;
 
 typedef struct {
-    uint32_t victim;
-    uint32_t disturber;
-} PairKey;
-
-typedef struct {
-    PairKey key;
+    uint64_t key; /* victim and disturber, see make_key */
+    GfTaskClass victim;
+    GfTaskClass disturber;
     Effect effect;
     uint16_t workers;        /* a bit for each worker, by hash */
     uint16_t former_workers; /* those of the interval before */
@@ -257,11 +254,18 @@
     c->first_sample = (int32_t)g->sample_count++;
 }
 
+/* Returns the key of a pair in the table of pairs. */
+static uint64_t
+make_key(GfTaskClass victim, GfTaskClass disturber)
+{
+    return (uint64_t)victim << 32U | disturber;
+}
+
 static Pair *
 find_pair(const GfInterference *g, GfTaskClass victim, GfTaskClass disturber)
 {
     Pair *p = NULL;
-    PairKey key = {victim, disturber};
+    uint64_t key = make_key(victim, disturber);
     HASH_FIND(hh, g->pairs, &key, sizeof(key), p);
     return p;
 }
@@ -281,7 +285,9 @@
         if (p == NULL) {
             abort();
         }
-        p->key = (PairKey){victim, disturber};
+        p->key = make_key(victim, disturber);
+        p->victim = victim;
+        p->disturber = disturber;
         p->effect = (Effect){.variance = PAIR_PRIOR, .at = now};
         p->workers_since = now;
         HASH_ADD(hh, g->pairs, key, sizeof(p->key), p);
@@ -436,8 +442,8 @@
 describe(const GfInterference *g, const Pair *p, struct timespec now,
          GfInterferencePair *out)
 {
-    const Class *v = find_class((GfInterference *)g, p->key.victim);
-    const Class *d = find_class((GfInterference *)g, p->key.disturber);
+    const Class *v = find_class((GfInterference *)g, p->victim);
+    const Class *d = find_class((GfInterference *)g, p->disturber);
     Effect e = effect_at(p->effect, PAIR_PRIOR, PAIR_DRIFT, now);
     *out = (GfInterferencePair){.effect = e.mean,
                                 .doubt = doubt_of(p, &e),
@@ -468,8 +474,8 @@
     p->established = established;
     pair.established = established;
     uint32_t change = established ? 1 : UINT32_MAX;
-    Class *v = find_class(g, p->key.victim);
-    Class *d = find_class(g, p->key.disturber);
+    Class *v = find_class(g, p->victim);
+    Class *d = find_class(g, p->disturber);
     if (v != NULL) {
         v->established += change;
     }
