--- a/tests/unit/neighbours.c
+++ b/tests/unit/neighbours.c
@@ -9,6 +9,7 @@
  * Targets: tails are below their targets for 99 % of the time, backfill tasks
  * get 70 % of the room that serving tasks leave, and no tail is above its
  * target for CELL_SIM_HARM_MS on end because of them. */
+#include <math.h>
 #include <stdio.h>
 
 #include "cell_sim.h"
@@ -34,7 +35,8 @@
     int serving[3]; /* jobs */
 } Fleet;
 
-static int shift; /* changes which images slow each other */
+static int shift;         /* changes which images slow each other */
+static int64_t period_ms; /* above 0: the factor rises and falls in it */
 
 static const CellSimSettings SETTINGS = {.workers = WORKERS,
                                          .mcores = 16000,
@@ -51,7 +53,6 @@
 static double
 factor(const GfName *victim, const GfName *disturber, int64_t now_ms)
 {
-    (void)now_ms;
     if (victim->data[0] == 'b' && disturber->data[0] == 'b') {
         return victim->data[1] == disturber->data[1] ? 1 : 2;
     }
@@ -60,7 +61,12 @@
     }
     int v = victim->data[1] - '0';
     int d = disturber->data[1] - '0';
-    return (v + d + shift) % 3 == 0 ? 2.8 : 1.1;
+    double full = (v + d + shift) % 3 == 0 ? 2.8 : 1.1;
+    if (period_ms == 0) {
+        return full;
+    }
+    double phase = (double)(now_ms % period_ms) / (double)period_ms;
+    return 1 + (full - 1) * (0.5 + 0.5 * sin(phase * 2 * 3.14159265 + v));
 }
 
 static CellSimJob
@@ -95,6 +101,7 @@
 {
     GfLog_SetLevel(GF_LOG_ERROR);
     shift = 0;
+    period_ms = 0;
     Fleet f = {.config = CellSim_MakeConfig(0)};
     CellSimSettings s = *settings;
     s.factor = factor;
@@ -211,6 +218,54 @@
     destroy(&f);
 }
 
+/* The interference, and the load of the serving tasks, rise and fall within
+ * seconds. */
+static void
+test_changes_within_seconds(void)
+{
+    const int64_t periods_ms[] = {3000, 5000, 9000};
+    for (size_t k = 0; k < 3; k++) {
+        Fleet f = create(&SETTINGS, LEARNING);
+        period_ms = periods_ms[k];
+        CellSim_Run(f.sim, WARM_UP_MS);
+        CellSim_ResetTimes(f.sim);
+        for (int i = 0; i < 30; i++) {
+            CellSim_SetTail(f.sim, f.serving[i % 3], 35 + i * 13 % 35);
+            CellSim_Run(f.sim, 2000);
+        }
+        print("within seconds", &f, MEASURED_MS);
+        check_violation(&f);
+        destroy(&f);
+    }
+}
+
+/* Serving tasks that fail start again at once, beside backfill tasks too. */
+static void
+test_serving_tasks_start_again(void)
+{
+    CellSimSettings settings = SETTINGS;
+    Fleet f = create(&settings, LEARNING);
+    CellSim_Run(f.sim, WARM_UP_MS);
+    CellSim_ResetTimes(f.sim);
+    for (int i = 0; i < 10; i++) {
+        CellSim_CrashWorker(f.sim, i);
+        CellSim_SetListed(f.sim, i, false);
+        CellSim_Run(f.sim, 2000);
+        CellSim_SetListed(f.sim, i, true);
+        CellSim_RestartWorker(f.sim, i);
+        CellSim_Run(f.sim, 6000);
+    }
+    print("workers crash", &f, 80000);
+    CellSim_Run(f.sim, 3000);
+    int running = 0;
+    for (int i = 0; i < 3; i++) {
+        running += CellSim_JobRunning(f.sim, f.serving[i]);
+    }
+    CU_ASSERT_EQUAL(running, SERVING);
+    check_violation(&f);
+    destroy(&f);
+}
+
 /* The load of the serving tasks rises until they do not bear backfill tasks,
  * which have to give way, and falls again: then these come back. */
 static void
@@ -401,6 +456,8 @@
 static const SuiteTest TESTS[] = {
     {"room and tails", test_room_and_tails},
     {"interference changes", test_interference_changes},
+    {"changes within seconds", test_changes_within_seconds},
+    {"serving tasks start again", test_serving_tasks_start_again},
     {"load rises and falls", test_load_rises_and_falls},
     {"takeover", test_takeover},
     {"paces lost", test_paces_lost},
