--- a/src/cli/cmd_cell.c
+++ b/src/cli/cmd_cell.c
@@ -76,10 +76,17 @@
     }
     json_array_foreach(json_object_get(cell, "interference"), i, item)
     {
-        printf("slowed   %s by %s: %.1f times, %lld tasks now\n",
+        printf("slowed   %s by %s: %.1f times, %lld tasks now",
                string_member(item, "victim"), string_member(item, "disturber"),
                json_real_value(json_object_get(item, "factor")),
                integer_member(item, "tasks"));
+        size_t t;
+        json_t *team;
+        json_array_foreach(json_object_get(item, "teams"), t, team)
+        {
+            printf("%s %s", t == 0 ? ", of" : "", json_string_value(team));
+        }
+        printf("\n");
     }
 }
 
--- a/src/decide/interference.c
+++ b/src/decide/interference.c
@@ -177,17 +177,24 @@
 }
 
 /* Returns the class of an id, or NULL if it was forgotten. */
-static Class *
-find_class(GfInterference *g, GfTaskClass id)
+static const Class *
+known_class(const GfInterference *g, GfTaskClass id)
 {
     size_t slot = id & ((1U << SLOT_BITS) - 1);
     if (slot == 0 || slot > GF_INTERFERENCE_CLASSES) {
         return NULL;
     }
-    Class *c = &g->classes[slot - 1];
+    const Class *c = &g->classes[slot - 1];
     return c->id == id ? c : NULL;
 }
 
+/* Returns the class of an id, to be changed, or NULL if it was forgotten. */
+static Class *
+find_class(GfInterference *g, GfTaskClass id)
+{
+    return (Class *)known_class(g, id);
+}
+
 /* Returns the slot for a new class: an unused one, or that of the class not
  * used for the longest time, CLASS_KEEP_MS at least. Returns NULL if there is
  * none. */
@@ -261,6 +268,7 @@
     return (uint64_t)victim << 32U | disturber;
 }
 
+/* Returns the pair of two classes, or NULL if nothing is kept about it. */
 static Pair *
 find_pair(const GfInterference *g, GfTaskClass victim, GfTaskClass disturber)
 {
@@ -442,8 +450,8 @@
 describe(const GfInterference *g, const Pair *p, struct timespec now,
          GfInterferencePair *out)
 {
-    const Class *v = find_class((GfInterference *)g, p->victim);
-    const Class *d = find_class((GfInterference *)g, p->disturber);
+    const Class *v = known_class(g, p->victim);
+    const Class *d = known_class(g, p->disturber);
     Effect e = effect_at(p->effect, PAIR_PRIOR, PAIR_DRIFT, now);
     *out = (GfInterferencePair){.effect = e.mean,
                                 .doubt = doubt_of(p, &e),
@@ -563,8 +571,8 @@
 GfInterference_Lengthening(const GfInterference *g, GfTaskClass victim,
                            GfTaskClass disturber)
 {
-    const Class *v = find_class((GfInterference *)g, victim);
-    const Class *d = find_class((GfInterference *)g, disturber);
+    const Class *v = known_class(g, victim);
+    const Class *d = known_class(g, disturber);
     if (v == NULL || d == NULL || v->established == 0 || d->established == 0) {
         return 0;
     }
