Keep tasks with a target that also fill out of the pacing

Cause: a step with both a latency target and fills counted as its own disturber and would have been slowed by its own tail.

Ruled out: refusing such steps; today they run alone on a worker, which stays so.

Change: only backfill tasks without a target are paced or stopped.

--- a/src/cell/neighbours.c
+++ b/src/cell/neighbours.c
@@ -63,11 +63,13 @@
  * that did not help is repeated: a late order may have undone it. */
 #define REPEAT_MS 200
 #define REFRESH_MS 500
+/* Interval of updates of the estimates, and of the tails taken from one
+ * worker. */
 #define UPDATE_MS 500
+#define SAMPLE_MS 400
 /* A growth of tails is expected to be at most this many standard deviations
  * above its mean. */
 #define CERTAIN_DEVIATIONS 2.0
-#define SAMPLE_MS 400
 /* Costs in placing: the lengthening at which it is highest; of a task with a
  * latency target and a backfill task on one worker, plus a part of the tail;
  * and the highest. */
@@ -101,19 +103,19 @@
     return t.tv_sec != 0 || t.tv_nsec != 0;
 }
 
-/* Returns whether the task is a backfill task whose pace is controlled. */
+/* Returns whether the task has a latency target. */
 static bool
-is_paced(const Task *task)
+is_serving(const Task *task)
 {
-    return task->sharing != NULL && task->step->spec->backfill &&
-           !task->stopping;
+    return task->step->spec->latency_target_ms > 0;
 }
 
-/* Returns whether the task has a latency target. */
+/* Returns whether the task is a backfill task whose pace is controlled. */
 static bool
-is_serving(const Task *task)
+is_paced(const Task *task)
 {
-    return task->step->spec->latency_target_ms > 0;
+    return task->sharing != NULL && task->step->spec->backfill &&
+           !is_serving(task) && !task->stopping;
 }
 
 /* Returns whether backfill tasks and tasks with a latency target share the
@@ -387,8 +389,8 @@
     return true;
 }
 
-/* Returns the pace, a multiple of PACE_STEP, up to which the evidence says
- * with some certainty that all tails on a worker stay low if a backfill task
+/* Returns the pace, in steps of PACE_STEP, up to which the evidence says with
+ * some certainty that all tails on a worker stay low if a backfill task
  * of a class changes its pace; pace, its present one, if it says nothing. */
 static int
 borne_pace(const Worker *w, GfTaskClass class, int pace, struct timespec now)
@@ -423,7 +425,7 @@
     return best < PACE_FULL ? best : PACE_FULL;
 }
 
-/* Returns the pause that follows *pause: twice as long, or the first if the
+/* Returns the pause that follows pause: twice as long, or the first if the
  * event before it was long ago. */
 static int64_t
 next_pause(int64_t pause, int64_t first, int64_t most, bool calm)
@@ -443,7 +445,7 @@
     Task *t;
     DL_FOREACH(w->tasks, t)
     {
-        if (t->step->spec->backfill && !t->stopping) {
+        if (is_paced(t)) {
             CellTask_Stop(t);
             stopped++;
         }
@@ -593,7 +595,8 @@
     }
 }
 
-/* Uses the tails in an inventory that was applied. */
+/* Uses the tails in an inventory that was applied. What runs beside them is as
+ * the inventory lists it. */
 void
 CellNeighbours_InventoryApplied(Worker *w)
 {
