--- a/src/common/metrics.c
+++ b/src/common/metrics.c
@@ -65,6 +65,10 @@
     {"log_lines_left_out", GAUGE, "Log lines over the bound."},
     {"jobs_set_back_total", COUNTER, "Jobs served after others, for room."},
     {"forecast_wait_ms", GAUGE, "Longest wait that the owner forecasts."},
+    {"interference_pairs", GAUGE, "Kinds of tasks that slow others down."},
+    {"backfill_shared", GAUGE, "Workers where backfill runs beside serving."},
+    {"backfill_paced_total", COUNTER, "Backfill tasks slowed for others."},
+    {"backfill_moved_total", COUNTER, "Backfill tasks stopped for others."},
 };
 
 /* Inclusive upper bounds of the histogram buckets in milliseconds; one more
