--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -91,6 +91,9 @@
     cell->waits = GfWaitReport_Create();
     cell->waits_reported_at = cell->created_at;
     cell->run_times = GfRunTimes_Create();
+    if (settings->features.neighbour_separation) {
+        cell->interference = GfInterference_Create();
+    }
     return cell;
 }
 
@@ -142,6 +145,7 @@
     GfWaitReport_Destroy(cell->waits);
     CellOrder_Free(cell);
     GfRunTimes_Destroy(cell->run_times);
+    GfInterference_Destroy(cell->interference);
     free(cell);
 }
 
@@ -401,6 +405,7 @@
     CellWorker_Tick(cell, now);
     CellSpeed_Tick(cell, now);
     CellMove_Tick(cell, now);
+    CellNeighbours_Tick(cell, now);
     if (cell->waiting != NULL &&
         GfTime_DiffMs(now, cell->round_at) > ROUND_INTERVAL_MS) {
         cell->dirty = true;
--- a/src/cell/inventory.c
+++ b/src/cell/inventory.c
@@ -132,6 +132,7 @@
     if (current) {
         if (completion->kind == GF_COMPLETION_DONE) {
             observe_run_time(cell, task);
+            CellNeighbours_Completed(task);
         }
         CellTask_Release(task);
     }
@@ -261,6 +262,7 @@
         return;
     }
     task->inventory_number = w->inventory_number;
+    CellNeighbours_Report(task, row);
     CellTask_SetCheckpoint(task, row->checkpoint);
     CellSpeed_Listed(cell, w, task, row->percent, now);
     if (task->state == TASK_RUNNING && job->state == GF_JOB_QUEUED) {
@@ -355,6 +357,7 @@
     }
     CellSpeed_EndInventory(cell, w, now);
     handle_missing(w, sent_at);
+    CellNeighbours_InventoryApplied(w);
     if (!w->contacted && w->unidentified_runs == 0) {
         /* With an unidentified run the worker's state stays uncertain. */
         w->contacted = true;
--- a/tests/support/cell_sim.c
+++ b/tests/support/cell_sim.c
@@ -50,6 +50,13 @@
     GfResources need;
     bool backfill;
     bool serving;
+    double left_ms; /* of its work, at full pace and alone */
+    double tail_ms; /* as reported: the mean of the last half second */
+    int64_t started_ms;
+    int64_t over_since_ms; /* above its target through backfill; 0: is not */
+    double pace;           /* 0 to 1 */
+    double next_pace;      /* from next_pace_ms on */
+    int64_t next_pace_ms;
     struct Run *next;
     struct Run *prev;
 } Run;
@@ -93,7 +100,7 @@
     bool unlisted;
 } SimWorker;
 
-typedef enum { START, STOP, HOLD, ADVISE, COMMIT, LOOK_UP } MessageKind;
+typedef enum { START, STOP, PACE, HOLD, ADVISE, COMMIT, LOOK_UP } MessageKind;
 
 /* An order in transit, or the reply to it. Each kind uses some of the fields,
  * which are named as in the scheduler's orders. */
@@ -112,6 +119,7 @@
     int64_t until_ms; /* end of the lease that a start or hold asks for */
     int64_t done_ms;  /* work saved in the checkpoint of a start */
     int64_t acked;    /* highest acknowledged completion */
+    int percent;      /* pace */
     int64_t wait_until_ms;
     struct timespec sent_at;
     GfOrderResult result;
@@ -177,6 +185,11 @@
     int start_count;
     int crash_count; /* of workers, through deadly tasks */
     int advice_count;
+    bool paces_lost;
+    int64_t serving_ms;
+    int64_t over_ms;
+    int64_t longest_over_ms;
+    double backfill_ms;
     char violation[256];
 };
 
@@ -255,7 +268,7 @@
     const SimWorker *s = &w->workers[m->worker];
     double fraction = random_fraction(w);
     if (s->isolated || s->isolated_from[owner] || !s->alive ||
-        fraction < w->settings.lose_order) {
+        fraction < w->settings.lose_order || (kind == PACE && w->paces_lost)) {
         m->is_reply = true;
         m->result = GF_ORDER_UNKNOWN;
         m->due_ms += ORDER_TIMEOUT_MS;
@@ -311,6 +324,15 @@
     set_run(o->sim, m, &order->task, order->run);
 }
 
+static void
+op_pace(void *ctx, const GfPaceOrder *order)
+{
+    Owner *o = ctx;
+    Message *m = send_order(o->sim, PACE, o->index, &order->target);
+    set_run(o->sim, m, &order->task, order->run);
+    m->percent = order->percent;
+}
+
 static void
 op_hold(void *ctx, const GfHoldOrder *order)
 {
@@ -383,6 +405,7 @@
 
 static const GfCellOps OPS = {.start = op_start,
                               .stop = op_stop,
+                              .pace = op_pace,
                               .hold = op_hold,
                               .advise = op_advise,
                               .commit = op_commit,
@@ -393,6 +416,9 @@
 static int64_t
 work_done_ms(const CellSim *w, const Run *run)
 {
+    if (w->settings.factor != NULL) {
+        return run->work_ms - (int64_t)run->left_ms;
+    }
     int64_t left_ms = run->complete_at_ms - CellSim_NowMs(w);
     return run->complete_at_ms == INT64_MAX || left_ms < 0
                ? run->work_ms
@@ -522,6 +548,8 @@
     run->need = job->spec.step.need;
     run->backfill = job->spec.step.backfill;
     run->serving = job->spec.step.latency_target_ms > 0;
+    run->started_ms = now;
+    run->pace = 1;
     run->fails = s->failing || random_fraction(w) < w->settings.fail_run;
     int64_t run_ms = job->spec.task_run_ms == NULL
                          ? job->spec.run_ms
@@ -533,11 +561,13 @@
     run->checkpointed = job->spec.step.checkpointed;
     run->complete_at_ms =
         now + (run->fails ? run->work_ms / 3 + 1 : run->work_ms);
+    run->left_ms = (double)run->work_ms;
     if (w->settings.checkpoints && run->checkpointed) {
         run->saved_ms = m->done_ms;
         run->complete_at_ms -= m->done_ms;
+        run->left_ms -= (double)m->done_ms;
     }
-    if (job->spec.step.long_running) {
+    if (job->spec.step.long_running || w->settings.factor != NULL) {
         run->complete_at_ms = INT64_MAX;
     }
     run->crash_at_ms = (int64_t)run->task.index < job->spec.deadly_tasks
@@ -578,6 +608,22 @@
     return GF_ORDER_DONE;
 }
 
+/* Carries out a pace order at a worker, after pace_ms. */
+static GfOrderResult
+execute_pace(CellSim *w, SimWorker *s, const Message *m)
+{
+    Run *r;
+    DL_FOREACH(s->runs, r)
+    {
+        if (same_task(&r->task, &m->task) && r->run == m->run) {
+            r->next_pace = m->percent / 100.0;
+            r->next_pace_ms = CellSim_NowMs(w) + w->settings.pace_ms;
+            return GF_ORDER_DONE;
+        }
+    }
+    return GF_ORDER_SUPERSEDED;
+}
+
 /* Drops the completions up to number acked. The owner may acknowledge a
  * completion only once the store has it, so the job of a task that succeeded
  * must have a stored row. */
@@ -622,11 +668,14 @@
     DL_FOREACH(s->runs, r)
     {
         int64_t done_ms = r->stopping ? r->saved_ms : work_done_ms(w, r);
-        runs[inventory.run_count++] =
-            (GfRunRow){.task = r->task,
-                       .run = r->run,
-                       .checkpoint = "",
-                       .percent = (int)(done_ms * 100 / r->work_ms)};
+        int percent = w->settings.factor == NULL
+                          ? (int)(done_ms * 100 / r->work_ms)
+                          : 100;
+        runs[inventory.run_count++] = (GfRunRow){.task = r->task,
+                                                 .run = r->run,
+                                                 .checkpoint = "",
+                                                 .percent = percent,
+                                                 .load = (int64_t)r->tail_ms};
     }
     Completion *c;
     DL_FOREACH(s->completions, c)
@@ -661,6 +710,9 @@
     else if (m->kind == STOP) {
         GfCell_StopDone(o->cell, m->serial, &m->task, m->run, m->result);
     }
+    else if (m->kind == PACE) {
+        GfCell_PaceDone(o->cell, m->serial, &m->task, m->run, m->result);
+    }
     else if (m->kind == HOLD) {
         GfCell_HoldDone(o->cell, m->serial, m->sent_at, m->result, NULL);
     }
@@ -711,6 +763,9 @@
     if (m->kind == STOP) {
         return make_reply(w, m, execute_stop(w, s, m));
     }
+    if (m->kind == PACE) {
+        return make_reply(w, m, execute_pace(w, s, m));
+    }
     if (m->until_ms > s->lease_until_ms) {
         s->lease_until_ms = m->until_ms;
     }
@@ -964,6 +1019,85 @@
     run->behind_ms -= (double)whole_ms;
 }
 
+/* Returns the factor by which the other runs of a worker lengthen a run; of
+ * these, with without_fill, all but the backfill tasks. */
+static double
+lengthening(CellSim *w, const SimWorker *s, const Run *run, bool without_fill)
+{
+    const SimJob *job = find_job(w, &run->task.job);
+    double factor = 1;
+    const Run *r;
+    DL_FOREACH(s->runs, r)
+    {
+        if (r != run && !(without_fill && r->backfill)) {
+            const SimJob *other = find_job(w, &r->task.job);
+            double full =
+                w->settings.factor(&job->spec.step.image,
+                                   &other->spec.step.image, CellSim_NowMs(w));
+            factor *= 1 + (full - 1) * r->pace;
+        }
+    }
+    return factor;
+}
+
+/* Updates the tail of a run that serves, and the times above its target. */
+static void
+tick_tail(CellSim *w, const SimWorker *s, Run *r, const SimJob *job)
+{
+    double tail = (double)job->spec.tail_ms * lengthening(w, s, r, false);
+    double alone = (double)job->spec.tail_ms * lengthening(w, s, r, true);
+    double target = (double)job->spec.tail_target_ms;
+    int64_t now = CellSim_NowMs(w);
+    double noise = 1 + w->settings.noise * (2 * random_fraction(w) - 1);
+    if (now - r->started_ms >= 500) {
+        double last = r->tail_ms > 0 ? r->tail_ms : tail;
+        r->tail_ms = last + (tail * noise - last) * CELL_SIM_STEP_MS / 250;
+    }
+    w->serving_ms += CELL_SIM_STEP_MS;
+    w->over_ms += tail > target ? CELL_SIM_STEP_MS : 0;
+    if (tail <= target || alone > target) {
+        r->over_since_ms = 0;
+        return;
+    }
+    r->over_since_ms = r->over_since_ms == 0 ? now : r->over_since_ms;
+    int64_t over_ms = now - r->over_since_ms;
+    w->longest_over_ms =
+        over_ms > w->longest_over_ms ? over_ms : w->longest_over_ms;
+    if (over_ms >= CELL_SIM_HARM_MS) {
+        report_violation(w, "tail above its target at %lld ms: job %s",
+                         (long long)now, r->task.job.data);
+    }
+}
+
+/* Lets the runs of a worker work for a step at their paces, slowed by each
+ * other. */
+static void
+tick_neighbours(CellSim *w, SimWorker *s)
+{
+    int64_t now = CellSim_NowMs(w);
+    Run *r;
+    DL_FOREACH(s->runs, r)
+    {
+        if (r->next_pace_ms > 0 && r->next_pace_ms <= now) {
+            r->pace = r->next_pace;
+            r->next_pace_ms = 0;
+        }
+    }
+    DL_FOREACH(s->runs, r)
+    {
+        const SimJob *job = find_job(w, &r->task.job);
+        if (job->spec.tail_ms > 0) {
+            tick_tail(w, s, r, job);
+        }
+        w->backfill_ms += r->backfill ? CELL_SIM_STEP_MS * r->pace : 0;
+        if (!job->spec.step.long_running && !r->stopping) {
+            r->left_ms -=
+                CELL_SIM_STEP_MS * r->pace / lengthening(w, s, r, false);
+            r->complete_at_ms = r->left_ms <= 0 ? now : INT64_MAX;
+        }
+    }
+}
+
 /* Completes a worker's runs that are due; all its runs lapse once its lease
  * has expired. A deadly run that is due crashes the worker. */
 static void
@@ -975,7 +1109,9 @@
     Run *tmp;
     DL_FOREACH_SAFE(s->runs, r, tmp)
     {
-        slow_down(r, s->speed);
+        if (w->settings.factor == NULL) {
+            slow_down(r, s->speed);
+        }
         if (s->lease_until_ms <= now) {
             complete_run(w, s, r, GF_COMPLETION_LAPSED);
         }
@@ -1036,6 +1172,9 @@
         GfManualClock_Advance(&w->clock, CELL_SIM_STEP_MS);
         for (int i = 0; i < w->settings.workers; i++) {
             if (w->workers[i].alive) {
+                if (w->settings.factor != NULL) {
+                    tick_neighbours(w, &w->workers[i]);
+                }
                 tick_worker(w, i);
             }
             else {
@@ -1567,6 +1706,59 @@
     return count;
 }
 
+/* Sets the tail latency that the tasks of a job have alone. */
+void
+CellSim_SetTail(CellSim *w, int job, int64_t tail_ms)
+{
+    w->jobs[job].spec.tail_ms = tail_ms;
+}
+
+/* Makes all pace orders be lost, or ends that. */
+void
+CellSim_SetPacesLost(CellSim *w, bool lost)
+{
+    w->paces_lost = lost;
+}
+
+/* Begins to count the times of neighbours anew. */
+void
+CellSim_ResetTimes(CellSim *w)
+{
+    w->serving_ms = 0;
+    w->over_ms = 0;
+    w->longest_over_ms = 0;
+    w->backfill_ms = 0;
+}
+
+/* Returns the time that tasks with a tail have run. */
+int64_t
+CellSim_ServingMs(const CellSim *w)
+{
+    return w->serving_ms;
+}
+
+/* Returns the part of that time with the tail above its target. */
+int64_t
+CellSim_OverTargetMs(const CellSim *w)
+{
+    return w->over_ms;
+}
+
+/* Returns the longest time on end for which a tail was above its target and
+ * would not have been without backfill tasks. */
+int64_t
+CellSim_LongestOverMs(const CellSim *w)
+{
+    return w->longest_over_ms;
+}
+
+/* Returns how long backfill tasks have run, weighted with their pace. */
+int64_t
+CellSim_BackfillMs(const CellSim *w)
+{
+    return (int64_t)w->backfill_ms;
+}
+
 /* Describes the first violated invariant, or returns NULL. The text belongs to
  * the simulation. */
 const char *
