--- a/include/guavaflow/selection.h
+++ b/include/guavaflow/selection.h
@@ -6,9 +6,9 @@
  * team that has the most room for its weight gives up the job that is worth
  * least for the work that it still needs. Jobs that have begun are kept as
  * long as others can be given up. What is kept is served by worth for work, so
- * that the most is in time also if there is less room than planned. Each
- * class is planned with the room that
- * earlier classes leave, or with a guaranteed part. */
+ * that the most is in time also if there is less room than planned. Each class
+ * is planned with the room that earlier classes leave, or with a guaranteed
+ * part. */
 #ifndef GUAVAFLOW_SELECTION_H
 #define GUAVAFLOW_SELECTION_H
 
