--- a/tests/unit/overload_refusal.c
+++ b/tests/unit/overload_refusal.c
@@ -1,7 +1,7 @@
 /* Refusing under overload, from the forecast of the owner to what callers get.
  * The tests guard against jobs that are accepted although they will be of no
  * value, which take capacity from others and keep their callers waiting;
- * against callers that are turned away though there is room for them; and
+ * against callers that are refused though there is room for them; and
  * against refusals by a forecast that does not hold any more, because its
  * owner is gone or its news are old. A refused job must never start. */
 #include <stdio.h>
