Move what a takeover waits for to the file on former owners

Change: CellFormer_Tick, CellFormer_CountUnheard and the line on unheard workers stand in former.c; no logic changed. test_cell, test_cell_unheard, test_cell_takeover, test_cell_crash, test_cell_recovery and test_cell_load pass.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -544,6 +544,8 @@
 /* former.c */
 bool CellFormer_MayStartRuns(const GfCell *cell);
 bool CellFormer_MustStoreSettled(const GfCell *cell);
+size_t CellFormer_CountUnheard(const GfCell *cell);
+void CellFormer_Tick(GfCell *cell, struct timespec now);
 
 /* lease_end.c */
 bool CellLeaseEnd_IsKnown(const GfCell *cell, const Worker *w);
--- a/src/cell/former.c
+++ b/src/cell/former.c
@@ -14,6 +14,9 @@
 #include "cell_private.h"
 #include "guavaflow/log.h"
 
+/* Interval of the lines on workers that a takeover waits for. */
+#define UNHEARD_LOG_MS 500
+
 /* Returns whether this owner's term has outlasted the last proof of ownership
  * of all owners before it. */
 static bool
@@ -84,3 +87,60 @@
 {
     return !cell->settled_stored && !CellFormer_MayStartRuns(cell);
 }
+
+/* Returns the number of workers with a lease of a former owner that have not
+ * answered in this term. */
+size_t
+CellFormer_CountUnheard(const GfCell *cell)
+{
+    size_t count = 0;
+    for (const Worker *w = cell->workers; w != NULL; w = w->hh.next) {
+        count += w->former_lease && !w->contacted;
+    }
+    return count;
+}
+
+/* Logs how many workers all jobs of a former owner wait for, and one of them,
+ * once in UNHEARD_LOG_MS. */
+static void
+log_unheard(GfCell *cell, size_t count, struct timespec now)
+{
+    if (count == 0 ||
+        GfTime_DiffMs(now, cell->unheard_logged_at) < UNHEARD_LOG_MS) {
+        return;
+    }
+    cell->unheard_logged_at = now;
+    const Worker *w = cell->workers;
+    while (!w->former_lease || w->contacted) {
+        w = w->hh.next;
+    }
+    GfLog(GF_LOG_INFO, CELL_PART,
+          "takeover waits for workers unheard=%zu worker=%s failures=%u "
+          "since_ms=%lld",
+          count, w->info.id.data, w->hold_failures,
+          (long long)GfTime_DiffMs(now, cell->created_at));
+}
+
+/* Ends the uncertainty period once every worker with a lease of a former owner
+ * has answered, or no run of a former owner can be left. */
+void
+CellFormer_Tick(GfCell *cell, struct timespec now)
+{
+    if (!cell->placement_started || !cell->in_uncertainty_period) {
+        return;
+    }
+    size_t uncontacted = CellFormer_CountUnheard(cell);
+    log_unheard(cell, uncontacted, now);
+    if (uncontacted == 0 || !GfTime_Before(now, cell->uncertain_until)) {
+        cell->in_uncertainty_period = false;
+        if (uncontacted > 0) {
+            CellCrash_Unseen(cell);
+        }
+        cell->dirty = true;
+        for (Job *j = cell->jobs; j != NULL; j = j->hh.next) {
+            j->uncertain = false;
+        }
+        GfLog(GF_LOG_INFO, CELL_PART,
+              "takeover uncertainty period ended unheard=%zu", uncontacted);
+    }
+}
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -24,7 +24,6 @@
  * owner wait for, and the most such calls a second. */
 #define UNHEARD_RETRY_MS 40
 #define MAX_UNHEARD_CALLS_PER_S 500
-#define UNHEARD_LOG_MS 500
 /* Pause between hold calls while completions are known but not stored; extends
  * the lease in time while the store is unavailable. */
 #define HOLD_UNSTORED_MS 900
@@ -357,18 +356,6 @@
     return !GfTime_Before(a, b) && !GfTime_Before(b, a);
 }
 
-/* Returns the number of workers with a lease of a former owner that have not
- * answered in this term. */
-static size_t
-count_unheard(const GfCell *cell)
-{
-    size_t count = 0;
-    for (const Worker *w = cell->workers; w != NULL; w = w->hh.next) {
-        count += w->former_lease && !w->contacted;
-    }
-    return count;
-}
-
 /* Returns the pause in ms after a failed hold call. It grows with each
  * failure, but not while all jobs of a former owner wait for the worker: one
  * that refuses a part of its calls answers soon if it is called often. */
@@ -381,8 +368,8 @@
     if (!w->former_lease || w->contacted || !cell->in_uncertainty_period) {
         return ms;
     }
-    int64_t shared =
-        (int64_t)count_unheard(cell) * MS_PER_S / MAX_UNHEARD_CALLS_PER_S;
+    int64_t shared = (int64_t)CellFormer_CountUnheard(cell) * MS_PER_S /
+                     MAX_UNHEARD_CALLS_PER_S;
     shared = shared > UNHEARD_RETRY_MS ? shared : UNHEARD_RETRY_MS;
     return shared < ms ? shared : ms;
 }
@@ -506,51 +493,6 @@
     free(w);
 }
 
-/* Logs how many workers all jobs of a former owner wait for, and one of them,
- * once in UNHEARD_LOG_MS. */
-static void
-log_unheard(GfCell *cell, size_t count, struct timespec now)
-{
-    if (count == 0 ||
-        GfTime_DiffMs(now, cell->unheard_logged_at) < UNHEARD_LOG_MS) {
-        return;
-    }
-    cell->unheard_logged_at = now;
-    const Worker *w = cell->workers;
-    while (!w->former_lease || w->contacted) {
-        w = w->hh.next;
-    }
-    GfLog(GF_LOG_INFO, CELL_PART,
-          "takeover waits for workers unheard=%zu worker=%s failures=%u "
-          "since_ms=%lld",
-          count, w->info.id.data, w->hold_failures,
-          (long long)GfTime_DiffMs(now, cell->created_at));
-}
-
-/* Ends the uncertainty period once every worker with a lease of a former owner
- * has answered, or no run of a former owner can be left. */
-static void
-check_uncertainty(GfCell *cell, struct timespec now)
-{
-    if (!cell->placement_started || !cell->in_uncertainty_period) {
-        return;
-    }
-    size_t uncontacted = count_unheard(cell);
-    log_unheard(cell, uncontacted, now);
-    if (uncontacted == 0 || !GfTime_Before(now, cell->uncertain_until)) {
-        cell->in_uncertainty_period = false;
-        if (uncontacted > 0) {
-            CellCrash_Unseen(cell);
-        }
-        cell->dirty = true;
-        for (Job *j = cell->jobs; j != NULL; j = j->hh.next) {
-            j->uncertain = false;
-        }
-        GfLog(GF_LOG_INFO, CELL_PART,
-              "takeover uncertainty period ended unheard=%zu", uncontacted);
-    }
-}
-
 /* Sends the hold calls and stop orders that are due, releases the tasks of
  * workers whose lease has expired, and removes workers that are gone. */
 void
@@ -583,7 +525,7 @@
             CellWorker_Poll(cell, w);
         }
     }
-    check_uncertainty(cell, now);
+    CellFormer_Tick(cell, now);
     CellCrash_PresumeLost(cell, now);
     CellCrash_Judge(cell, now);
     CellCrash_Forget(cell, &now);
