Review: five timed jobs end every owner of the cell

Cause: all tasks of all occurrences are allocated when a job is added, and nothing limits that; each next owner loads the same jobs.

Tried: five jobs of five steps of 64 tasks, 1,000 times each, none due during the play, with the memory limit of a small deployment.

--- a/review/build.sh
+++ b/review/build.sh
@@ -5,5 +5,5 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review
 # shellcheck disable=SC2046
-cc -std=gnu11 -D_GNU_SOURCE -O1 -g -Wall -Wextra -o target/review/standin \
+cc -std=gnu11 -D_GNU_SOURCE -O1 -g -Wall -Wextra -pthread -o target/review/standin \
     review/standin/*.c $(pkg-config --cflags --libs libevent jansson)
--- a/review/standin/drive.c
+++ b/review/standin/drive.c
@@ -6,6 +6,7 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -22,6 +23,10 @@
 #define HELD 0
 #define BROKEN 1
 #define NOT_RUN 2
+/* What the platform does to a process beyond its limits.memoryMb, and the
+ * delay until it starts one again that has ended. */
+#define MEMORY_MB 260
+#define RESTART_MS 500
 
 typedef struct {
     pid_t pid;
@@ -91,11 +96,14 @@
     }
 }
 
+static void watch(bool on);
+
 static _Noreturn void
 cannot_run(const char *cause)
 {
     record("driver", "cannot run: %s", cause);
     fprintf(stderr, "cannot run: %s\n", cause);
+    watch(false);
     end_all();
     exit(NOT_RUN);
 }
@@ -308,9 +316,7 @@
     for (int i = 0; i < entry_count; i++) {
         json_t *body =
             entries[i].process->pid > 0 ? view(&entries[i]) : NULL;
-        char *text = body == NULL ? NULL : json_dumps(body, JSON_COMPACT);
-        bool owns = text != NULL && strstr(text, "\"owns\":true") != NULL;
-        free(text);
+        bool owns = json_object_get(body, "owner_for_ms") != NULL;
         json_decref(body);
         if (owns) {
             return i;
@@ -587,12 +593,479 @@
     return broken > 0 ? BROKEN : HELD;
 }
 
+/* Stops the owner as planned and starts it again once it has ended, as in a
+ * rolling restart. */
+static void
+restart_owner(void)
+{
+    int at = find_owner();
+    if (at < 0) {
+        cannot_run("no owner");
+    }
+    Process *p = entries[at].process;
+    record("driver", "SIGTERM %s, the owner", p->name);
+    kill(p->pid, SIGTERM);
+    waitpid(p->pid, NULL, 0);
+    record("driver", "ended %s", p->name);
+    p->pid = 0;
+    pause_ms(300);
+    launch(p);
+}
+
+/* Cancels jobs, each until a 2xx or 410, for wait_ms at most. Returns how many
+ * are not confirmed; sent gets the time of the first send of each. */
+static int
+cancel_jobs(const char *const *ids, int count, int64_t wait_ms, int64_t *sent)
+{
+    bool confirmed[16] = {false};
+    int64_t t0 = strtoll(getenv("REVIEW_T0"), NULL, 10);
+    int left = count;
+    for (int i = 0; i < count; i++) {
+        sent[i] = 0;
+    }
+    int64_t until = now_ms() + wait_ms;
+    for (int round = 0; left > 0 && now_ms() < until; round++) {
+        for (int i = 0; i < count; i++) {
+            char path[64];
+            snprintf(path, sizeof(path), "/q/%s", ids[i]);
+            if (confirmed[i]) {
+                continue;
+            }
+            sent[i] = sent[i] == 0 ? now_ms() - t0 : sent[i];
+            int status = http_call(entries[round % entry_count].front,
+                                   "DELETE", path,
+                                   "Host: jobs.example\r\nX-Api-Key: k1\r\n"
+                                   "X-Guavaflow-Deadline: 1000\r\n",
+                                   NULL, 1000, NULL);
+            record("client", "DELETE %s entry=%d status=%d", ids[i],
+                   round % entry_count + 1, status);
+            if ((status >= 200 && status < 300) || status == 410) {
+                confirmed[i] = true;
+                left--;
+            }
+        }
+    }
+    return left;
+}
+
+/* A job with 1,500 tasks that last, and a rolling restart: two owners are
+ * stopped in turn. Between them four small jobs are cancelled. */
+static int
+case_large_row(void)
+{
+    static const char *const SMALL[] = {"c000000000000001", "c000000000000002",
+                                        "c000000000000003",
+                                        "c000000000000004"};
+    static const char *const QUICK[] = {"d000000000000001", "d000000000000002",
+                                        "d000000000000003"};
+    start_cell(3, 3, 64000, 131072);
+    if (!submit("5c0e7a21d94b36f8",
+                "{\"spec\":\"lasts\",\"steps\":[{\"count\":1500,\"cpu\":80,"
+                "\"memMb\":100,\"estMs\":1000,\"longRunning\":true}]}",
+                8)) {
+        cannot_run("the large job was not accepted");
+    }
+    for (int i = 0; i < 4; i++) {
+        if (!submit(SMALL[i],
+                    "{\"spec\":\"lasts\",\"steps\":[{\"count\":2,\"cpu\":500,"
+                    "\"memMb\":100,\"estMs\":1000,\"longRunning\":true}]}",
+                    8)) {
+            cannot_run("a small job was not accepted");
+        }
+    }
+    int64_t until = now_ms() + 15000;
+    while (count_running() < 1508 && now_ms() < until) {
+        pause_ms(200);
+    }
+    record("driver", "running=%zu", count_running());
+    if (count_running() < 1508) {
+        cannot_run("the jobs do not run");
+    }
+    pause_ms(1000);
+    if (trouble) {
+        restart_owner();
+    }
+    pause_ms(8000);
+    for (int i = 0; i < 3; i++) {
+        submit(QUICK[i],
+               "{\"spec\":\"ms=300\",\"steps\":[{\"count\":3,\"cpu\":500,"
+               "\"memMb\":100,\"estMs\":300}]}",
+               8);
+    }
+    int64_t sent[4];
+    int unconfirmed = cancel_jobs(SMALL, 4, 12000, sent);
+    record("check", "cancels not confirmed: %d of 4", unconfirmed);
+    if (trouble) {
+        restart_owner();
+    }
+    pause_ms(12000);
+    int open = 0;
+    for (int i = 0; i < 3; i++) {
+        char state[32];
+        ask_state(QUICK[i], state, sizeof(state));
+        open += strcmp(state, "completed") != 0;
+    }
+    record("check", "quick jobs not shown as completed: %d of 3", open);
+    /* UNASKED: a task starts later than cancel_ms after the job's cancelling
+     * had waited ackMs for its confirmation. */
+    read_record();
+    int broken = 0;
+    for (size_t i = 0; i < run_total; i++) {
+        const RunRecord *r = &run_records[i];
+        for (int k = 0; k < 4; k++) {
+            if (strncmp(r->task, SMALL[k], 16) == 0 &&
+                r->started > sent[k] + 4000 + 3000) {
+                broken++;
+                record("check",
+                       "UNASKED task=%s run=%lld started at %lld, its job's "
+                       "cancelling was first sent at %lld",
+                       r->task, (long long)r->run, (long long)r->started,
+                       (long long)sent[k]);
+            }
+        }
+    }
+    record("check", "UNASKED broken %d times", broken);
+    return broken > 0 || unconfirmed > 0 ? BROKEN : HELD;
+}
+
+static volatile bool watching;
+static pthread_t watcher;
+static volatile int over_limit;    /* entries killed for their memory */
+static volatile int ended_by_self; /* entries that ended otherwise */
+
+/* Returns the resident memory of a process in MB. */
+static long
+memory_mb(pid_t pid)
+{
+    char path[64];
+    long pages = 0;
+    snprintf(path, sizeof(path), "/proc/%d/statm", (int)pid);
+    FILE *file = fopen(path, "r");
+    if (file != NULL) {
+        if (fscanf(file, "%*d %ld", &pages) != 1) {
+            pages = 0;
+        }
+        fclose(file);
+    }
+    return pages * (sysconf(_SC_PAGESIZE) / 1024) / 1024;
+}
+
+/* Does what the platform does: kills entries over their memory limit, and
+ * starts entries again that have ended. */
+static void *
+watch_entries(void *arg)
+{
+    (void)arg;
+    int64_t restart_at[8] = {0};
+    while (watching) {
+        for (int i = 0; i < entry_count; i++) {
+            Process *p = entries[i].process;
+            if (p->pid == 0) {
+                if (now_ms() >= restart_at[i]) {
+                    launch(p);
+                }
+                continue;
+            }
+            int status = 0;
+            long mb = memory_mb(p->pid);
+            if (waitpid(p->pid, &status, WNOHANG) == p->pid) {
+                record("platform", "%s ended by itself status=%d", p->name,
+                       status);
+                ended_by_self++;
+            }
+            else if (mb > MEMORY_MB) {
+                kill(p->pid, SIGKILL);
+                waitpid(p->pid, NULL, 0);
+                record("platform", "%s killed, memory=%ld MB of %d", p->name,
+                       mb, MEMORY_MB);
+                over_limit++;
+            }
+            else {
+                continue;
+            }
+            p->pid = 0;
+            restart_at[i] = now_ms() + RESTART_MS;
+        }
+        pause_ms(5);
+    }
+    return NULL;
+}
+
+static void
+watch(bool on)
+{
+    if (on && !watching) {
+        watching = true;
+        pthread_create(&watcher, NULL, watch_entries, NULL);
+    }
+    else if (!on && watching) {
+        watching = false;
+        pthread_join(watcher, NULL);
+    }
+}
+
+/* Hands in count quick jobs, whose ids end in the numbers from first on, and
+ * asks for them for up to 14 s (finish_s) each. Returns how many were accepted
+ * and not shown as completed; writes to *accepted how many were accepted. */
+static int
+run_quick_jobs(int first, int count, int *accepted)
+{
+    char ids[16][32];
+    bool taken[16];
+    *accepted = 0;
+    for (int i = 0; i < count; i++) {
+        snprintf(ids[i], sizeof(ids[i]), "d%015d", first + i);
+        taken[i] = submit(ids[i],
+                          "{\"spec\":\"ms=300\",\"steps\":[{\"count\":3,"
+                          "\"cpu\":500,\"memMb\":100,\"estMs\":300}]}",
+                          5);
+        *accepted += taken[i];
+    }
+    int open = *accepted;
+    int64_t until = now_ms() + 14000;
+    while (open > 0 && now_ms() < until) {
+        open = 0;
+        pause_ms(1000);
+        for (int i = 0; i < count; i++) {
+            char state[32];
+            if (taken[i]) {
+                ask_state(ids[i], state, sizeof(state));
+                open += strcmp(state, "completed") != 0;
+            }
+        }
+    }
+    return open;
+}
+
+/* Writes a job of five steps of 64 tasks, 1,000 times, once a minute, from
+ * ten minutes later on. */
+static void
+write_timed_job(char *text, size_t size)
+{
+    int len = snprintf(text, size,
+                       "{\"spec\":\"ms=300\",\"times\":1000,"
+                       "\"firstMs\":%lld,\"intervalMs\":60000,\"steps\":[",
+                       (long long)wall_ms() + 600000);
+    for (int k = 0; k < 5; k++) {
+        len += snprintf(text + len, size - (size_t)len,
+                        "%s{\"count\":64,\"cpu\":10000,\"memMb\":100,"
+                        "\"estMs\":3800%s",
+                        k == 0 ? "" : ",", k == 0 ? "}" : ",\"after\":[");
+        if (k > 0) {
+            len += snprintf(text + len, size - (size_t)len, "%d]}", k - 1);
+        }
+    }
+    snprintf(text + len, size - (size_t)len, "]}");
+}
+
+/* Hands in count such jobs at the same time, each by a process of its own.
+ * Returns how many were accepted. */
+static int
+hand_in_at_once(int count)
+{
+    pid_t clients[16];
+    char text[1024];
+    int accepted = 0;
+    write_timed_job(text, sizeof(text));
+    for (int i = 0; i < count; i++) {
+        char path[64];
+        snprintf(path, sizeof(path), "/q/5c0e7a21d94b36f%d", i);
+        clients[i] = fork();
+        if (clients[i] == 0) {
+            int status = 0;
+            for (int k = 0; k < 5 && status == 0; k++) {
+                int entry = (i + k) % entry_count;
+                status = client_call(entry, "POST", path, text, NULL);
+                record("client", "POST %s entry=%d status=%d", path + 3,
+                       entry + 1, status);
+                pause_ms(status == 0 ? 300 : 0);
+            }
+            _exit(status >= 200 && status < 300 ? 0 : 1);
+        }
+    }
+    for (int i = 0; i < count; i++) {
+        int status = 0;
+        waitpid(clients[i], &status, 0);
+        accepted += WIFEXITED(status) && WEXITSTATUS(status) == 0;
+    }
+    return accepted;
+}
+
+/* Five jobs of five steps of 64 tasks, each 1,000 times, once a minute, from
+ * ten minutes later on. */
+static int
+case_many_tasks(void)
+{
+    int accepted = 0;
+    start_cell(3, 3, 64000, 131072);
+    watch(true);
+    if (run_quick_jobs(1, 3, &accepted) != 0 || accepted != 3) {
+        cannot_run("quick jobs are not done");
+    }
+    if (trouble && hand_in_at_once(5) < 4) {
+        cannot_run("the jobs of many occurrences were not accepted");
+    }
+    pause_ms(1000);
+    int open = run_quick_jobs(11, 5, &accepted);
+    record("check",
+           "quick jobs accepted=%d, not shown as completed within 14 s=%d, "
+           "entries over memoryMb=%d, ended by themselves=%d",
+           accepted, open, over_limit, ended_by_self);
+    watch(false);
+    /* Fault: processes of two machines end by themselves three times, memory
+     * over the limit counts. LOST: accepted jobs of which nothing runs. */
+    read_record();
+    int without_start = 0;
+    for (int i = 0; i < 5; i++) {
+        char id[32];
+        bool started = false;
+        snprintf(id, sizeof(id), "d%015d", 11 + i);
+        for (size_t k = 0; k < run_total; k++) {
+            started = started || strncmp(run_records[k].task, id, 16) == 0;
+        }
+        without_start += !started;
+    }
+    record("check", "of the 5 quick jobs, without any start=%d",
+           without_start);
+    return open > 0 || over_limit + ended_by_self > 2 ? BROKEN : HELD;
+}
+
+/* Returns the worker on which a task runs now, or NULL. */
+static Worker *
+worker_of(const char *task)
+{
+    read_record();
+    for (size_t i = 0; i < run_total; i++) {
+        for (int k = 0; run_records[i].ended < 0 && k < worker_count; k++) {
+            if (strcmp(run_records[i].task, task) == 0 &&
+                strcmp(run_records[i].worker, workers[k].id) == 0) {
+                return &workers[k];
+            }
+        }
+    }
+    return NULL;
+}
+
+/* Three workers crash, one after another, each while it runs the only task of
+ * a job; each is back after 1.5 s. */
+static int
+case_worker_crashes(void)
+{
+    static const char ID[] = "5c0e7a21d94b36f8";
+    char state[32] = "";
+    start_cell(3, 8, 64000, 131072);
+    if (!submit(ID,
+                "{\"spec\":\"ms=12000\",\"steps\":[{\"count\":1,\"cpu\":10000,"
+                "\"memMb\":1000,\"estMs\":9600}]}",
+                8)) {
+        cannot_run("the job was not accepted");
+    }
+    for (int i = 0; i < 3; i++) {
+        Worker *w = NULL;
+        int64_t until = now_ms() + 20000;
+        while (w == NULL && now_ms() < until) {
+            pause_ms(100);
+            w = worker_of("5c0e7a21d94b36f8.0.0.0");
+        }
+        if (w == NULL) {
+            break;
+        }
+        pause_ms(4500);
+        if (trouble) {
+            kill_process(w->process);
+            pause_ms(1500);
+            launch(w->process);
+            pause_ms(1000);
+        }
+    }
+    for (int i = 0; i < 40 && strcmp(state, "completed") != 0 &&
+                    strcmp(state, "failed") != 0;
+         i++) {
+        pause_ms(1000);
+        ask_state(ID, state, sizeof(state));
+    }
+    read_record();
+    int failed_ends = 0;
+    for (size_t i = 0; i < run_total; i++) {
+        failed_ends += strcmp(run_records[i].how, "failed") == 0;
+    }
+    record("check", "runs=%zu, ended failed=%d, state=%s", run_total,
+           failed_ends, state);
+    /* LOST: shown as failed without cause; only ends failed count as
+     * attempts. */
+    return strcmp(state, "failed") == 0 && failed_ends < 2 ? BROKEN
+           : strcmp(state, "completed") == 0               ? HELD
+                                                           : NOT_RUN;
+}
+
+/* A route is removed while the last attempt of a task runs, and added again
+ * after that has failed. */
+static int
+case_route_removed(void)
+{
+    static const char ID[] = "5c0e7a21d94b36f8";
+    static const char TASK[] = "5c0e7a21d94b36f8.0.0.0";
+    char state[32] = "";
+    start_cell(3, 4, 64000, 131072);
+    if (!submit(ID,
+                "{\"spec\":\"ms=3000 fail\",\"steps\":[{\"count\":1,"
+                "\"cpu\":5000,\"memMb\":1000,\"estMs\":3000}]}",
+                8)) {
+        cannot_run("the job was not accepted");
+    }
+    int64_t until = now_ms() + 15000;
+    while (now_ms() < until && (worker_of(TASK) == NULL || run_total < 2)) {
+        pause_ms(50);
+    }
+    if (run_total < 2) {
+        cannot_run("no second attempt");
+    }
+    if (trouble) {
+        put_config(2, 2, true);
+    }
+    pause_ms(5000);
+    if (trouble) {
+        put_config(3, 2, false);
+    }
+    pause_ms(9000);
+    ask_state(ID, state, sizeof(state));
+    read_record();
+    /* BUDGET: a start after maxAttempts runs of the task have ended failed, if
+     * these ends are taken note of then or later. */
+    int broken = 0;
+    for (size_t i = 0; i < run_total; i++) {
+        int failed = 0;
+        for (size_t k = 0; k < run_total; k++) {
+            failed += strcmp(run_records[k].how, "failed") == 0 &&
+                      run_records[k].noted &&
+                      run_records[k].ended <= run_records[i].started;
+        }
+        if (failed >= 2) {
+            broken++;
+            record("check",
+                   "BUDGET task=%s run=%lld started at %lld after %d runs "
+                   "had ended failed, maxAttempts=2",
+                   run_records[i].task, (long long)run_records[i].run,
+                   (long long)run_records[i].started, failed);
+        }
+    }
+    record("check", "runs=%zu BUDGET broken %d times state=%s", run_total,
+           broken, state);
+    return broken > 0                       ? BROKEN
+           : strcmp(state, "failed") == 0 ? HELD
+                                            : NOT_RUN;
+}
+
 typedef struct {
     const char *name;
     int (*run)(void);
 } Case;
 
-static const Case CASES[] = {{"many_ends", case_many_ends}};
+static const Case CASES[] = {{"many_ends", case_many_ends},
+                             {"large_row", case_large_row},
+                             {"many_tasks", case_many_tasks},
+                             {"worker_crashes", case_worker_crashes},
+                             {"route_removed", case_route_removed}};
 
 int
 drive_main(int argc, char **argv)
