Review: a script for workers that are left without connections

Tried: a job of 400 small tasks on four workers behind proxies with 64 connections each, then silence on the open ones.

--- a/review/standin/common.c
+++ b/review/standin/common.c
@@ -181,9 +181,12 @@
     if (strcmp(role, "worker") == 0) {
         return worker_main(argc - 1, argv + 1);
     }
+    if (strcmp(role, "proxy") == 0) {
+        return proxy_main(argc - 1, argv + 1);
+    }
     if (strcmp(role, "drive") == 0) {
         return drive_main(argc - 1, argv + 1);
     }
-    fprintf(stderr, "usage: standin store|worker|drive ...\n");
+    fprintf(stderr, "usage: standin store|worker|proxy|drive ...\n");
     return 2;
 }
--- a/review/standin/drive.c
+++ b/review/standin/drive.c
@@ -47,6 +47,7 @@
     char id[32];
     int port;
     Process *process;
+    Process *proxy; /* NULL: none */
 } Worker;
 
 /* One run of a task, as the record tells it. */
@@ -231,8 +232,10 @@
            !without_route);
 }
 
+/* Starts a worker; if max_connections is not 0, behind a proxy that allows so
+ * many. */
 static void
-start_worker(int cpu, int mem_mb)
+start_worker(int cpu, int mem_mb, int max_connections)
 {
     Worker *w = &workers[worker_count];
     char port[16];
@@ -240,6 +243,8 @@
     char cpus[16];
     char mem[16];
     char rack[16];
+    char reported[16];
+    char max[16];
     snprintf(w->id, sizeof(w->id), "i-%08x", 0x7f3a9100 + worker_count);
     w->port = free_port();
     snprintf(port, sizeof(port), "%d", w->port);
@@ -247,10 +252,20 @@
     snprintf(cpus, sizeof(cpus), "%d", cpu);
     snprintf(mem, sizeof(mem), "%d", mem_mb);
     snprintf(rack, sizeof(rack), "r1-%d", worker_count / 6);
-    const char *argv[] = {self_path, "worker", port, w->id, store,
-                          cpus,      mem,      rack, NULL};
+    snprintf(reported, sizeof(reported), "%d",
+             max_connections > 0 ? free_port() : w->port);
+    snprintf(max, sizeof(max), "%d", max_connections);
+    const char *argv[] = {self_path, "worker", port, w->id,    store,
+                          cpus,      mem,      rack, reported, NULL};
     w->process = add_process(w->id, argv);
     launch(w->process);
+    if (max_connections > 0) {
+        char name[48];
+        snprintf(name, sizeof(name), "proxy-%s", w->id);
+        const char *args[] = {self_path, "proxy", reported, port, max, NULL};
+        w->proxy = add_process(name, args);
+        launch(w->proxy);
+    }
     worker_count++;
 }
 
@@ -541,13 +556,15 @@
     http_call(store_port, "POST", "/test/mode", NULL, text, 1000, NULL);
 }
 
+static int connection_limit; /* of each worker; 0: no proxies */
+
 static void
 start_cell(int entry_total, int worker_total, int cpu, int mem_mb)
 {
     start_store();
     put_config(1, 2, false);
     for (int i = 0; i < worker_total; i++) {
-        start_worker(cpu, mem_mb);
+        start_worker(cpu, mem_mb, connection_limit);
     }
     start_entries(entry_total);
     wait_ready();
@@ -1056,6 +1073,54 @@
                                             : NOT_RUN;
 }
 
+/* All connections between the system and its workers go silent once, after a
+ * job of many small tasks; new connections work. A worker has 64. */
+static int
+case_silent_connections(void)
+{
+    int accepted = 0;
+    connection_limit = 64;
+    start_cell(3, 4, 64000, 131072);
+    if (!submit("5c0e7a21d94b36f8",
+                "{\"spec\":\"ms=1500+500\",\"steps\":[{\"count\":400,"
+                "\"cpu\":600,\"memMb\":100,\"estMs\":1500}]}",
+                8)) {
+        cannot_run("the job was not accepted");
+    }
+    char state[32] = "";
+    for (int i = 0; i < 20 && strcmp(state, "completed") != 0; i++) {
+        pause_ms(1000);
+        ask_state("5c0e7a21d94b36f8", state, sizeof(state));
+    }
+    if (strcmp(state, "completed") != 0) {
+        cannot_run("the first job is not done");
+    }
+    for (int i = 0; trouble && i < worker_count; i++) {
+        kill(workers[i].proxy->pid, SIGUSR1);
+    }
+    record("driver", "silence=%d", trouble);
+    pause_ms(4000);
+    int open = run_quick_jobs(1, 3, &accepted);
+    read_record();
+    int without_start = 3;
+    for (int i = 1; i <= 3; i++) {
+        char id[32];
+        bool started = false;
+        snprintf(id, sizeof(id), "d%015d", i);
+        for (size_t k = 0; k < run_total; k++) {
+            started = started || strncmp(run_records[k].task, id, 16) == 0;
+        }
+        without_start -= started;
+    }
+    record("check",
+           "quick jobs accepted=%d, not shown as completed within 14 s=%d, "
+           "without any start=%d",
+           accepted, open, without_start);
+    /* LOST: for 3 s a job has nothing running while a task's turn has come
+     * and there is capacity for it; all workers are idle here. */
+    return accepted > 0 && without_start > 0 ? BROKEN : HELD;
+}
+
 typedef struct {
     const char *name;
     int (*run)(void);
@@ -1065,7 +1130,8 @@
                              {"large_row", case_large_row},
                              {"many_tasks", case_many_tasks},
                              {"worker_crashes", case_worker_crashes},
-                             {"route_removed", case_route_removed}};
+                             {"route_removed", case_route_removed},
+                             {"silent_connections", case_silent_connections}};
 
 int
 drive_main(int argc, char **argv)
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -42,6 +42,7 @@
 
 int store_main(int argc, char **argv);
 int worker_main(int argc, char **argv);
+int proxy_main(int argc, char **argv);
 int drive_main(int argc, char **argv);
 
 #endif
--- a/review/standin/worker.c
+++ b/review/standin/worker.c
@@ -1,6 +1,6 @@
 /* A worker: runs tasks under a lease and lists its runs and their ends.
- * "standin worker PORT ID STORE_PORT CPU MEM_MB CAP_RACK". It registers in the
- * store with its birth time and reports every 1.5 s. It doesn't guard its
+ * "standin worker PORT ID STORE_PORT CPU MEM_MB RACK [REPORTED_PORT]". It
+ * registers in the store with its birth time and reports every 1.5 s. It doesn't guard its
  * capacity.
  *
  * A task lasts as long as the job's spec says: words "ms=N" (default 500), or
@@ -53,7 +53,7 @@
 
 static const char *id;
 static char who[80];
-static int port;
+static int port; /* that it reports */
 static int store_port;
 static int cpu;
 static int mem_mb;
@@ -395,7 +395,7 @@
     if (argc < 7) {
         return 2;
     }
-    port = atoi(argv[1]);
+    port = atoi(argc > 7 ? argv[7] : argv[1]);
     id = argv[2];
     store_port = atoi(argv[3]);
     cpu = atoi(argv[4]);
@@ -405,7 +405,7 @@
     born = wall_ms();
     snprintf(who, sizeof(who), "worker=%s", id);
     struct event_base *base = event_base_new();
-    serve(base, port, on_request, NULL);
+    serve(base, atoi(argv[1]), on_request, NULL);
     record(who, "born=%lld", (long long)born);
     struct event *tick =
         event_new(base, -1, EV_PERSIST | EV_TIMEOUT, on_tick, NULL);
