--- a/review/standin/proxy.c
+++ b/review/standin/proxy.c
@@ -1,8 +1,8 @@
 /* A TCP proxy before a worker: "standin proxy PORT TARGET_PORT MAX". It opens
- * a connection to the worker for each of its clients; beyond MAX open ones, the
- * worker's limit, it resets a new client at once. After SIGUSR1 all connections
- * open at that moment are silent: nothing passes any more, and neither side is
- * told of the other's end. Connections opened later work. */
+ * a connection to the worker for each of its clients; beyond MAX open ones,
+ * the worker's limit, it resets a new client at once. After SIGUSR1 all
+ * connections open at that moment are silent: nothing passes any more, and
+ * neither side is told of the other's end. Connections opened later work. */
 #include "standin.h"
 
 #include <arpa/inet.h>
@@ -20,7 +20,7 @@
 #define BUFFER_BYTES 65536
 
 typedef struct {
-    int fd[2]; /* client, worker */
+    int fd[2];     /* client, worker */
     char *data[2]; /* read from that side, not written to the other yet */
     size_t len[2];
     bool open;
@@ -51,8 +51,8 @@
 forward(Pair *p, int from)
 {
     if (p->len[from] == 0) {
-        ssize_t n = recv(p->fd[from], p->data[from], BUFFER_BYTES,
-                         MSG_DONTWAIT);
+        ssize_t n =
+            recv(p->fd[from], p->data[from], BUFFER_BYTES, MSG_DONTWAIT);
         if (n == 0 || (n < 0 && errno != EAGAIN)) {
             return false;
         }
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -35,10 +35,10 @@
               const char *headers, const char *text, int timeout_ms,
               json_t **body);
 
-/* Serves HTTP on a loopback port; exits the process if that fails. */
-struct evhttp *serve(struct event_base *base, int port,
-                     void (*handler)(struct evhttp_request *, void *),
-                     void *arg);
+/* Serves HTTP on a loopback port, any free one if it is 0; exits the process
+ * if that fails. Returns the port. */
+int serve(struct event_base *base, int port,
+          void (*handler)(struct evhttp_request *, void *), void *arg);
 
 int store_main(int argc, char **argv);
 int worker_main(int argc, char **argv);
