Log and count what shows why a configuration came late

An entry that is behind its peers showed it nowhere, and the log did not say how long its watch of the operators' table had gone without an answer when a configuration came from a peer instead.

"configuration applied" has known_ms= and watch_age_ms=. New on /metrics: control_newest (the newest version that is known of), control_watch_age_ms, and control_ignored_total for documents that could not be decoded.

Late entries are not new processes, and none logged a lost history.

--- a/src/cellentry/control.c
+++ b/src/cellentry/control.c
@@ -40,6 +40,18 @@
  * otherwise is repeated after the next heartbeat. */
 #define FETCH_PAUSE_MS 2000
 
+/* Returns for how long, in ms, a peer has been known to have a newer version
+ * than this entry; 0 if none has. */
+static int64_t
+newer_known_ms(const GfCellEntry *entry)
+{
+    uint64_t own =
+        entry->config == NULL ? 0 : (uint64_t)entry->config->version;
+    return entry->newer_version <= own
+               ? 0
+               : GfTime_DiffMs(GfClock_Now(entry->clock), entry->newer_since);
+}
+
 /* Decodes a configuration and applies it if its version is higher than that
  * of the current one. text is borrowed; source names in the log where it
  * came from. A text that cannot be decoded is logged and ignored. */
@@ -50,6 +62,7 @@
     GfError error;
     GfCellConfig *next = entry->decoder->config(text, len, &error);
     if (next == NULL) {
+        GfMetrics_Add(GF_METRIC_CONTROL_IGNORED, 1);
         GfLog(GF_LOG_WARNING, PART, "configuration ignored source=%s cause=%s",
               source, error.text);
         return;
@@ -58,6 +71,7 @@
         GfCellConfig_Destroy(next);
         return;
     }
+    int64_t known_ms = newer_known_ms(entry);
     GfCellConfig *before = entry->config;
     entry->config = next;
     GfStr_Clear(&entry->config_text);
@@ -65,10 +79,11 @@
     GfMetrics_Set(GF_METRIC_CONTROL_VERSION, (uint64_t)next->version);
     GfLog(GF_LOG_INFO, PART,
           "configuration applied version=%lld before=%lld source=%s "
-          "queues=%zu teams=%zu",
+          "queues=%zu teams=%zu known_ms=%lld watch_age_ms=%lld",
           (long long)next->version,
           before == NULL ? 0LL : (long long)before->version, source,
-          next->queue_count, next->team_count);
+          next->queue_count, next->team_count, (long long)known_ms,
+          (long long)EntryControl_WatchAgeMs(entry));
     EntryTerm_ApplyConfig(entry);
     GfCellConfig_Destroy(before);
 }
@@ -143,6 +158,17 @@
                        owner ? OWNER_WATCH_WAIT_MS : WATCH_WAIT_MS);
 }
 
+/* Returns how old, in ms, what the watch knows of the operators' table is at
+ * most. While nothing changes, it grows until the poll in progress is
+ * answered. */
+int64_t
+EntryControl_WatchAgeMs(const GfCellEntry *entry)
+{
+    return entry->operator_watch == NULL
+               ? 0
+               : TableWatch_AgeMs(entry->operator_watch);
+}
+
 /* Handles a peer's answer with its configuration. */
 static void
 on_config(void *arg, const GfRpcOutcome *outcome)
--- a/src/cellentry/describe.c
+++ b/src/cellentry/describe.c
@@ -15,6 +15,13 @@
     }
     GfMetrics_Set(GF_METRIC_MEMBERS_IN_CONTACT, in_contact);
     GfMetrics_Set(GF_METRIC_OWNER_TOKEN, (uint64_t)entry->owner.token);
+    uint64_t version =
+        entry->config == NULL ? 0 : (uint64_t)entry->config->version;
+    GfMetrics_Set(GF_METRIC_CONTROL_NEWEST, entry->newer_version > version
+                                                ? entry->newer_version
+                                                : version);
+    GfMetrics_Set(GF_METRIC_CONTROL_WATCH_AGE_MS,
+                  (uint64_t)EntryControl_WatchAgeMs(entry));
     GfCell *cell = EntryTerm_Cell(entry);
     if (cell != NULL) {
         GfCell_UpdateMetrics(cell);
--- a/src/cellentry/entry_private.h
+++ b/src/cellentry/entry_private.h
@@ -178,6 +178,7 @@
 /* control.c: the operators' configuration. */
 void EntryControl_Begin(GfCellEntry *entry);
 void EntryControl_SetOwner(GfCellEntry *entry, bool owner);
+int64_t EntryControl_WatchAgeMs(const GfCellEntry *entry);
 void EntryControl_ApplyConfig(GfCellEntry *entry, const char *text, size_t len,
                               const char *source);
 void EntryControl_SyncWithPeer(GfCellEntry *entry, Peer *peer,
