Notice a silent connection to the store within 3 s at every entry

Cause: entries that do not own the cell let the store hold their poll of the operators' table for 20 s, so a connection that went silent was noticed after up to 21.2 s. Until then they learned of changes through the owner alone, and waited 1.2 s for their own watch before they fetched one. That is too late if the owner has no news itself: while it is replaced (0.7 to 1 s), or while its own poll hangs (up to 3.2 s).

Polls last 1 s now, 0.5 s at the owner, plus the 1.2 s that a slow store and a narrow link may take: each entry is up to date again 2.6 s after its connections went silent, by itself, and 3 s are allowed.

Test: config_watch failed before (no answer within 3,000 ms), passes now.

--- a/src/cellentry/control.c
+++ b/src/cellentry/control.c
@@ -13,12 +13,14 @@
 #include "guavaflow/metrics.h"
 
 #define PART "control"
-/* How long the store holds a call open to wait for changes; it allows 30 s. A
- * connection that has gone silent is noticed only when the call times out.
- * Other entries learn of a configuration from each other, but only the owner
- * acts on failure domains out of service, within 5 s. */
-#define WATCH_WAIT_MS 20000
-#define OWNER_WATCH_WAIT_MS 2000
+/* How long the store holds a call open to wait for changes. A connection that
+ * has gone silent is noticed only when the call times out, 1.2 s later, and an
+ * entry has to be up to date again 3 s after the silence began: the owner may
+ * be down or without news itself, so it cannot stand in for the watch. The
+ * owner's interval is shorter since entries that the store turns away depend
+ * on it. */
+#define WATCH_WAIT_MS 1000
+#define OWNER_WATCH_WAIT_MS 500
 /* A process that has just started reads the configuration from the store; for
  * this long it takes none from a peer, which may have an older one, unless the
  * store is unreachable. */
