--- a/tests/unit/decode.c
+++ b/tests/unit/decode.c
@@ -1,8 +1,12 @@
 /* The decoder of the platform's documents. The tests guard against one
  * malformed route or tenant that makes a whole configuration unusable, and
- * malformed documents that are accepted. */
+ * malformed documents and workers' entries that are accepted. */
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
+#include <jansson.h>
+
 #include "guavaflow/log.h"
 #include "platform.h"
 #include "suite.h"
@@ -82,6 +86,113 @@
     }
 }
 
+/* A worker's entry with one member replaced by other JSON. */
+typedef struct {
+    const char *name;
+    const char *json;
+} OddMember;
+
+/* Returns the text of a worker's entry in which the members of a list replace
+ * those of the same name. The caller clears it. */
+static GfStr
+entry_with(const OddMember *odd)
+{
+    json_t *entry = json_pack("{s:s,s:s,s:s,s:I,s:s,s:{s:i,s:i}}", "state",
+                              "draining", "service", "s", "zone", "z", "born",
+                              (json_int_t)5, "address", "10.0.0.1:80",
+                              "capacity", "cpu", 2000, "memMb", 512);
+    if (odd != NULL) {
+        json_t *value = json_loads(odd->json, JSON_DECODE_ANY, NULL);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(value);
+        json_object_set_new(entry, odd->name, value);
+    }
+    char *text = json_dumps(entry, JSON_COMPACT);
+    json_decref(entry);
+    return (GfStr){.data = text, .len = strlen(text)};
+}
+
+/* Returns whether a worker's entry with an odd member is taken. */
+static bool
+is_taken(const OddMember *odd, GfWorkerInfo *info)
+{
+    GfError error;
+    GfStr text = entry_with(odd);
+    bool taken =
+        PlatformDecoder()->worker("w1", text.data, text.len, info, &error);
+    GfStr_Clear(&text);
+    return taken;
+}
+
+/* An entry of another writer names no worker if a number is out of range or
+ * the address is none: a host name would be looked up in the event loop. */
+static void
+test_odd_worker_taken(void)
+{
+    static const OddMember ODD[] = {
+        {"capacity", "{\"cpu\":9223372036854775807,\"memMb\":512}"},
+        {"capacity", "{\"cpu\":2000,\"memMb\":-1}"},
+        {"capacity", "{\"cpu\":2000,\"memMb\":512,\"gpu\":1e300}"},
+        {"capacity", "{\"cpu\":2000,\"memMb\":512,\"gpu\":-1e300}"},
+        {"capacity", "{\"cpu\":2000,\"memMb\":512,\"gpu\":\"1\"}"},
+        {"born", "-5"},
+        {"born", "9223372036854775807"},
+        {"address", "\":80\""},
+        {"address", "\"worker.example:80\""},
+        {"address", "\"10.0.0.300:80\""},
+        {"address", "\"10.1:80\""},
+        {"address", "\"10.0.0.1:\""},
+        {"address", "\"10.0.0.1:0\""},
+        {"address", "\"10.0.0.1:65536\""},
+        {"address", "\"10.0.0.1:+80\""},
+        {"address", "\"10.0.0.1: 80\""},
+        {"address", "\"10.0.0.1:-18446744073709551536\""},
+        {"address", "\"10.0.0.1:18446744073709551696\""}};
+    GfWorkerInfo info;
+    CU_ASSERT_TRUE(is_taken(NULL, &info));
+    for (size_t i = 0; i < sizeof(ODD) / sizeof(ODD[0]); i++) {
+        if (is_taken(&ODD[i], &info)) {
+            printf("taken: %s %s\n", ODD[i].name, ODD[i].json);
+            CU_FAIL("an odd entry is taken");
+        }
+    }
+}
+
+/* A remaining time out of range leaves the entry valid, as the worker is still
+ * one that leaves. */
+static void
+test_odd_remaining_time(void)
+{
+    static const OddMember ODD[] = {{"remainingMs", "9223372036854775807"},
+                                    {"remainingMs", "1e300"},
+                                    {"remainingMs", "-1e300"}};
+    enum { MAX_YEARS = 1000 };
+    static const int64_t YEAR_MS = INT64_C(366) * 24 * 3600 * 1000;
+    for (size_t i = 0; i < sizeof(ODD) / sizeof(ODD[0]); i++) {
+        GfWorkerInfo info;
+        CU_ASSERT_TRUE_FATAL(is_taken(&ODD[i], &info));
+        CU_ASSERT_TRUE(info.leaving);
+        CU_ASSERT_TRUE(info.remaining_ms <= MAX_YEARS * YEAR_MS);
+        CU_ASSERT_TRUE(info.remaining_ms >= -MAX_YEARS * YEAR_MS);
+    }
+}
+
+/* An entry that is nested deeply is refused, not followed to the end of the
+ * stack. */
+static void
+test_nested_worker_entry(void)
+{
+    enum { DEPTH = 1000000 };
+    char *text = malloc(DEPTH + 1);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(text);
+    memset(text, '[', DEPTH);
+    text[DEPTH] = '\0';
+    GfWorkerInfo info;
+    GfError error;
+    CU_ASSERT_FALSE(
+        PlatformDecoder()->worker("w1", text, DEPTH, &info, &error));
+    free(text);
+}
+
 /* A worker that leaves says how long it stays at least; the number of one that
  * does not leave is ignored. */
 static void
@@ -110,6 +221,9 @@
     {"entries left out", test_malformed_elements},
     {"unreadable", test_unreadable},
     {"worker", test_worker},
+    {"odd worker entry taken", test_odd_worker_taken},
+    {"odd remaining time", test_odd_remaining_time},
+    {"nested worker entry", test_nested_worker_entry},
     {"remaining time", test_remaining_time}};
 
 SUITE_MAIN("decode", TESTS)
