--- a/tests/unit/decode.c
+++ b/tests/unit/decode.c
@@ -41,6 +41,8 @@
     CU_ASSERT_EQUAL_FATAL(c->team_count, 1);
     CU_ASSERT_STRING_EQUAL(c->teams[0].name.data, "b");
     CU_ASSERT_EQUAL(c->teams[0].limit.mcores, 500);
+    CU_ASSERT_EQUAL(c->teams[0].key_count, 2);
+    CU_ASSERT_PTR_NULL(GfCellConfig_FindTeamByKey(c, ""));
     GfCellConfig_Destroy(c);
 }
 
