Serve routes, teams and API keys with any text as their name

Cause: the texts were decoded as identifiers of the product, which have that limit, and what does not fit was skipped.

Host names and API keys, which are only compared, are strings of any length now. Where a name is an identity (route, team, service, label, failure domain) a text that is no valid name gets one from a hash of it, the same on every host and in the configuration, the workers' entries and jobs. Names that were valid stay as they are, so stored rows keep their meaning. The id of a worker is still restricted, since it goes back to the platform.

Test: decode, "long text refused", found no queue before; passes for long, spaced and non-ASCII texts now. name, "name of text", fixes the hash.

--- a/include/guavaflow/cell_config.h
+++ b/include/guavaflow/cell_config.h
@@ -18,7 +18,7 @@
  * takes advice_ms, plus advice_ms_per_worker for each worker asked about. */
 typedef struct {
     GfName name;
-    GfName host;
+    GfStr host;
     GfStr path_prefix;
     GfName service;        /* its workers run the queue's jobs */
     uint32_t work_class;   /* 0 is scheduled first */
@@ -42,7 +42,7 @@
     GfName name;
     double weight;     /* relative share; 0 or less counts as 1 */
     GfResources limit; /* most in use at a time; 0 in a field: no limit */
-    GfName *keys;      /* API keys */
+    GfStr *keys;       /* API keys */
     size_t key_count;
 } GfCellTeam;
 
--- a/include/guavaflow/name.h
+++ b/include/guavaflow/name.h
@@ -12,7 +12,7 @@
 #define GF_NAME_MAX_BYTES 63
 
 /* An identifier of visible ASCII characters without '"'. The bytes after the
- * name are zero. */
+ * name are zero. GfName_OfText makes one of any other text too. */
 typedef struct {
     uint8_t len;
     char data[GF_NAME_MAX_BYTES + 1];
@@ -27,6 +27,7 @@
 
 bool GfName_Set(GfName *name, const char *data, size_t len);
 bool GfName_SetText(GfName *name, const char *text);
+GfName GfName_OfText(const char *data, size_t len);
 GfName GfName_Format(const char *format, ...)
     __attribute__((format(printf, 1, 2)));
 bool GfName_Equal(const GfName *a, const GfName *b);
--- a/src/cell/cell_config.c
+++ b/src/cell/cell_config.c
@@ -56,7 +56,7 @@
     for (size_t i = 0; i < config->queue_count; i++) {
         const GfQueue *q = &config->queues[i];
         if (q->host.len != host_len ||
-            strncasecmp(q->host.data, host, host_len) != 0 ||
+            (host_len > 0 && strncasecmp(q->host.data, host, host_len) != 0) ||
             strncmp(path, q->path_prefix.data, q->path_prefix.len) != 0) {
             continue;
         }
@@ -86,10 +86,12 @@
 GfCellConfig_FindTeamByKey(const GfCellConfig *config, const char *key)
 {
     assert(config != NULL && key != NULL);
+    size_t len = strlen(key);
     for (size_t i = 0; i < config->team_count; i++) {
         const GfCellTeam *team = &config->teams[i];
         for (size_t k = 0; k < team->key_count; k++) {
-            if (strcmp(team->keys[k].data, key) == 0) {
+            if (team->keys[k].len == len &&
+                memcmp(team->keys[k].data, key, len) == 0) {
                 return team;
             }
         }
@@ -105,9 +107,13 @@
         return;
     }
     for (size_t i = 0; i < config->queue_count; i++) {
+        GfStr_Clear(&config->queues[i].host);
         GfStr_Clear(&config->queues[i].path_prefix);
     }
     for (size_t i = 0; i < config->team_count; i++) {
+        for (size_t k = 0; k < config->teams[i].key_count; k++) {
+            GfStr_Clear(&config->teams[i].keys[k]);
+        }
         free(config->teams[i].keys);
     }
     free(config->queues);
--- a/src/common/name.c
+++ b/src/common/name.c
@@ -8,6 +8,16 @@
 
 #include <xxhash.h>
 
+/* Length of what GfName_OfText appends: a tilde and a hash of 64 bits. */
+#define HASH_SUFFIX_BYTES 17
+
+/* Returns whether a name may contain the character. */
+static bool
+is_name_byte(char c)
+{
+    return c >= 0x21 && c <= 0x7e && c != '"';
+}
+
 /* Sets the name to len bytes of data, which may be NULL if len is 0. Returns
  * false and leaves the name unchanged if len exceeds GF_NAME_MAX_BYTES or a
  * byte is '"' or not visible ASCII: names are used unquoted in URLs, store
@@ -21,7 +31,7 @@
         return false;
     }
     for (size_t i = 0; i < len; i++) {
-        if (data[i] < 0x21 || data[i] > 0x7e || data[i] == '"') {
+        if (!is_name_byte(data[i])) {
             return false;
         }
     }
@@ -41,6 +51,29 @@
     return GfName_Set(name, text, text == NULL ? 0 : strlen(text));
 }
 
+/* Returns the name that stands for a text of len bytes, the same on every host
+ * and in every version: the text itself if it is a valid name, else its
+ * beginning without the characters that a name cannot have, followed by a hash
+ * of the whole text, so that texts that begin alike are told apart. */
+GfName
+GfName_OfText(const char *data, size_t len)
+{
+    GfName name = {0};
+    if (GfName_Set(&name, data, len)) {
+        return name;
+    }
+    char kept[GF_NAME_MAX_BYTES - HASH_SUFFIX_BYTES + 1];
+    size_t count = 0;
+    for (size_t i = 0; i < len && count < sizeof(kept) - 1; i++) {
+        if (is_name_byte(data[i])) {
+            kept[count++] = data[i];
+        }
+    }
+    kept[count] = '\0';
+    return GfName_Format("%s~%016llx", kept,
+                         (unsigned long long)XXH3_64bits(data, len));
+}
+
 /* Returns a name formatted as by printf; its characters are not checked. A
  * result longer than GF_NAME_MAX_BYTES is a programming error: it fails an
  * assertion and is truncated in builds without assertions. */
--- a/tests/unit/decode.c
+++ b/tests/unit/decode.c
@@ -46,6 +46,25 @@
     GfCellConfig_Destroy(c);
 }
 
+/* Returns the configuration with one queue and one team. Each text may be
+ * longer than a GfName and have other characters. */
+static GfCellConfig *
+config_with(const char *queue, const char *host, const char *team,
+            const char *key)
+{
+    GfError error;
+    json_t *json =
+        json_pack("{s:i,s:[{s:s,s:s,s:s,s:s}],s:[{s:s,s:[s]}]}", "version", 7,
+                  "routes", "name", queue, "host", host, "pathPrefix", "/a",
+                  "service", queue, "tenants", "name", team, "apiKeys", key);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(json);
+    char *text = json_dumps(json, JSON_COMPACT);
+    json_decref(json);
+    GfCellConfig *config = config_of(text, &error);
+    free(text);
+    return config;
+}
+
 /* A malformed document gives an error and no configuration. */
 static void
 test_unreadable(void)
@@ -125,6 +144,50 @@
     return taken;
 }
 
+/* A valid configuration sets no limit to the texts in it. */
+static void
+test_long_text_refused(void)
+{
+    static const char *const TEXTS[] = {
+        "a-text-of-more-than-63-bytes-0123456789-0123456789-0123456789."
+        "example",
+        "a-text-of-more-than-63-bytes-0123456789-0123456789-0123456789."
+        "exampl2",
+        "zwei Worte",
+        "zwei  Worte",
+        "\xc3\xa9quipe",
+        "\xc3\xa8quipe"};
+    enum { COUNT = sizeof(TEXTS) / sizeof(TEXTS[0]) };
+    for (size_t i = 0; i < COUNT; i++) {
+        const char *text = TEXTS[i];
+        const char *other = TEXTS[i ^ 1U];
+        GfCellConfig *c = config_with(text, text, text, text);
+        GfCellConfig *d = config_with(other, other, other, other);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(c);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(d);
+        CU_ASSERT_EQUAL_FATAL(c->queue_count, 1);
+        CU_ASSERT_EQUAL_FATAL(d->queue_count, 1);
+        CU_ASSERT_PTR_EQUAL(GfCellConfig_Route(c, text, strlen(text), "/a/0"),
+                            &c->queues[0]);
+        CU_ASSERT_PTR_NULL(
+            GfCellConfig_Route(c, other, strlen(other), "/a/0"));
+        CU_ASSERT_FALSE(GfName_Equal(&c->queues[0].name, &d->queues[0].name));
+        CU_ASSERT_EQUAL_FATAL(c->team_count, 1);
+        CU_ASSERT_EQUAL_FATAL(d->team_count, 1);
+        CU_ASSERT_PTR_EQUAL(GfCellConfig_FindTeamByKey(c, text), &c->teams[0]);
+        CU_ASSERT_PTR_NULL(GfCellConfig_FindTeamByKey(c, other));
+        CU_ASSERT_FALSE(GfName_Equal(&c->teams[0].name, &d->teams[0].name));
+        GfStr json = GfStr_Format("\"%s\"", text);
+        OddMember service = {"service", json.data};
+        GfWorkerInfo info;
+        CU_ASSERT_TRUE(is_taken(&service, &info));
+        CU_ASSERT_TRUE(GfName_Equal(&info.service, &c->queues[0].service));
+        GfStr_Clear(&json);
+        GfCellConfig_Destroy(c);
+        GfCellConfig_Destroy(d);
+    }
+}
+
 /* An entry of another writer names no worker if a number is out of range or
  * the address is none: a host name would be looked up in the event loop. */
 static void
@@ -222,6 +285,7 @@
 static const SuiteTest TESTS[] = {
     {"entries left out", test_malformed_elements},
     {"unreadable", test_unreadable},
+    {"long text refused", test_long_text_refused},
     {"worker", test_worker},
     {"odd worker entry taken", test_odd_worker_taken},
     {"odd remaining time", test_odd_remaining_time},
--- a/tests/unit/name.c
+++ b/tests/unit/name.c
@@ -22,6 +22,24 @@
     CU_ASSERT_EQUAL(name.len, 0);
 }
 
+/* The name of a text that is no valid name is the same on every host, so it is
+ * fixed here, and tells texts apart that begin alike. */
+static void
+test_name_of_text(void)
+{
+    GfName valid = GfName_OfText("rack1", 5);
+    CU_ASSERT_STRING_EQUAL(valid.data, "rack1");
+    GfName words = GfName_OfText("two words", 9);
+    CU_ASSERT_STRING_EQUAL(words.data, "twowords~c6a748cef3b57855");
+    char longest[GF_NAME_MAX_BYTES + 2];
+    memset(longest, 'a', sizeof(longest));
+    GfName first = GfName_OfText(longest, sizeof(longest));
+    longest[GF_NAME_MAX_BYTES + 1] = 'b';
+    GfName second = GfName_OfText(longest, sizeof(longest));
+    CU_ASSERT_EQUAL(first.len, GF_NAME_MAX_BYTES);
+    CU_ASSERT_FALSE(GfName_Equal(&first, &second));
+}
+
 /* The hash decides ownership, so it must be the same on every host and in
  * every version: its value for one name is fixed here. */
 static void
@@ -48,7 +66,9 @@
     CU_ASSERT_PTR_NULL(s.data);
 }
 
-static const SuiteTest TESTS[] = {
-    {"limits", test_limits}, {"hash", test_hash}, {"str", test_str}};
+static const SuiteTest TESTS[] = {{"limits", test_limits},
+                                  {"name of text", test_name_of_text},
+                                  {"hash", test_hash},
+                                  {"str", test_str}};
 
 SUITE_MAIN("name", TESTS)
