--- a/src/cellentry/control.c
+++ b/src/cellentry/control.c
@@ -132,11 +132,19 @@
         if (entry->decoder->evacuation(row->key, &domain)) {
             set_out_of_service(entry, &domain, !row->deleted);
         }
-        else if (strcmp(row->key, entry->decoder->config_key) == 0 &&
-                 row->value != NULL) {
+        else if (strcmp(row->key, entry->decoder->config_key) != 0) {
+            continue;
+        }
+        else if (row->value != NULL) {
             EntryControl_ApplyConfig(entry, row->value, row->value_len,
                                      "store");
         }
+        else {
+            GfMetrics_Add(GF_METRIC_CONTROL_IGNORED, 1);
+            GfLog(GF_LOG_WARNING, PART,
+                  "configuration row without a value deleted=%d version=%lld",
+                  row->deleted, (long long)row->version);
+        }
     }
     EntryTerm_ApplyConfig(entry);
 }
