Go on with a read or poll whose answer is arriving

A poll of the operators' table times out 1.2 s after its end. Since polls last 1 s, a change often arrives late in one, and a large configuration takes more than 1.2 s over a link of 10 Mbit/s: the poll was given up while the answer arrived, and the document sent again. The polls of 20 s before met that seldom.

A connection that falls silent in the middle of an answer is still noticed.

Test: http, "arriving answer given up" (without progress_ms the same answer is still given up) and "stopped answer".

--- a/include/guavaflow/http.h
+++ b/include/guavaflow/http.h
@@ -49,6 +49,9 @@
     const char *body;
     size_t body_len;
     int timeout_ms;
+    int progress_ms; /* above 0: a call whose answer is arriving at its timeout
+                        goes on until nothing has arrived for this long, or
+                        as long again has passed */
 } GfHttpCall;
 
 GfHttp *GfHttp_Create(struct event_base *base);
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -44,7 +44,11 @@
     Connection *connection;
     GfHttpCallback callback;
     void *arg;
+    struct evhttp_request *request; /* libevent's, until the call completes */
     struct event *timer;
+    int progress_ms;
+    int extension_ms; /* how much longer the call may take if it progresses */
+    size_t received;  /* bytes of the answer at the last check */
     bool in_grace;
     struct Pending *next;
     struct Pending *prev;
@@ -251,6 +255,33 @@
     callback(callback_arg, &result);
 }
 
+/* Returns how many bytes of a call's answer wait to be handed over. */
+static size_t
+count_received(const Pending *p)
+{
+    struct bufferevent *bev =
+        evhttp_connection_get_bufferevent(p->connection->evcon);
+    return evbuffer_get_length(bufferevent_get_input(bev)) +
+           evbuffer_get_length(evhttp_request_get_input_buffer(p->request));
+}
+
+/* Lets a call that has timed out go on if its answer is arriving. Returns
+ * whether it does. */
+static bool
+extend(Pending *p)
+{
+    size_t received = p->progress_ms > 0 ? count_received(p) : 0;
+    if (received <= p->received || p->extension_ms <= 0) {
+        return false;
+    }
+    p->received = received;
+    p->extension_ms -= p->progress_ms;
+    p->in_grace = false;
+    struct timeval tv = GfTime_ToTimeval(p->progress_ms);
+    evtimer_add(p->timer, &tv);
+    return true;
+}
+
 /* Timer callback: gives up a call that has timed out. */
 static void
 on_timeout(evutil_socket_t fd, short what, void *arg)
@@ -258,6 +289,9 @@
     (void)fd;
     (void)what;
     Pending *p = arg;
+    if (extend(p)) {
+        return;
+    }
     if (!p->in_grace) {
         /* If this process was paused, the answer may have arrived without
          * having been read yet: allow GRACE_MS to read it. */
@@ -327,7 +361,9 @@
     *p = (Pending){.http = http,
                    .number = ++http->last_number,
                    .endpoint = e,
-                   .connection = c};
+                   .connection = c,
+                   .progress_ms = call->progress_ms,
+                   .extension_ms = call->timeout_ms};
     p->callback = callback;
     p->arg = arg;
     p->timer = evtimer_new(http->base, on_timeout, p);
@@ -335,6 +371,7 @@
     evtimer_add(p->timer, &limit);
     DL_APPEND(http->pending, p);
     struct evhttp_request *req = evhttp_request_new(on_response, p);
+    p->request = req;
     add_headers(req, call);
     if (call->body_len > 0) {
         evbuffer_add(evhttp_request_get_output_buffer(req), call->body,
--- a/tests/unit/http.c
+++ b/tests/unit/http.c
@@ -11,9 +11,11 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 
+#include "guavaflow/clock.h"
 #include "suite.h"
 
 #define PORT 31757
+#define PIECE_MS 20
 
 /* A server that answers every request with the same bytes (NULL: not at all),
  * the client under test, and the outcome of the latest call. */
@@ -23,6 +25,9 @@
     GfHttp *http;
     const char *answer;
     bool close_after;
+    int pieces; /* above 0: bytes of the body that follow, one each PIECE_MS */
+    struct event *piece_timer;
+    struct bufferevent *piece_to;
     struct bufferevent *open[8];
     int connections;
     int done;
@@ -30,6 +35,21 @@
     char body[64];
 } Server;
 
+/* Sends the next byte of the body. */
+static void
+on_piece(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    Server *s = arg;
+    if (s->pieces > 0) {
+        s->pieces--;
+        bufferevent_write(s->piece_to, "x", 1);
+        struct timeval tv = {.tv_usec = PIECE_MS * 1000};
+        evtimer_add(s->piece_timer, &tv);
+    }
+}
+
 /* Answers once the headers of a request are complete, and closes the
  * connection if the test asks for that. */
 static void
@@ -44,6 +64,10 @@
     if (s->answer != NULL) {
         bufferevent_write(bev, s->answer, strlen(s->answer));
     }
+    if (s->pieces > 0) {
+        s->piece_to = bev;
+        on_piece(-1, 0, s);
+    }
     if (s->close_after) {
         shutdown(bufferevent_getfd(bev), SHUT_RD);
         bufferevent_flush(bev, EV_WRITE, BEV_FINISHED);
@@ -77,6 +101,7 @@
     memset(s, 0, sizeof(*s));
     s->base = event_base_new();
     s->http = GfHttp_Create(s->base);
+    s->piece_timer = evtimer_new(s->base, on_piece, s);
     if (listens) {
         struct sockaddr_in sin = {.sin_family = AF_INET,
                                   .sin_port = htons(PORT)};
@@ -101,6 +126,7 @@
         evconnlistener_free(s->listener);
     }
     GfHttp_Destroy(s->http);
+    event_free(s->piece_timer);
     event_base_free(s->base);
 }
 
@@ -259,11 +285,69 @@
     close_server(&s);
 }
 
-static const SuiteTest TESTS[] = {{"whole", test_complete},
-                                  {"refused", test_refused},
-                                  {"cut", test_truncated},
-                                  {"timeout", test_timeout},
-                                  {"idle connections", test_idle_connections},
-                                  {"abandon older", test_abandon_older}};
+/* Makes a call whose answer has a body of 20 bytes, of which some arrive, and
+ * that may go on while it arrives. Returns how long the call took, in ms. */
+static int64_t
+get_slowly(Server *s, int pieces, int timeout_ms, int progress_ms)
+{
+    s->answer = "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n";
+    s->pieces = pieces;
+    GfHttpCall call = {.address = "127.0.0.1",
+                       .port = PORT,
+                       .method = EVHTTP_REQ_GET,
+                       .path = "/",
+                       .timeout_ms = timeout_ms,
+                       .progress_ms = progress_ms};
+    struct timespec begun = GfClock_Now(GfClock_System());
+    GfHttp_Start(s->http, &call, on_result, s);
+    while (s->done == 0) {
+        event_base_loop(s->base, EVLOOP_ONCE);
+    }
+    return GfTime_DiffMs(GfClock_Now(GfClock_System()), begun);
+}
+
+/* The body takes 400 ms. */
+static void
+test_arriving_answer_given_up(void)
+{
+    Server s;
+    open_server(&s, true);
+    get_slowly(&s, 20, 250, 200);
+    CU_ASSERT_EQUAL(s.result.kind, GF_OK);
+    CU_ASSERT_EQUAL(s.result.body_len, 20);
+    close_server(&s);
+    open_server(&s, true);
+    get_slowly(&s, 20, 250, 0);
+    CU_ASSERT_EQUAL(s.result.kind, GF_TIMEOUT);
+    close_server(&s);
+}
+
+/* An answer that stops, or takes more than twice the timeout, is given up. */
+static void
+test_stopped_answer(void)
+{
+    enum { GRACE_MS = 20, LATE_MS = 80 };
+    Server s;
+    open_server(&s, true);
+    int64_t ms = get_slowly(&s, 5, 250, 100);
+    CU_ASSERT_EQUAL(s.result.kind, GF_TIMEOUT);
+    CU_ASSERT(ms <= 250 + 100 + GRACE_MS + LATE_MS);
+    close_server(&s);
+    open_server(&s, true);
+    ms = get_slowly(&s, 19, 60, 50);
+    CU_ASSERT_EQUAL(s.result.kind, GF_TIMEOUT);
+    CU_ASSERT(ms <= 2 * 60 + 50 + GRACE_MS + LATE_MS);
+    close_server(&s);
+}
+
+static const SuiteTest TESTS[] = {
+    {"whole", test_complete},
+    {"refused", test_refused},
+    {"cut", test_truncated},
+    {"timeout", test_timeout},
+    {"idle connections", test_idle_connections},
+    {"abandon older", test_abandon_older},
+    {"arriving answer given up", test_arriving_answer_given_up},
+    {"stopped answer", test_stopped_answer}};
 
 SUITE_MAIN("http", TESTS)
