--- a/src/cellentry/describe.c
+++ b/src/cellentry/describe.c
@@ -5,6 +5,13 @@
 #include "entry_private.h"
 #include "guavaflow/metrics.h"
 
+/* Returns the version of the current configuration; 0 if there is none. */
+static json_int_t
+config_version(const GfCellEntry *entry)
+{
+    return entry->config == NULL ? 0 : (json_int_t)entry->config->version;
+}
+
 /* Sets the gauges of the entry and, if it owns the cell, of the cell. */
 void
 GfCellEntry_UpdateMetrics(const GfCellEntry *entry)
@@ -15,8 +22,7 @@
     }
     GfMetrics_Set(GF_METRIC_MEMBERS_IN_CONTACT, in_contact);
     GfMetrics_Set(GF_METRIC_OWNER_TOKEN, (uint64_t)entry->owner.token);
-    uint64_t version =
-        entry->config == NULL ? 0 : (uint64_t)entry->config->version;
+    uint64_t version = (uint64_t)config_version(entry);
     GfMetrics_Set(GF_METRIC_CONTROL_NEWEST, entry->newer_version > version
                                                 ? entry->newer_version
                                                 : version);
@@ -28,13 +34,6 @@
     }
 }
 
-/* Returns the version of the current configuration; 0 if there is none. */
-static json_int_t
-config_version(const GfCellEntry *entry)
-{
-    return entry->config == NULL ? 0 : (json_int_t)entry->config->version;
-}
-
 /* Returns a new JSON object with the state of the entry and, if it owns the
  * cell, of the cell. The caller releases it with json_decref. */
 json_t *
