Take a configuration in which a number or text is unusual

One integer of 20 digits, one escaped NUL or a version written 7.0 anywhere in the operators' configuration made the whole document unreadable: it was ignored with a warning, and the older version stayed in force (CONFIG: a change is not in force in time).

--- a/tests/unit/decode.c
+++ b/tests/unit/decode.c
@@ -65,6 +65,27 @@
     return config;
 }
 
+/* A member that nobody reads is of no consequence. */
+static void
+test_version_lost_for_one_number(void)
+{
+    static const char *const ODD[] = {"12345678901234567890", "-1e300",
+                                      "\"a\\u0000b\"", "7.0"};
+    for (size_t i = 0; i < sizeof(ODD) / sizeof(ODD[0]); i++) {
+        GfError error;
+        GfStr text =
+            GfStr_Format("{\"version\":%s,\"routes\":[{\"name\":\"q\","
+                         "\"pathPrefix\":\"/a\",\"other\":%s}]}",
+                         i == 3 ? ODD[i] : "7", ODD[i]);
+        GfCellConfig *c = config_of(text.data, &error);
+        GfStr_Clear(&text);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(c);
+        CU_ASSERT_EQUAL(c->version, 7);
+        CU_ASSERT_EQUAL(c->queue_count, 1);
+        GfCellConfig_Destroy(c);
+    }
+}
+
 /* A malformed document gives an error and no configuration. */
 static void
 test_unreadable(void)
@@ -74,6 +95,9 @@
     CU_ASSERT_EQUAL(error.kind, GF_PROTOCOL);
     CU_ASSERT_PTR_NULL(config_of("{\"routes\":[]}", &error));
     CU_ASSERT_PTR_NULL(config_of("", &error));
+    CU_ASSERT_PTR_NULL(config_of("{\"version\":7.5,\"routes\":[]}", &error));
+    CU_ASSERT_PTR_NULL(config_of("{\"version\":1e300,\"routes\":[]}", &error));
+    CU_ASSERT_PTR_NULL(config_of("{\"version\":\"7\",\"routes\":[]}", &error));
 }
 
 /* A worker's row must have its state, start time, capacity, and an address
@@ -285,6 +309,7 @@
 static const SuiteTest TESTS[] = {
     {"entries left out", test_malformed_elements},
     {"unreadable", test_unreadable},
+    {"version lost for one number", test_version_lost_for_one_number},
     {"long text refused", test_long_text_refused},
     {"worker", test_worker},
     {"odd worker entry taken", test_odd_worker_taken},
