Soak: a configuration changed while all connections are silent

After the jobs have settled, the soak lets all connections to the store and between entries go silent, changes the configuration, and after 3 s calls each entry with a key that only the new version has. Entries are waited for now.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -36,8 +36,15 @@
  * that expire, and the backlog. */
 #define SETTLE_MS 45000
 #define CALL_TIMEOUT_MS 3500
+/* From the start of an entry until it has read the configuration. */
+#define START_MS 1200
 #define TRIES 6
+/* After its connections have gone silent, an entry is up to date again within
+ * this time, which is the stated target. */
+#define CONTACT_MS 3000
 #define KEY "key-desk"
+#define KEY_BYTES 24
+#define STATUS_GONE 410
 #define HOST "jobs.example"
 
 /* The outcome of a submission: OPEN until there is an answer or the tries are
@@ -63,6 +70,7 @@
 typedef struct {
     pid_t pid;
     bool paused;
+    bool stopping; /* a planned stop was requested */
     int64_t resume_at;
     int64_t start_at;     /* 0: it runs */
     int64_t heal_at;      /* of the relay to the store */
@@ -166,6 +174,7 @@
                     NULL};
     soak.entries[entry].pid = start_process(name, argv);
     soak.entries[entry].start_at = 0;
+    soak.entries[entry].stopping = false;
 }
 
 /* Runs the event loop for a time in ms. */
@@ -198,10 +207,13 @@
                     on_standin_reply, NULL);
 }
 
-/* Writes a version of the operators' configuration: two queues and a team. */
+/* Writes a version of the operators' configuration: two queues, and a team
+ * with an API key that only this version has. */
 static void
 write_config(int version)
 {
+    char key[KEY_BYTES];
+    snprintf(key, sizeof(key), "version-%d", version);
     json_t *queue = json_pack(
         "{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:f,s:{s:f,s:f,s:i}}", "name", "quick",
         "host", HOST, "pathPrefix", "/quick/", "service", "plan", "priority",
@@ -211,9 +223,9 @@
                               "batch", "host", HOST, "pathPrefix", "/batch/",
                               "service", "plan", "priority", 2, "maxAttempts",
                               4, "targetLatencyMs", 1000, "stretch", 2.0);
-    json_t *team = json_pack("{s:s,s:[s],s:i,s:{s:i,s:i,s:i}}", "name", "desk",
-                             "apiKeys", KEY, "weight", 5, "maximum", "cpu",
-                             90000, "memMb", 0, "gpu", 0);
+    json_t *team = json_pack("{s:s,s:[s,s],s:i,s:{s:i,s:i,s:i}}", "name",
+                             "desk", "apiKeys", KEY, key, "weight", 5,
+                             "maximum", "cpu", 90000, "memMb", 0, "gpu", 0);
     send_to_standin(soak.port, "/test/config",
                     json_pack("{s:i,s:[o,o],s:[{s:s,s:b}],s:[o]}", "version",
                               version, "routes", queue, batch, "services",
@@ -350,6 +362,7 @@
         break;
     case 1:
         kill(e->pid, SIGTERM);
+        e->stopping = true;
         break;
     case 2:
         kill(e->pid, SIGSTOP);
@@ -517,7 +530,7 @@
         start_entry(i);
     }
     write_config(1);
-    run_loop(1200);
+    run_loop(START_MS);
 }
 
 /* Returns whether each job has an outcome and a final state, and asks for the
@@ -543,6 +556,81 @@
     return settled;
 }
 
+/* A call with the key of the newest configuration. */
+typedef struct {
+    bool answered;
+    bool known; /* the key is in force */
+} KeyCall;
+
+/* Records the answer to a call about a job that does not exist. */
+static void
+on_key_tried(void *arg, const GfHttpResult *result)
+{
+    KeyCall *call = arg;
+    call->answered = true;
+    call->known = result->kind == GF_OK && result->status == STATUS_GONE;
+}
+
+/* Waits until entries that stop have ended, and until all are up. */
+static void
+wait_for_entries(void)
+{
+    int stopping = 1;
+    while (stopping > 0) {
+        stopping = 0;
+        end_faults(true);
+        run_loop(STEP_MS);
+        for (int i = 0; i < ENTRIES; i++) {
+            stopping += soak.entries[i].stopping;
+        }
+    }
+    run_loop(START_MS);
+}
+
+/* Makes all connections to the store and between entries go silent, and
+ * changes the configuration. Returns the number of entries where it is not in
+ * force in time, and prints them. */
+static int
+check_config_after_silence(int version)
+{
+    char key[KEY_BYTES];
+    snprintf(key, sizeof(key), "version-%d", version);
+    wait_for_entries();
+    for (int i = 0; i < ENTRIES; i++) {
+        send_to_standin(relay_port(i) + 50, "/",
+                        json_pack("{s:b}", "silence", 1));
+        send_to_standin(peer_relay_port(i) + 50, "/",
+                        json_pack("{s:b}", "silence", 1));
+    }
+    run_loop(STEP_MS);
+    write_config(version);
+    run_loop(CONTACT_MS);
+    const GfHttpHeader header = {"X-Api-Key", key};
+    KeyCall calls[ENTRIES] = {{false, false}};
+    for (int i = 0; i < ENTRIES; i++) {
+        GfHttpCall call = {.address = ADDRESS,
+                           .port = (uint16_t)entry_port(i, 0),
+                           .method = EVHTTP_REQ_GET,
+                           .path = "/quick/ffffffffffffffff",
+                           .host = HOST,
+                           .headers = &header,
+                           .header_count = 1,
+                           .timeout_ms = CALL_TIMEOUT_MS};
+        GfHttp_Start(soak.http, &call, on_key_tried, &calls[i]);
+    }
+    int late = 0;
+    for (int i = 0; i < ENTRIES; i++) {
+        while (!calls[i].answered) {
+            run_loop(STEP_MS);
+        }
+        if (!calls[i].known) {
+            printf("configuration %d not in force at entry %d\n", version, i);
+            late++;
+        }
+    }
+    return late;
+}
+
 /* Checks the outcomes of all jobs and prints the violations and totals.
  * Returns the number of violations. */
 static int
@@ -640,13 +728,15 @@
     }
     send_to_standin(soak.port, "/test/report", json_object());
     run_loop(300);
-    int violations = check_outcomes();
+    int violations = check_outcomes() + check_config_after_silence(++version);
     for (int i = 0; i < ENTRIES; i++) {
         kill(soak.entries[i].pid, SIGKILL);
     }
     for (int i = 0; i <= 2 * ENTRIES; i++) {
         kill(soak.other_pids[i], SIGKILL);
     }
+    while (wait(NULL) > 0) {
+    }
     printf("soak seed %llu: %s\n", (unsigned long long)seed,
            violations == 0 ? "kept" : "BROKEN");
     return violations == 0 ? 0 : 1;
