Limit the connections that are open to a worker

Cause: the HTTP client opened a connection for each call at once, kept up to 64 idle ones to a server and closed none for being idle. A worker takes 64 in all and keeps those of an owner that is gone.

What waits when ownership ends is not sent.

--- a/include/guavaflow/http.h
+++ b/include/guavaflow/http.h
@@ -1,6 +1,7 @@
 /* HTTP client on the event loop, with a pool of keep-alive connections for
  * each address. A connection carries one call at a time; after a timeout or a
- * failure it is closed and never used again. */
+ * failure it is closed and never used again. A connection without calls is
+ * closed after some time. */
 #ifndef GUAVAFLOW_HTTP_H
 #define GUAVAFLOW_HTTP_H
 
@@ -17,7 +18,8 @@
 
 /* The outcome of a call. kind is GF_OK if a complete answer arrived, whatever
  * its status; GF_TIMEOUT, GF_CONNECTION_LOST, or GF_PROTOCOL if the answer was
- * incomplete. sent is false only if no byte of the call left this process.
+ * incomplete. A call that waited too long for a connection has timed out and
+ * was not sent. sent is false only if no byte of the call left this process.
  * status, request_id (the answer's X-Request-Id, or NULL) and body are set
  * only if kind is GF_OK. */
 typedef struct {
@@ -48,7 +50,12 @@
     size_t header_count;
     const char *body;
     size_t body_len;
-    int timeout_ms;
+    int timeout_ms;      /* from when it is sent */
+    int max_connections; /* above 0: with so many open, it waits for one */
+    int queue_ms;        /* longest such wait; it is then not sent */
+    int idle_ms;         /* above 0: its connection is closed after this time
+                            without a call */
+    bool urgent;         /* sent before others that wait */
     int progress_ms; /* above 0: a call whose answer is arriving at its timeout
                         goes on until nothing has arrived for this long, or
                         as long again has passed */
@@ -61,6 +68,7 @@
 void GfHttp_PostJson(GfHttp *http, const char *address, uint16_t port,
                      const char *path, json_t *body, int timeout_ms,
                      GfHttpCallback callback, void *arg);
+void GfHttp_DropWaiting(GfHttp *http);
 void GfHttp_AbandonOlder(GfHttp *http, const char *address, uint16_t port);
 json_t *GfHttp_ParseJson(const GfHttpResult *result);
 
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -16,32 +16,50 @@
 #define ENDPOINT_BYTES 80
 #define GRACE_MS 20
 #define MAX_IDLE_PER_ENDPOINT 64
+/* How long a connection stays open without a call, unless the call says. */
+#define IDLE_MS 10000
 #define MAX_HEADER_BYTES 16384
 #define MAX_BODY_BYTES (8 * 1024 * 1024)
 
+typedef struct Endpoint Endpoint;
+typedef struct Pending Pending;
+
 /* A connection to an endpoint: idle, in use by a pending call, or retired. */
 typedef struct Connection {
     struct evhttp_connection *evcon;
+    GfHttp *http;
+    Endpoint *endpoint;
+    struct event *idle_timer; /* closes it; pending while it is idle */
     struct Connection *next;
     struct Connection *prev;
 } Connection;
 
-/* A server's address and port with its idle connections. key is
- * ADDRESS:PORT. */
-typedef struct {
+/* A server's address and port with its idle connections and the calls that
+ * wait for one. key is ADDRESS:PORT. */
+struct Endpoint {
     char key[ENDPOINT_BYTES];
     Connection *idle;
     int idle_count;
+    int open; /* idle connections and those in use */
+    Pending *waiting;
     uint64_t answered; /* highest number of a call that was answered */
     UT_hash_handle hh;
-} Endpoint;
+};
 
-/* A call in flight. */
-typedef struct Pending {
+/* A call in flight, or one that waits for a connection. */
+struct Pending {
     GfHttp *http;
     uint64_t number; /* in the order in which calls were started */
     Endpoint *endpoint;
-    Connection *connection;
+    Connection *connection; /* NULL while it waits */
+    char *address;
+    uint16_t port;
+    enum evhttp_cmd_type method;
+    char *path;
+    int max_connections;
+    int timeout_ms;
+    int idle_ms;
+    bool urgent;
     GfHttpCallback callback;
     void *arg;
     struct evhttp_request *request; /* libevent's, until the call completes */
@@ -50,9 +68,9 @@
     int extension_ms; /* how much longer the call may take if it progresses */
     size_t received;  /* bytes of the answer at the last check */
     bool in_grace;
-    struct Pending *next;
-    struct Pending *prev;
-} Pending;
+    Pending *next;
+    Pending *prev;
+};
 
 struct GfHttp {
     struct event_base *base;
@@ -63,6 +81,15 @@
     struct event *reaper;
 };
 
+/* Closes and frees a connection that is in no list. */
+static void
+free_connection(Connection *c)
+{
+    event_free(c->idle_timer);
+    evhttp_connection_free(c->evcon);
+    free(c);
+}
+
 /* Frees the retired connections. Runs from the event loop, since a connection
  * must not be freed within its own callback. */
 static void
@@ -76,8 +103,7 @@
     DL_FOREACH_SAFE(http->retired, c, tmp)
     {
         DL_DELETE(http->retired, c);
-        evhttp_connection_free(c->evcon);
-        free(c);
+        free_connection(c);
     }
 }
 
@@ -95,12 +121,34 @@
     return http;
 }
 
-/* Marks a connection as unusable; the event loop frees it. */
+/* Marks a connection, which is in no list, as unusable; the event loop frees
+ * it. */
 static void
-retire(GfHttp *http, Connection *c)
+retire(Connection *c)
 {
-    DL_APPEND(http->retired, c);
-    event_active(http->reaper, EV_TIMEOUT, 0);
+    c->endpoint->open--;
+    DL_APPEND(c->http->retired, c);
+    event_active(c->http->reaper, EV_TIMEOUT, 0);
+}
+
+/* Takes an idle connection out of its endpoint's list. */
+static void
+remove_idle(Connection *c)
+{
+    evtimer_del(c->idle_timer);
+    DL_DELETE(c->endpoint->idle, c);
+    c->endpoint->idle_count--;
+}
+
+/* Timer callback: closes a connection that has been idle for long. */
+static void
+on_idle_timeout(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    Connection *c = arg;
+    remove_idle(c);
+    retire(c);
 }
 
 /* Returns the endpoint of an address and a port, adding it if needed. */
@@ -124,53 +172,106 @@
 
 /* Returns an idle connection, or creates one. Returns NULL if that fails. */
 static Connection *
-acquire_connection(GfHttp *http, Endpoint *e, const GfHttpCall *call)
+acquire_connection(const Pending *p)
 {
+    Endpoint *e = p->endpoint;
     Connection *c = e->idle;
     if (c != NULL) {
-        DL_DELETE(e->idle, c);
-        e->idle_count--;
+        remove_idle(c);
         return c;
     }
     c = calloc(1, sizeof(*c));
     if (c == NULL) {
         abort();
     }
-    c->evcon = evhttp_connection_base_new(http->base, NULL, call->address,
-                                          call->port);
+    c->http = p->http;
+    c->endpoint = e;
+    c->evcon =
+        evhttp_connection_base_new(p->http->base, NULL, p->address, p->port);
     if (c->evcon == NULL) {
         free(c);
         return NULL;
     }
+    c->idle_timer = evtimer_new(p->http->base, on_idle_timeout, c);
     evhttp_connection_set_max_headers_size(c->evcon, MAX_HEADER_BYTES);
     evhttp_connection_set_max_body_size(c->evcon, MAX_BODY_BYTES);
     evhttp_connection_set_retries(c->evcon, 0);
+    e->open++;
     return c;
 }
 
-/* Completes a pending call: returns its connection to the pool if reuse is
- * set and the pool is not full, else retires it, then frees the call and runs
- * the callback. */
+/* Returns whether a call may be sent now: a connection is idle, or the call's
+ * limit allows one more. */
+static bool
+has_connection(const Pending *p)
+{
+    const Endpoint *e = p->endpoint;
+    return e->idle != NULL || p->max_connections == 0 ||
+           e->open < p->max_connections;
+}
+
+/* Frees a call that is in no list. Its request is libevent's or freed. */
 static void
-complete(Pending *p, const GfHttpResult *result, bool reuse)
+free_pending(Pending *p)
 {
-    GfHttp *http = p->http;
-    DL_DELETE(http->pending, p);
     event_free(p->timer);
+    free(p->address);
+    free(p->path);
+    free(p);
+}
+
+static void send_call(Pending *p);
+
+/* Sends the calls that wait for a connection to an endpoint, as far as there
+ * are connections. */
+static void
+send_waiting(Endpoint *e)
+{
+    while (e->waiting != NULL && has_connection(e->waiting)) {
+        Pending *p = e->waiting;
+        DL_DELETE(e->waiting, p);
+        send_call(p);
+    }
+}
+
+/* Completes a call in flight: returns its connection, if any, to the pool if
+ * reuse is set and the pool is not full, else retires it, then frees the call,
+ * sends those that waited for the connection and runs the callback. */
+static void
+complete(Pending *p, const GfHttpResult *result, bool reuse)
+{
+    Endpoint *e = p->endpoint;
+    DL_DELETE(p->http->pending, p);
     Connection *c = p->connection;
-    if (reuse && p->endpoint->idle_count < MAX_IDLE_PER_ENDPOINT) {
-        DL_PREPEND(p->endpoint->idle, c);
-        p->endpoint->idle_count++;
+    if (c != NULL && reuse && e->idle_count < MAX_IDLE_PER_ENDPOINT) {
+        struct timeval idle = GfTime_ToTimeval(p->idle_ms);
+        DL_PREPEND(e->idle, c);
+        e->idle_count++;
+        evtimer_add(c->idle_timer, &idle);
     }
-    else {
-        retire(http, c);
+    else if (c != NULL) {
+        retire(c);
     }
     GfHttpCallback callback = p->callback;
     void *arg = p->arg;
-    free(p);
+    free_pending(p);
+    send_waiting(e);
     callback(arg, result);
 }
 
+/* Completes a call that waits for a connection as not sent. */
+static void
+drop_waiting(Pending *p)
+{
+    GfHttpResult result = {.kind = GF_TIMEOUT, .sent = false};
+    GfHttpCallback callback = p->callback;
+    void *arg = p->arg;
+    DL_DELETE(p->endpoint->waiting, p);
+    evhttp_request_free(p->request);
+    free_pending(p);
+    callback(arg, &result);
+}
+
 /* Returns whether the answer is complete. It must have a Content-Length that
  * matches its body, or be chunked; the end of a body that lasts until the
  * connection closes cannot be told from a truncation. */
@@ -226,32 +327,30 @@
 /* Retires the idle connections of an endpoint after a call to it timed out:
  * connections opened earlier may be dead too. New calls open new ones. */
 static void
-retire_idle(GfHttp *http, Endpoint *e)
+retire_idle(Endpoint *e)
 {
-    Connection *c;
-    Connection *tmp;
-    DL_FOREACH_SAFE(e->idle, c, tmp)
-    {
-        DL_DELETE(e->idle, c);
-        retire(http, c);
+    while (e->idle != NULL) {
+        Connection *c = e->idle;
+        remove_idle(c);
+        retire(c);
     }
-    e->idle_count = 0;
 }
 
-/* Completes a call as timed out. Its connection is closed, so that a late
- * answer cannot be taken for that of another call. */
+/* Completes a call in flight as timed out. Its connection is closed, so that a
+ * late answer cannot be taken for that of another call. */
 static void
 give_up(Pending *p)
 {
     GfHttpResult result = {.kind = GF_TIMEOUT, .sent = true};
     GfHttpCallback callback = p->callback;
     void *callback_arg = p->arg;
+    Endpoint *e = p->endpoint;
     DL_DELETE(p->http->pending, p);
-    event_free(p->timer);
     /* This frees the request without running its callback. */
-    evhttp_connection_free(p->connection->evcon);
-    free(p->connection);
-    free(p);
+    free_connection(p->connection);
+    e->open--;
+    free_pending(p);
+    send_waiting(e);
     callback(callback_arg, &result);
 }
 
@@ -282,13 +381,18 @@
     return true;
 }
 
-/* Timer callback: gives up a call that has timed out. */
+/* Timer callback: gives up a call that has timed out, or that has waited too
+ * long for a connection. */
 static void
 on_timeout(evutil_socket_t fd, short what, void *arg)
 {
     (void)fd;
     (void)what;
     Pending *p = arg;
+    if (p->connection == NULL) {
+        drop_waiting(p);
+        return;
+    }
     if (extend(p)) {
         return;
     }
@@ -300,7 +404,7 @@
         evtimer_add(p->timer, &grace);
         return;
     }
-    retire_idle(p->http, p->endpoint);
+    retire_idle(p->endpoint);
     give_up(p);
 }
 
@@ -313,7 +417,7 @@
 {
     assert(http != NULL && address != NULL);
     Endpoint *e = get_endpoint(http, address, port);
-    retire_idle(http, e);
+    retire_idle(e);
     Pending *p = http->pending;
     while (p != NULL) {
         if (p->endpoint != e || p->number >= e->answered) {
@@ -339,47 +443,104 @@
     }
 }
 
-/* Starts a call, copying what it needs of it. The callback runs exactly once,
- * unless the client is destroyed first: from the event loop or, if the call
- * cannot be sent at all, before this function returns. */
+/* Sends a call, which is in no list, on an idle or a new connection. */
+static void
+send_call(Pending *p)
+{
+    GfHttpResult refused = {.kind = GF_CONNECTION_LOST, .sent = false};
+    DL_APPEND(p->http->pending, p);
+    p->connection = acquire_connection(p);
+    if (p->connection == NULL) {
+        evhttp_request_free(p->request);
+        complete(p, &refused, false);
+        return;
+    }
+    struct timeval limit = GfTime_ToTimeval(p->timeout_ms);
+    evtimer_add(p->timer, &limit);
+    if (evhttp_make_request(p->connection->evcon, p->request, p->method,
+                            p->path) != 0) {
+        /* libevent has freed the request without running its callback. */
+        complete(p, &refused, false);
+    }
+}
+
+/* Queues a call until a connection to its endpoint is free, urgent calls
+ * before the others. */
+static void
+enqueue(Pending *p, int queue_ms)
+{
+    Endpoint *e = p->endpoint;
+    Pending *after = p->urgent ? e->waiting : NULL;
+    while (after != NULL && after->urgent) {
+        after = after->next;
+    }
+    if (after != NULL) {
+        DL_PREPEND_ELEM(e->waiting, after, p);
+    }
+    else {
+        DL_APPEND(e->waiting, p);
+    }
+    struct timeval limit = GfTime_ToTimeval(queue_ms);
+    evtimer_add(p->timer, &limit);
+}
+
+/* Starts a call, copying what it needs of it. If the call limits the open
+ * connections to the server and all are in use, it waits for one; its timeout
+ * runs from when it is sent. The callback runs exactly once, unless the client
+ * is destroyed first: from the event loop or, if the call cannot be sent at
+ * all, before this function returns. */
 void
 GfHttp_Start(GfHttp *http, const GfHttpCall *call, GfHttpCallback callback,
              void *arg)
 {
     assert(http != NULL && call != NULL && callback != NULL);
-    GfHttpResult refused = {.kind = GF_CONNECTION_LOST, .sent = false};
-    Endpoint *e = get_endpoint(http, call->address, call->port);
-    Connection *c = acquire_connection(http, e, call);
-    if (c == NULL) {
-        callback(arg, &refused);
-        return;
-    }
     Pending *p = calloc(1, sizeof(*p));
     if (p == NULL) {
         abort();
     }
     *p = (Pending){.http = http,
                    .number = ++http->last_number,
-                   .endpoint = e,
-                   .connection = c,
+                   .endpoint = get_endpoint(http, call->address, call->port),
+                   .address = strdup(call->address),
+                   .port = call->port,
+                   .method = call->method,
+                   .path = strdup(call->path),
+                   .max_connections = call->max_connections,
+                   .timeout_ms = call->timeout_ms,
+                   .idle_ms = call->idle_ms > 0 ? call->idle_ms : IDLE_MS,
+                   .urgent = call->urgent,
                    .progress_ms = call->progress_ms,
-                   .extension_ms = call->timeout_ms};
-    p->callback = callback;
-    p->arg = arg;
+                   .extension_ms = call->timeout_ms,
+                   .callback = callback,
+                   .arg = arg};
+    if (p->address == NULL || p->path == NULL) {
+        abort();
+    }
     p->timer = evtimer_new(http->base, on_timeout, p);
-    struct timeval limit = GfTime_ToTimeval(call->timeout_ms);
-    evtimer_add(p->timer, &limit);
-    DL_APPEND(http->pending, p);
-    struct evhttp_request *req = evhttp_request_new(on_response, p);
-    p->request = req;
-    add_headers(req, call);
+    p->request = evhttp_request_new(on_response, p);
+    add_headers(p->request, call);
     if (call->body_len > 0) {
-        evbuffer_add(evhttp_request_get_output_buffer(req), call->body,
+        evbuffer_add(evhttp_request_get_output_buffer(p->request), call->body,
                      call->body_len);
     }
-    if (evhttp_make_request(c->evcon, req, call->method, call->path) != 0) {
-        /* libevent has freed the request without running its callback. */
-        complete(p, &refused, false);
+    if (has_connection(p)) {
+        send_call(p);
+    }
+    else {
+        enqueue(p, call->queue_ms);
+    }
+}
+
+/* Completes the calls that wait for a connection as not sent. Their callbacks
+ * must not start calls that would wait. */
+void
+GfHttp_DropWaiting(GfHttp *http)
+{
+    assert(http != NULL);
+    for (Endpoint *e = http->endpoints; e != NULL; e = e->hh.next) {
+        while (e->waiting != NULL) {
+            drop_waiting(e->waiting);
+        }
     }
 }
 
@@ -432,22 +593,19 @@
     DL_FOREACH_SAFE(http->pending, p, ptmp)
     {
         DL_DELETE(http->pending, p);
-        event_free(p->timer);
-        evhttp_connection_free(p->connection->evcon);
-        free(p->connection);
-        free(p);
+        free_connection(p->connection);
+        free_pending(p);
     }
     Endpoint *e;
     Endpoint *etmp;
     HASH_ITER(hh, http->endpoints, e, etmp)
     {
-        Connection *c;
-        Connection *ctmp;
-        DL_FOREACH_SAFE(e->idle, c, ctmp)
+        retire_idle(e);
+        DL_FOREACH_SAFE(e->waiting, p, ptmp)
         {
-            DL_DELETE(e->idle, c);
-            evhttp_connection_free(c->evcon);
-            free(c);
+            DL_DELETE(e->waiting, p);
+            evhttp_request_free(p->request);
+            free_pending(p);
         }
         HASH_DEL(http->endpoints, e);
         free(e);
