Do not rely on hold calls alone for a worker's lease and its starts

A worker that answers hold calls while starts and stops to it get no answer kept getting tasks, and none of them ever ran, there or elsewhere (LOST); a cancelled run went on for good (UNASKED).

Cause: a start in doubt was resolved only by a stop order that was carried out, and the lease that would end the wait was extended by each hold call.

A start has a time limit of 1.5 s of its own now. Once the clock of an inventory is past it, the start can't be carried out any more: the worker refuses it as late. A worker gets no tasks after three orders without an answer, but one each second, and comes last after one. If a run has to be stopped and no order has been answered for 1.5 s, the lease is not extended.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -319,6 +319,10 @@
         }
         return;
     }
+    Worker *target = CellWorker_Find(cell, serial);
+    if (target != NULL) {
+        CellUnanswered_Record(target, result, GfClock_Now(cell->clock));
+    }
     Task *task = CellJob_Task(cell, id);
     if (task == NULL || task->worker == NULL ||
         task->worker->serial != serial || task->run != run ||
@@ -368,6 +372,9 @@
         cell->ops->fenced(cell->ctx, &w->info.id);
         return;
     }
+    if (w != NULL) {
+        CellUnanswered_Record(w, result, GfClock_Now(cell->clock));
+    }
     Task *task = CellJob_Task(cell, id);
     if (task == NULL || w == NULL || task->worker != w || task->run != run) {
         return;
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -58,6 +58,8 @@
     struct timespec stop_sent_at;
     struct timespec stop_acked_at;
     struct timespec unconfirmed_since; /* when it became UNCONFIRMED */
+    int64_t
+        start_expires_ms; /* the start is refused after it; worker's clock */
     struct timespec failed_at; /* latest counted failure in this term */
     uint32_t index;            /* in the step's tasks */
     uint32_t failures;         /* counted failures; size of failed_runs */
@@ -243,6 +245,9 @@
     struct timespec incarnation_began_at; /* when it was noticed */
     struct timespec last_contact_at;
     struct timespec listed_at;
+    uint32_t unanswered_orders;       /* consecutive starts, stops and paces */
+    struct timespec unanswered_since; /* the first of these */
+    struct timespec unanswered_at;    /* the latest of these */
     int64_t applied_completion;
     int64_t acked_completion;   /* stored; acknowledged by the next calls */
     int64_t pending_completion; /* applied; stored with pending_seq */
@@ -552,6 +557,12 @@
 int64_t CellLeaseEnd_Shared(const GfCell *cell, const Worker *w);
 struct timespec CellLeaseEnd_Inherited(const GfCell *cell, const Worker *w);
 
+/* unanswered.c */
+void CellUnanswered_Record(Worker *w, GfOrderResult result,
+                           struct timespec now);
+bool CellUnanswered_MayStart(const GfCell *cell, const Worker *w);
+bool CellUnanswered_MayExtendLease(const Worker *w, struct timespec now);
+
 /* workers.c */
 void CellWorker_BeginIncarnation(GfCell *cell, Worker *w, int64_t incarnation);
 int64_t CellWorker_LongestLeaseMs(const GfCell *cell);
--- a/src/cell/fit.c
+++ b/src/cell/fit.c
@@ -65,15 +65,16 @@
 
 /* Returns whether tasks of the step may be started on a worker, its current
  * load aside: the worker is listed, in contact, in the stored lease list and
- * not leaving, it has no unidentified runs, and its service, labels, size and
- * failure domain suit the step. */
+ * not leaving, it answers orders and has no unidentified runs, and its
+ * service, labels, size and failure domain suit the step. */
 bool
 CellFit_Eligible(const GfCell *cell, const Worker *w, const Step *step)
 {
     const GfQueue *queue = step->job->queue_in_force;
     if (queue == NULL || !w->listed || !w->contacted || !w->in_stored_list ||
         w->closed || w->info.leaving || w->hold_failures > 0 ||
-        !w->has_clock || w->unidentified_runs > 0) {
+        !w->has_clock || w->unidentified_runs > 0 ||
+        !CellUnanswered_MayStart(cell, w)) {
         return false;
     }
     GfResources none = {0};
@@ -130,7 +131,7 @@
     if (CellCrash_Discourages(step->job->cell, w, task)) {
         s += SUSPECT_PENALTY;
     }
-    if (GfTime_Before(now, w->avoid_until)) {
+    if (GfTime_Before(now, w->avoid_until) || w->unanswered_orders > 0) {
         s += AVOID_PENALTY;
     }
     if (task->avoid_serial == w->serial) {
--- a/src/cell/inventory.c
+++ b/src/cell/inventory.c
@@ -17,6 +17,8 @@
  * tasks, last several seconds. */
 #define AVOID_MS 1500
 #define AVOID_MAX_MS 12000
+/* Added to the time limit of a start that may have arrived just before it. */
+#define CLOCK_SLACK_MS 50
 
 /* Updates the worker's count of consecutive failures. Only the first failure
  * of a task counts, since a task that is at fault itself fails on other
@@ -270,10 +272,21 @@
     }
 }
 
+/* Returns whether an unconfirmed start that the latest inventory does not list
+ * can no longer be carried out: its time limit had passed, or a stop order was
+ * carried out before the inventory was requested at sent_at. */
+static bool
+is_start_void(const Worker *w, const Task *task, struct timespec sent_at)
+{
+    return w->inventory_clock_ms > task->start_expires_ms + CLOCK_SLACK_MS ||
+           (task->stopping && task->stop_acked &&
+            !GfTime_Before(sent_at, task->stop_acked_at));
+}
+
 /* Handles the worker's tasks that an inventory requested at sent_at does not
  * list. An unconfirmed start is cancelled by a stop order; its task is
- * released when an inventory requested after the stop was acknowledged does
- * not list it either. A started run that is missing is taken as lost. */
+ * released when the start can no longer be carried out. A started run that is
+ * missing is taken as lost. */
 static void
 handle_missing(Worker *w, struct timespec sent_at)
 {
@@ -285,7 +298,10 @@
             t->state == TASK_STARTING) {
             continue;
         }
-        if (t->state == TASK_UNCONFIRMED && !t->stopping) {
+        if (t->state == TASK_UNCONFIRMED && is_start_void(w, t, sent_at)) {
+            CellTask_Release(t);
+        }
+        else if (t->state == TASK_UNCONFIRMED && !t->stopping) {
             if (!GfTime_Before(sent_at, t->unconfirmed_since)) {
                 /* The start may still arrive: a stop order keeps it from being
                  * carried out late. */
@@ -295,12 +311,8 @@
                 }
             }
         }
-        else if (t->state == TASK_UNCONFIRMED) {
-            if (t->stop_acked && !GfTime_Before(sent_at, t->stop_acked_at)) {
-                CellTask_Release(t);
-            }
-        }
-        else if (GfTime_Before(t->started_at, sent_at)) {
+        else if (t->state != TASK_UNCONFIRMED &&
+                 GfTime_Before(t->started_at, sent_at)) {
             GfLog(GF_LOG_WARNING, CELL_PART,
                   "run missing from inventory id=%s step=%u task=%u worker=%s",
                   t->step->job->id.data, t->step->number, t->index,
--- a/src/cell/neighbours.c
+++ b/src/cell/neighbours.c
@@ -660,6 +660,9 @@
         cell->ops->fenced(cell->ctx, &w->info.id);
         return;
     }
+    if (w != NULL) {
+        CellUnanswered_Record(w, result, GfClock_Now(cell->clock));
+    }
     Task *task = CellJob_Task(cell, id);
     if (task == NULL || w == NULL || task->worker != w || task->run != run ||
         task->sharing == NULL) {
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -10,6 +10,8 @@
 /* Run numbers of a term start at token * RUNS_PER_TOKEN, so that they rise
  * over takeovers without being stored. */
 #define RUNS_PER_TOKEN 1000000
+/* How long after it was sent a start may be carried out. */
+#define START_VALID_MS 1500
 /* A round that takes longer is interrupted, so that heartbeats are answered in
  * time. The time is checked every STEPS_PER_TIME_CHECK steps; every round
  * begins with the first step in order. */
@@ -52,19 +54,25 @@
     return (task->run > first ? task->run : first) + 1;
 }
 
-/* Sends the start order of a task that has been assigned to a worker, with the
- * lease extended. */
+/* Sends the start order of a task that has been assigned to a worker. Its time
+ * limit is shorter than the lease, which hold calls extend: until the limit
+ * has passed, a start without an answer may still be carried out. */
 static void
 send_start(GfCell *cell, Task *task, struct timespec now)
 {
     Worker *w = task->worker;
     const AllowedWorker *allowed =
         CellAdvice_FindTicket(task->step, w->serial, now);
+    int64_t until_ms = CellWorker_ExtendLease(cell, w, now);
+    if (until_ms > 0 && cell->settings.lease_ms > START_VALID_MS) {
+        until_ms -= cell->settings.lease_ms - START_VALID_MS;
+    }
+    task->start_expires_ms = until_ms;
     GfStartOrder order = {.target = CellTask_Target(w),
                           .task = CellTask_Id(task),
                           .run = task->run,
                           .payload = &task->step->job->spec.payload,
-                          .until_ms = CellWorker_ExtendLease(cell, w, now),
+                          .until_ms = until_ms,
                           .checkpoint = task->checkpoint,
                           .ticket =
                               allowed == NULL ? NULL : allowed->ticket.data};
--- /dev/null
+++ b/src/cell/unanswered.c
@@ -0,0 +1,69 @@
+/* Orders without an answer: a worker may answer hold calls while starts and
+ * stops do not get through, as when it refuses further connections. Hold calls
+ * alone do not show that a worker can be used. A start without an answer
+ * expires by its time limit; see inventory.c. */
+#include <utlist.h>
+
+#include "cell_private.h"
+#include "guavaflow/log.h"
+
+/* After this many consecutive orders without an answer a worker gets no tasks
+ * until PROBE_PAUSE_MS after the latest one. */
+#define MAX_UNANSWERED 3
+#define PROBE_PAUSE_MS 1000
+/* A run that must be stopped ends with the lease if no order has been answered
+ * for this long, during which a stop order is sent several times. */
+#define STUCK_AFTER_MS 1500
+
+/* Records the outcome of a start, stop or pace order to a worker. */
+void
+CellUnanswered_Record(Worker *w, GfOrderResult result, struct timespec now)
+{
+    if (result != GF_ORDER_UNKNOWN && result != GF_ORDER_UNSENT) {
+        if (w->unanswered_orders >= MAX_UNANSWERED) {
+            GfLog(GF_LOG_INFO, CELL_PART,
+                  "worker answers orders again worker=%s unanswered=%u",
+                  w->info.id.data, w->unanswered_orders);
+        }
+        w->unanswered_orders = 0;
+        return;
+    }
+    if (w->unanswered_orders++ == 0) {
+        w->unanswered_since = now;
+    }
+    w->unanswered_at = now;
+    if (w->unanswered_orders == MAX_UNANSWERED) {
+        GfLog(GF_LOG_WARNING, CELL_PART,
+              "worker does not answer orders worker=%s", w->info.id.data);
+    }
+}
+
+/* Returns whether a worker may get tasks: its latest orders were answered, or
+ * it is time to try another one. */
+bool
+CellUnanswered_MayStart(const GfCell *cell, const Worker *w)
+{
+    return w->unanswered_orders < MAX_UNANSWERED ||
+           GfTime_DiffMs(GfClock_Now(cell->clock), w->unanswered_at) >=
+               PROBE_PAUSE_MS;
+}
+
+/* Returns whether the lease of a worker may be extended. It must expire if a
+ * run there has to be stopped and no order gets an answer: nothing else ends
+ * the run. */
+bool
+CellUnanswered_MayExtendLease(const Worker *w, struct timespec now)
+{
+    if (w->unanswered_orders == 0 ||
+        GfTime_DiffMs(now, w->unanswered_since) < STUCK_AFTER_MS) {
+        return true;
+    }
+    const Task *t;
+    DL_FOREACH(w->tasks, t)
+    {
+        if (t->state == TASK_RUNNING && t->stopping && !t->stop_acked) {
+            return false;
+        }
+    }
+    return w->orphan_count == 0;
+}
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -83,7 +83,8 @@
 int64_t
 CellWorker_ExtendLease(GfCell *cell, Worker *w, struct timespec now)
 {
-    if (!w->has_clock || !cell->may_grant_leases || w->lease_frozen) {
+    if (!w->has_clock || !cell->may_grant_leases || w->lease_frozen ||
+        !CellUnanswered_MayExtendLease(w, now)) {
         return 0;
     }
     struct timespec end = GfTime_AddMs(now, CellWorker_LongestLeaseMs(cell));
@@ -136,6 +137,7 @@
     w->contacted = false;
     w->has_clock = false;
     w->consecutive_failures = 0;
+    w->unanswered_orders = 0;
     w->has_success = false;
     w->lease_until = (struct timespec){0};
     w->next_hold_at = (struct timespec){0};
--- a/tests/support/cell_sim.c
+++ b/tests/support/cell_sim.c
@@ -94,7 +94,8 @@
     bool alive;
     bool failing;
     bool starts_delayed;
-    double speed; /* work done in a ms, in ms at speed 1 */
+    bool only_holds; /* no other orders get through */
+    double speed;    /* work done in a ms, in ms at speed 1 */
     bool isolated_from[CELL_SIM_MAX_OWNERS]; /* by index of the owner */
     bool isolated;                           /* from all owners */
     bool unlisted;
@@ -268,7 +269,8 @@
     const SimWorker *s = &w->workers[m->worker];
     double fraction = random_fraction(w);
     if (s->isolated || s->isolated_from[owner] || !s->alive ||
-        fraction < w->settings.lose_order || (kind == PACE && w->paces_lost)) {
+        fraction < w->settings.lose_order || (kind == PACE && w->paces_lost) ||
+        (kind != HOLD && s->only_holds)) {
         m->is_reply = true;
         m->result = GF_ORDER_UNKNOWN;
         m->due_ms += ORDER_TIMEOUT_MS;
@@ -1596,6 +1598,13 @@
     w->workers[worker].isolated = isolated;
 }
 
+/* Lets only hold calls reach a worker, or ends that. */
+void
+CellSim_SetOnlyHolds(CellSim *w, int worker, bool only_holds)
+{
+    w->workers[worker].only_holds = only_holds;
+}
+
 /* Isolates a worker from one owner, or ends that. */
 void
 CellSim_SetIsolatedFrom(CellSim *w, int worker, const GfCell *cell,
--- a/tests/support/cell_sim.h
+++ b/tests/support/cell_sim.h
@@ -128,6 +128,7 @@
 void CellSim_CrashWorker(CellSim *sim, int worker);
 void CellSim_RestartWorker(CellSim *sim, int worker);
 void CellSim_SetIsolated(CellSim *sim, int worker, bool isolated);
+void CellSim_SetOnlyHolds(CellSim *sim, int worker, bool only_holds);
 void CellSim_SetIsolatedFrom(CellSim *sim, int worker, const GfCell *cell,
                              bool isolated);
 void CellSim_SetListed(CellSim *sim, int worker, bool listed);
