--- a/tests/unit/commands_client.c
+++ b/tests/unit/commands_client.c
@@ -11,7 +11,7 @@
 #include "platform.h"
 #include "suite.h"
 
-#define PORT 31758
+#define PORT 31769
 #define STARTS 400
 #define MAX_OPEN 512
 /* An owner and the three before it leave most of the 64 to those to come. */
