Open only the occurrences and steps of a job that may run

Cause: all tasks of all occurrences were allocated when a job was added, 256 bytes each; one job within the limits may have 268 million. Nothing bounded them.

An occurrence gets its steps shortly before it is due, a step its tasks when its prerequisites are done; both are freed when finished. What is open is bounded, in all and for each team, and the rest waits for memory. A task that a worker or a stored row names is opened at once, so adopted runs and orphans are handled as before; an orphan of a finished step is accounted for from the job's spec.

The simulation of cells learns occurrences and lists 500 completions at a time, as workers do.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -410,6 +410,7 @@
 {
     struct timespec now = GfClock_Now(cell->clock);
     CellWorker_Tick(cell, now);
+    CellOccurrence_Tick(cell, GfTime_WallMs());
     CellSpeed_Tick(cell, now);
     CellMove_Tick(cell, now);
     CellNeighbours_Tick(cell, now);
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -107,7 +107,8 @@
 struct Step {
     Job *job;
     const GfStepSpec *spec;
-    Task *tasks;
+    Task *tasks;       /* NULL: not opened yet, or finished and freed */
+    uint32_t assigned; /* tasks on workers, done ones included */
     uint32_t occurrence;
     uint32_t number;      /* index in the job's spec */
     uint32_t blockers;    /* unfinished prerequisites */
@@ -140,6 +141,12 @@
     Step *prev;
 };
 
+/* An occurrence of a job. */
+typedef struct {
+    Step *steps;   /* NULL: not opened yet, or finished and freed */
+    uint32_t left; /* unfinished steps */
+} Occurrence;
+
 /* A caller that waits until a cancellation is stored. */
 struct Waiter {
     GfCellDone done;
@@ -157,9 +164,15 @@
     const GfCellTeam *team_in_force;
     TeamUse *use;
     GfJobSpec spec;
-    Step *steps;
-    size_t step_total; /* over all occurrences */
-    uint32_t steps_left;
+    Occurrence *occurrences;  /* NULL if it finished in a former term */
+    uint32_t next_occurrence; /* those before it were opened */
+    int64_t *remaining_ms;    /* of each step in the spec; NULL: unknown */
+    uint32_t steps_left;      /* over all occurrences */
+    bool loading;             /* no step is opened yet */
+    bool review;              /* a step has to be opened or freed */
+    bool in_review;           /* in the cell's list of jobs to review */
+    Job *next_review;
+    Job *prev_review;
     GfJobState state;
     GfJobState stored_state; /* as last committed */
     GfJobState commit_state; /* state in the pending transaction */
@@ -291,7 +304,8 @@
     double starts_per_s;                    /* smoothed */
     GfResources uncertain_use; /* may run on workers that have not answered */
     GfResources peak[CELL_CLASSES]; /* decaying, of by_class + waiting_need */
-    uint32_t number; /* among the teams of a placement round; scratch */
+    uint32_t number;   /* among the teams of a placement round; scratch */
+    size_t open_bytes; /* part of the cell's */
     UT_hash_handle hh;
 };
 
@@ -361,6 +375,8 @@
     bool settled_in_commit;
     bool dirty;            /* a placement round is due */
     bool lease_list_dirty; /* the stored lease list is out of date */
+    Job *reviews;          /* jobs in which steps are to be opened or freed */
+    size_t open_bytes;     /* of the steps and tasks that are open */
     Job *dirty_jobs;
     uint64_t seq;        /* number of the latest change to a job */
     uint64_t commit_seq; /* latest change in the transaction sent last */
@@ -468,6 +484,7 @@
 /* job_state.c */
 Step *CellJob_Step(Job *job, uint32_t occurrence, uint32_t step);
 Task *CellJob_Task(GfCell *cell, const GfTaskId *id);
+const GfStepSpec *CellJob_StepSpec(const GfCell *cell, const GfTaskId *id);
 Job *CellJob_Find(const GfCell *cell, const GfName *id);
 void CellJob_MarkDirty(Job *job);
 void CellJob_SetState(Job *job, GfJobState state);
@@ -480,6 +497,19 @@
 bool CellJob_IsAbsent(GfCell *cell, const GfName *id);
 void CellJob_ForgetLookup(GfCell *cell, const GfName *id);
 
+void CellJob_FinishStep(Step *step);
+
+/* occurrence.c */
+void CellOccurrence_Init(Job *job);
+void CellOccurrence_Review(Job *job);
+Task *CellOccurrence_DemandTask(Job *job, uint32_t occurrence, uint32_t number,
+                                uint32_t index);
+void CellOccurrence_FinishStep(Job *job, uint32_t occurrence, uint32_t number);
+bool CellOccurrence_OpenTasks(Step *step);
+void CellOccurrence_Update(Job *job, int64_t wall_ms);
+void CellOccurrence_Tick(GfCell *cell, int64_t wall_ms);
+void CellOccurrence_Free(Job *job);
+
 /* progress.c */
 json_t *CellProgress_Save(const Job *job);
 void CellProgress_Load(Job *job, const json_t *row);
@@ -539,7 +569,7 @@
 bool CellTask_AddFailure(Task *task, int64_t run);
 void CellTask_Clear(Task *task);
 void CellTask_StopGang(Step *step);
-GfResources CellTask_CapacityTaken(const Step *step);
+GfResources CellTask_CapacityTaken(const GfStepSpec *spec);
 
 /* inventory.c */
 void CellInventory_Apply(GfCell *cell, Worker *w, struct timespec sent_at,
--- a/src/cell/foresee.c
+++ b/src/cell/foresee.c
@@ -176,12 +176,11 @@
     double core_ms = 0;
     double mcores = 0;
     for (size_t i = 0; i < job->spec.step_count; i++) {
-        const Step *step = &job->steps[i];
-        if (!step->spec->long_running && !step->spec->backfill) {
-            double need =
-                (double)step->spec->need.mcores * step->spec->task_count;
+        const GfStepSpec *step = &job->spec.steps[i];
+        if (!step->long_running && !step->backfill) {
+            double need = (double)step->need.mcores * step->task_count;
             mcores += need;
-            core_ms += need * (double)step->spec->estimate_ms;
+            core_ms += need * (double)step->estimate_ms;
         }
     }
     if (mcores <= 0 || job->spec.first_due_ms > 0) {
@@ -270,10 +269,15 @@
         return;
     }
     job->foreseen_at = fs->count;
-    for (size_t i = 0; i < job->step_total; i++) {
-        const Step *step = &job->steps[i];
-        if (step->blockers > 0 && step->due_ms == 0) {
-            add_waiting(fs, s, step, step->unfinished, now);
+    if (job->spec.first_due_ms > 0) {
+        return;
+    }
+    for (uint32_t k = 0; k < job->spec.occurrences; k++) {
+        for (uint32_t i = 0; i < job->spec.step_count; i++) {
+            const Step *step = CellJob_Step(job, k, i);
+            if (step != NULL && step->blockers > 0) {
+                add_waiting(fs, s, step, step->unfinished, now);
+            }
         }
     }
 }
@@ -288,7 +292,7 @@
     DL_FOREACH(w->tasks, task)
     {
         const Step *step = task->step;
-        int64_t mcores = CellTask_CapacityTaken(step).mcores;
+        int64_t mcores = CellTask_CapacityTaken(step->spec).mcores;
         if (mcores == 0) {
             continue;
         }
--- a/src/cell/inventory.c
+++ b/src/cell/inventory.c
@@ -118,6 +118,9 @@
 {
     Task *task = CellJob_Task(cell, &completion->task);
     if (task == NULL) {
+        if (CellJob_StepSpec(cell, &completion->task) != NULL) {
+            return; /* its step is finished */
+        }
         GfLog(GF_LOG_NOTICE, CELL_PART,
               "completion of unknown task ignored id=%s worker=%s",
               completion->task.job.data, w->info.id.data);
@@ -194,18 +197,19 @@
 }
 
 /* Accounts for the resources of an orphan run until an inventory does not list
- * it any more. With task NULL its size is unknown, and the worker gets no
- * tasks meanwhile. */
+ * it any more. If the task is not known its size is unknown, and the worker
+ * gets no tasks meanwhile. */
 static void
-add_orphan(GfCell *cell, Worker *w, const Task *task)
+add_orphan(GfCell *cell, Worker *w, const GfTaskId *task)
 {
-    if (task == NULL) {
+    const GfStepSpec *spec = CellJob_StepSpec(cell, task);
+    if (spec == NULL) {
         w->unidentified_runs++;
         return;
     }
-    OrphanRun o = {.team = task->step->job->team,
-                   .need = CellTask_CapacityTaken(task->step),
-                   .backfill = task->step->spec->backfill};
+    OrphanRun o = {.team = CellJob_Find(cell, &task->job)->team,
+                   .need = CellTask_CapacityTaken(spec),
+                   .backfill = spec->backfill};
     w->orphans =
         realloc(w->orphans, (w->orphan_count + 1) * sizeof(OrphanRun));
     if (w->orphans == NULL) {
@@ -218,20 +222,19 @@
     use->used = GfResources_Add(use->used, o.need);
 }
 
-/* Sends a stop order for an orphan run and accounts for its resources. task is
- * NULL if it is not known here. */
+/* Sends a stop order for an orphan run and accounts for its resources. */
 static void
-stop_orphan(GfCell *cell, Worker *w, const Task *task, const GfRunRow *row)
+stop_orphan(GfCell *cell, Worker *w, const GfRunRow *row)
 {
     GfStopOrder order = {
         .target = CellTask_Target(w), .task = row->task, .run = row->run};
     order.target.token = cell->settings.token;
-    add_orphan(cell, w, task);
+    add_orphan(cell, w, &row->task);
     cell->ops->stop(cell->ctx, &order);
     GfLog(GF_LOG_NOTICE, CELL_PART,
           "stopping orphan run id=%s step=%u task=%u worker=%s known=%d",
           row->task.job.data, row->task.step, row->task.index, w->info.id.data,
-          task != NULL);
+          CellJob_StepSpec(cell, &row->task) != NULL);
 }
 
 /* Applies a run that an inventory lists: confirms the task's current run,
@@ -246,7 +249,7 @@
         return;
     }
     if (task == NULL) {
-        stop_orphan(cell, w, task, row);
+        stop_orphan(cell, w, row);
         return;
     }
     Job *job = task->step->job;
@@ -260,7 +263,7 @@
         CellTask_Assign(task, w, row->run, TASK_RUNNING);
     }
     else {
-        stop_orphan(cell, w, task, row);
+        stop_orphan(cell, w, row);
         return;
     }
     task->inventory_number = w->inventory_number;
--- a/src/cell/job_state.c
+++ b/src/cell/job_state.c
@@ -18,27 +18,42 @@
     return job;
 }
 
-/* Returns a step of a job, or NULL if a number is out of range. */
+/* Returns a step of a job, or NULL if a number is out of range or the
+ * occurrence is not open. */
 Step *
 CellJob_Step(Job *job, uint32_t occurrence, uint32_t step)
 {
-    if (occurrence >= job->spec.occurrences || step >= job->spec.step_count) {
+    if (occurrence >= job->spec.occurrences || step >= job->spec.step_count ||
+        job->occurrences[occurrence].steps == NULL) {
         return NULL;
     }
-    return &job->steps[occurrence * job->spec.step_count + step];
+    return &job->occurrences[occurrence].steps[step];
 }
 
-/* Returns the task, or NULL if its job is not known or has no such task. */
+/* Returns the spec of a task's step, or NULL if its job is not known or has no
+ * such task. */
+const GfStepSpec *
+CellJob_StepSpec(const GfCell *cell, const GfTaskId *id)
+{
+    const Job *job = CellJob_Find(cell, &id->job);
+    if (job == NULL || id->occurrence >= job->spec.occurrences ||
+        id->step >= job->spec.step_count ||
+        id->index >= job->spec.steps[id->step].task_count) {
+        return NULL;
+    }
+    return &job->spec.steps[id->step];
+}
+
+/* Returns the task, or NULL if its job is not known or has no such task, or if
+ * the task's step is finished and freed. */
 Task *
 CellJob_Task(GfCell *cell, const GfTaskId *id)
 {
-    Job *job = CellJob_Find(cell, &id->job);
-    Step *step =
-        job == NULL ? NULL : CellJob_Step(job, id->occurrence, id->step);
-    if (step == NULL || id->index >= step->spec->task_count) {
+    if (CellJob_StepSpec(cell, id) == NULL) {
         return NULL;
     }
-    return &step->tasks[id->index];
+    return CellOccurrence_DemandTask(CellJob_Find(cell, &id->job),
+                                     id->occurrence, id->step, id->index);
 }
 
 /* Returns whether tasks of the job may run: it is queued or started. */
@@ -49,14 +64,16 @@
 }
 
 /* Adds the step to the list of steps that wait for workers, if it has idle
- * tasks and no unfinished prerequisites. */
+ * tasks and no unfinished prerequisites, and its tasks are or can be opened.
+ */
 void
 CellJob_AddToWaiting(Step *step)
 {
     GfCell *cell = step->job->cell;
     cell->dirty = true;
     if (!step->listed && step->blockers == 0 && step->idle > 0 &&
-        CellJob_Active(step->job)) {
+        CellJob_Active(step->job) && !step->job->loading &&
+        CellOccurrence_OpenTasks(step)) {
         DL_APPEND(cell->waiting, step);
         step->listed = true;
         step->idle_since = GfClock_Now(cell->clock);
@@ -105,10 +122,16 @@
         return;
     }
     job->finished_at = GfClock_Now(job->cell->clock);
-    for (size_t i = 0; i < job->step_total; i++) {
-        CellJob_RemoveFromWaiting(&job->steps[i]);
-        CellAdvice_Clear(&job->steps[i]);
+    for (uint32_t k = 0; k < job->spec.occurrences; k++) {
+        for (uint32_t i = 0; i < job->spec.step_count; i++) {
+            Step *step = CellJob_Step(job, k, i);
+            if (step != NULL) {
+                CellJob_RemoveFromWaiting(step);
+                CellAdvice_Clear(step);
+            }
+        }
     }
+    CellOccurrence_Review(job);
     GfMetrics_Observe(GF_HISTOGRAM_JOB,
                       GfTime_DiffMs(job->finished_at, job->accepted_at));
     GfLog(GF_LOG_DETAIL, CELL_PART, "job finished id=%s state=%s age_ms=%lld",
@@ -118,11 +141,13 @@
 
 /* Handles the completion of a step's last task: adds the steps that it blocked
  * to the waiting list, and completes the job with its last step. */
-static void
-finish_step(Step *step)
+void
+CellJob_FinishStep(Step *step)
 {
     Job *job = step->job;
     job->steps_left--;
+    job->occurrences[step->occurrence].left--;
+    CellOccurrence_Review(job);
     CellJob_RemoveFromWaiting(step);
     CellAdvice_Clear(step);
     for (uint32_t i = 0; i < job->spec.step_count; i++) {
@@ -166,7 +191,7 @@
         CellJob_RemoveFromWaiting(step);
     }
     if (step->unfinished == 0) {
-        finish_step(step);
+        CellJob_FinishStep(step);
     }
 }
 
@@ -233,45 +258,9 @@
     job->use = Cell_TeamUse(job->cell, &job->team);
 }
 
-/* Allocates the steps and tasks of a job from its spec. */
-static void
-make_steps(Job *job)
-{
-    job->step_total = (size_t)job->spec.occurrences * job->spec.step_count;
-    job->steps_left = (uint32_t)job->step_total;
-    job->steps = calloc(job->step_total, sizeof(Step));
-    if (job->steps == NULL) {
-        abort();
-    }
-    for (uint32_t k = 0; k < job->spec.occurrences; k++) {
-        for (uint32_t i = 0; i < job->spec.step_count; i++) {
-            Step *step = CellJob_Step(job, k, i);
-            step->job = job;
-            step->spec = &job->spec.steps[i];
-            step->occurrence = k;
-            step->number = i;
-            step->blockers = (uint32_t)step->spec->prerequisite_count;
-            step->unfinished = step->spec->task_count;
-            step->idle = step->unfinished;
-            if (job->spec.first_due_ms > 0) {
-                step->due_ms =
-                    job->spec.first_due_ms + k * job->spec.interval_ms;
-            }
-            step->tasks = calloc(step->unfinished, sizeof(Task));
-            if (step->tasks == NULL) {
-                abort();
-            }
-            for (uint32_t t = 0; t < step->unfinished; t++) {
-                step->tasks[t].step = step;
-                step->tasks[t].index = t;
-            }
-        }
-    }
-}
-
 /* Computes the job's objective, in ms from its acceptance, and for each step
- * the estimated time from its start to the end of the job. All stay 0 if queue
- * is NULL. */
+ * the estimated time from its start to the end of the job. All stay unknown if
+ * queue is NULL. */
 static void
 set_objective(Job *job, const GfQueue *queue)
 {
@@ -281,11 +270,11 @@
     int64_t per_step = GfQueue_AdviceMs(queue);
     job->objective_ms = GfQueue_ObjectiveMs(
         queue, GfJobSpec_CriticalPathMs(&job->spec, per_step));
-    int64_t remaining[GF_JOB_MAX_STEPS];
-    GfJobSpec_RemainingMs(&job->spec, per_step, remaining);
-    for (size_t i = 0; i < job->step_total; i++) {
-        job->steps[i].remaining_ms = remaining[job->steps[i].number];
+    job->remaining_ms = calloc(job->spec.step_count, sizeof(int64_t));
+    if (job->remaining_ms == NULL) {
+        abort();
     }
+    GfJobSpec_RemainingMs(&job->spec, per_step, job->remaining_ms);
 }
 
 /* Adds a job that finished in a former term; its spec is not needed. state is
@@ -348,7 +337,7 @@
     bool fenced = cell->placement_started && !cell->in_uncertainty_period;
     job->former = former_term;
     job->uncertain = former_term || (!fenced && CellFormer_MayStartRuns(cell));
-    make_steps(job);
+    CellOccurrence_Init(job);
     CellJob_BindConfig(job);
     const GfQueue *q = job->queue_in_force;
     set_objective(job, q);
@@ -358,12 +347,13 @@
     CellOrder_AddJob(job);
     CellJob_ForgetLookup(cell, id);
     HASH_ADD(hh, cell->jobs, id.data, job->id.len, job);
+    job->loading = true;
     if (progress != NULL) {
         CellProgress_Load(job, progress);
     }
-    for (size_t i = 0; i < job->step_total; i++) {
-        CellJob_AddToWaiting(&job->steps[i]);
-    }
+    job->loading = false;
+    CellOccurrence_Review(job);
+    CellOccurrence_Update(job, GfTime_WallMs());
     return true;
 }
 
@@ -373,19 +363,19 @@
 CellJob_Free(Job *job)
 {
     GfCell *cell = job->cell;
-    for (size_t i = 0; i < job->step_total; i++) {
-        Step *step = &job->steps[i];
-        CellJob_RemoveFromWaiting(step);
-        CellAdvice_Clear(step);
-        for (uint32_t t = 0; t < step->spec->task_count; t++) {
-            if (step->tasks[t].state != TASK_IDLE) {
-                CellTask_Release(&step->tasks[t]);
+    for (uint32_t k = 0; k < job->spec.occurrences; k++) {
+        for (uint32_t i = 0; i < job->spec.step_count; i++) {
+            Step *step = CellJob_Step(job, k, i);
+            for (uint32_t t = 0; step != NULL && step->tasks != NULL &&
+                                 t < step->spec->task_count;
+                 t++) {
+                if (step->tasks[t].state != TASK_IDLE) {
+                    CellTask_Release(&step->tasks[t]);
+                }
             }
-            CellTask_Clear(&step->tasks[t]);
         }
-        CellJob_RemoveFromWaiting(step);
-        free(step->tasks);
     }
+    CellOccurrence_Free(job);
     if (job->dirty) {
         DL_DELETE2(cell->dirty_jobs, job, prev_dirty, next_dirty);
     }
@@ -402,7 +392,6 @@
         free(w);
     }
     HASH_DELETE(hh, cell->jobs, job);
-    free(job->steps);
     GfJobSpec_Clear(&job->spec);
     free(job);
 }
--- a/src/cell/preempt.c
+++ b/src/cell/preempt.c
@@ -43,8 +43,8 @@
     DL_FOREACH(w->tasks, t)
     {
         if (t->stopping) {
-            free_capacity = GfResources_Add(free_capacity,
-                                            CellTask_CapacityTaken(t->step));
+            free_capacity = GfResources_Add(
+                free_capacity, CellTask_CapacityTaken(t->step->spec));
         }
     }
     return free_capacity;
@@ -80,8 +80,8 @@
             return 0;
         }
         victims[count++] = largest;
-        free_capacity = GfResources_Add(free_capacity,
-                                        CellTask_CapacityTaken(largest->step));
+        free_capacity = GfResources_Add(
+            free_capacity, CellTask_CapacityTaken(largest->step->spec));
     }
     return count;
 }
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -13,19 +13,23 @@
 /* Returns a string with a character for each task of the step, '1' if it is
  * done, else '0'; NULL if none is done. */
 static json_t *
-save_done(const Step *step)
+save_done(const Job *job, uint32_t occurrence, uint32_t number)
 {
-    if (step->unfinished == step->spec->task_count) {
+    const Occurrence *o = &job->occurrences[occurrence];
+    const Step *step = o->steps == NULL ? NULL : &o->steps[number];
+    uint32_t count = job->spec.steps[number].task_count;
+    if (step == NULL ? o->left > 0 : step->unfinished == count) {
         return NULL;
     }
-    char *text = malloc(step->spec->task_count + 1U);
+    char *text = malloc(count + 1U);
     if (text == NULL) {
         abort();
     }
-    for (uint32_t i = 0; i < step->spec->task_count; i++) {
-        text[i] = step->tasks[i].done ? '1' : '0';
+    for (uint32_t i = 0; i < count; i++) {
+        bool done = step == NULL || step->tasks == NULL || step->tasks[i].done;
+        text[i] = done ? '1' : '0';
     }
-    json_t *json = json_stringn(text, step->spec->task_count);
+    json_t *json = json_stringn(text, count);
     free(text);
     return json;
 }
@@ -88,14 +92,22 @@
     }
     json_t *done = json_object();
     TaskLists lists = {json_array(), json_array(), json_array(), json_array()};
-    for (size_t i = 0; i < job->step_total; i++) {
-        json_t *text = save_done(&job->steps[i]);
-        char key[16];
-        snprintf(key, sizeof(key), "%zu", i);
-        if (text != NULL) {
-            json_object_set_new(done, key, text);
+    for (uint32_t k = 0; k < job->spec.occurrences; k++) {
+        for (uint32_t i = 0; i < job->spec.step_count; i++) {
+            size_t at = (size_t)k * job->spec.step_count + i;
+            json_t *text = save_done(job, k, i);
+            char key[16];
+            snprintf(key, sizeof(key), "%zu", at);
+            if (text != NULL) {
+                json_object_set_new(done, key, text);
+            }
+            const Step *step = job->occurrences[k].steps == NULL
+                                   ? NULL
+                                   : &job->occurrences[k].steps[i];
+            if (step != NULL && step->tasks != NULL) {
+                save_tasks(step, at, &lists);
+            }
         }
-        save_tasks(&job->steps[i], i, &lists);
     }
     json_object_set_new(row, "done", done);
     set_list(row, "failures", lists.failures);
@@ -106,33 +118,56 @@
 }
 
 /* Returns the task that a stored entry [step, index, ...] names, or NULL if it
- * is out of range. */
+ * is out of range or done. The step counts over all occurrences. */
 static Task *
 find_task(Job *job, const json_t *entry)
 {
     json_int_t at = json_integer_value(json_array_get(entry, 0));
     json_int_t index = json_integer_value(json_array_get(entry, 1));
-    if (at < 0 || (size_t)at >= job->step_total || index < 0 ||
-        index >= job->steps[at].spec->task_count) {
+    size_t count = job->spec.step_count;
+    if (at < 0 || (size_t)at >= job->spec.occurrences * count || index < 0 ||
+        index >= job->spec.steps[(size_t)at % count].task_count) {
         return NULL;
     }
-    return &job->steps[at].tasks[index];
+    return CellOccurrence_DemandTask(job, (uint32_t)((size_t)at / count),
+                                     (uint32_t)((size_t)at % count),
+                                     (uint32_t)index);
+}
+
+/* Marks the tasks of a step as done that the stored text says are done. */
+static void
+load_step(Job *job, uint32_t occurrence, uint32_t number, const char *text,
+          size_t len)
+{
+    uint32_t count = job->spec.steps[number].task_count;
+    if (len >= count && memchr(text, '0', count) == NULL) {
+        CellOccurrence_FinishStep(job, occurrence, number);
+        return;
+    }
+    for (uint32_t t = 0; t < len && t < count; t++) {
+        Task *task =
+            text[t] == '1'
+                ? CellOccurrence_DemandTask(job, occurrence, number, t)
+                : NULL;
+        if (task != NULL) {
+            CellJob_TaskDone(task);
+        }
+    }
 }
 
 /* Marks the tasks as done that the stored row says are done. */
 static void
-load_done(Job *job, const json_t *done)
+load_done(Job *job, json_t *done)
 {
-    for (size_t i = 0; i < job->step_total; i++) {
-        char key[16];
-        snprintf(key, sizeof(key), "%zu", i);
-        const json_t *text = json_object_get(done, key);
-        size_t len = json_string_length(text);
-        for (size_t t = 0; t < len && t < job->steps[i].spec->task_count;
-             t++) {
-            if (json_string_value(text)[t] == '1') {
-                CellJob_TaskDone(&job->steps[i].tasks[t]);
-            }
+    const char *key;
+    json_t *text;
+    json_object_foreach(done, key, text)
+    {
+        unsigned long at = strtoul(key, NULL, 10);
+        size_t count = job->spec.step_count;
+        if (at < job->spec.occurrences * count && json_is_string(text)) {
+            load_step(job, (uint32_t)(at / count), (uint32_t)(at % count),
+                      json_string_value(text), json_string_length(text));
         }
     }
 }
--- a/src/cell/tasks.c
+++ b/src/cell/tasks.c
@@ -81,13 +81,13 @@
     task->crashes = 0;
 }
 
-/* Returns the resources that a task of the step takes on its worker; a
- * backfill task takes no processors. */
+/* Returns the resources that a task of a step takes on its worker; a backfill
+ * task takes no processors. */
 GfResources
-CellTask_CapacityTaken(const Step *step)
+CellTask_CapacityTaken(const GfStepSpec *spec)
 {
-    GfResources need = step->spec->need;
-    if (step->spec->backfill) {
+    GfResources need = spec->need;
+    if (spec->backfill) {
         need.mcores = 0;
     }
     return need;
@@ -124,14 +124,15 @@
     task->progress = (GfRunProgress){0};
     w->probed_at = task->started_at;
     DL_APPEND(w->tasks, task);
-    w->used = GfResources_Add(w->used, CellTask_CapacityTaken(step));
-    count_mcores(w, step, CellTask_CapacityTaken(step).mcores);
+    w->used = GfResources_Add(w->used, CellTask_CapacityTaken(step->spec));
+    count_mcores(w, step, CellTask_CapacityTaken(step->spec).mcores);
     task->whole_run = state == TASK_STARTING && task->checkpoint == NULL;
     w->backfill_tasks += step->spec->backfill;
     w->latency_tasks += step->spec->latency_target_ms > 0;
     CellNeighbours_Assigned(task);
     CellShare_AddTask(step);
     cell->running++;
+    step->assigned++;
     task->intended_serial = 0;
     task->suspect = CellCrash_Suspicion(task) > 0;
     cell->suspects += task->suspect;
@@ -155,12 +156,14 @@
     Worker *w = task->worker;
     CellNeighbours_Released(task);
     DL_DELETE(w->tasks, task);
-    w->used = GfResources_Subtract(w->used, CellTask_CapacityTaken(step));
-    count_mcores(w, step, -CellTask_CapacityTaken(step).mcores);
+    w->used =
+        GfResources_Subtract(w->used, CellTask_CapacityTaken(step->spec));
+    count_mcores(w, step, -CellTask_CapacityTaken(step->spec).mcores);
     w->backfill_tasks -= step->spec->backfill;
     w->latency_tasks -= step->spec->latency_target_ms > 0;
     CellShare_RemoveTask(step);
     cell->running--;
+    step->assigned--;
     cell->suspects -= task->suspect;
     task->suspect = false;
     if (CellCrash_IsRecorded(task) && CellJob_Active(step->job)) {
@@ -175,6 +178,10 @@
         step->idle++;
         CellJob_AddToWaiting(step);
     }
+    if (step->assigned == 0 &&
+        (step->unfinished == 0 || !CellJob_Active(step->job))) {
+        CellOccurrence_Review(step->job);
+    }
 }
 
 /* Marks the task's run to be stopped; CellTask_SendStops sends the order and
@@ -190,17 +197,29 @@
     task->stop_sent_at = (struct timespec){0};
 }
 
+/* Stops all runs of a step. */
+static void
+stop_step(Step *step, struct timespec now)
+{
+    for (uint32_t i = 0; i < step->spec->task_count; i++) {
+        Task *task = &step->tasks[i];
+        if (task->state != TASK_IDLE) {
+            CellTask_Stop(task);
+            CellTask_SendStops(task->worker, now);
+        }
+    }
+}
+
 /* Stops all runs of a job. */
 void
 CellTask_StopJob(Job *job)
 {
     struct timespec now = GfClock_Now(job->cell->clock);
-    for (size_t i = 0; i < job->step_total; i++) {
-        for (uint32_t t = 0; t < job->steps[i].spec->task_count; t++) {
-            Task *task = &job->steps[i].tasks[t];
-            if (task->state != TASK_IDLE) {
-                CellTask_Stop(task);
-                CellTask_SendStops(task->worker, now);
+    for (uint32_t k = 0; k < job->spec.occurrences; k++) {
+        for (uint32_t i = 0; i < job->spec.step_count; i++) {
+            Step *step = CellJob_Step(job, k, i);
+            if (step != NULL && step->assigned > 0) {
+                stop_step(step, now);
             }
         }
     }
@@ -234,12 +253,5 @@
 void
 CellTask_StopGang(Step *step)
 {
-    struct timespec now = GfClock_Now(step->job->cell->clock);
-    for (uint32_t i = 0; i < step->spec->task_count; i++) {
-        Task *t = &step->tasks[i];
-        if (t->state != TASK_IDLE) {
-            CellTask_Stop(t);
-            CellTask_SendStops(t->worker, now);
-        }
-    }
+    stop_step(step, GfClock_Now(step->job->cell->clock));
 }
--- a/tests/support/cell_sim.c
+++ b/tests/support/cell_sim.c
@@ -29,6 +29,8 @@
  * it would have arrived. */
 #define LATE_MIN_MS 2000
 #define LATE_SPAN_MS 10000
+/* Completions that a worker lists at a time. */
+#define COMPLETION_PAGE 500
 /* How long the platform's table names a worker that has crashed. */
 #define UNLIST_MS 1500
 /* After this many workers have crashed under a task, its starts are counted
@@ -237,7 +239,8 @@
 static size_t
 task_position(const SimJob *job, const GfTaskId *task)
 {
-    return task->step * job->spec.step.task_count + task->index;
+    size_t step = task->occurrence * (size_t)job->spec.steps + task->step;
+    return step * job->spec.step.task_count + task->index;
 }
 
 /* Queues a message from an owner, due after the latency. The queue owns it. */
@@ -654,19 +657,22 @@
     }
 }
 
-/* Replies to a hold order with an inventory: the worker's runs, which must not
- * be more than 512, and the first 512 of its completions that are not
- * acknowledged yet. */
+/* Replies to a hold order with an inventory: the worker's runs and the first
+ * COMPLETION_PAGE of its completions that are not acknowledged yet. */
 static void
 reply_hold(CellSim *w, SimWorker *s, Message *m)
 {
-    GfRunRow runs[512];
-    GfCompletionRow completions[512];
+    size_t run_count;
+    Run *r;
+    DL_COUNT(s->runs, r, run_count);
+    GfRunRow *runs = calloc(run_count + 1, sizeof(GfRunRow));
+    GfCompletionRow *completions =
+        calloc(COMPLETION_PAGE, sizeof(GfCompletionRow));
+    assert(runs != NULL && completions != NULL);
     GfInventory inventory = {.incarnation = s->info.incarnation,
                              .clock_ms = CellSim_NowMs(w),
                              .runs = runs,
                              .completions = completions};
-    Run *r;
     DL_FOREACH(s->runs, r)
     {
         int64_t done_ms = r->stopping ? r->saved_ms : work_done_ms(w, r);
@@ -682,7 +688,7 @@
     Completion *c;
     DL_FOREACH(s->completions, c)
     {
-        if (inventory.completion_count < 512) {
+        if (inventory.completion_count < COMPLETION_PAGE) {
             completions[inventory.completion_count++] =
                 (GfCompletionRow){.number = c->number,
                                   .task = c->task,
@@ -696,6 +702,8 @@
         GfCell_HoldDone(o->cell, m->serial, m->sent_at, GF_ORDER_DONE,
                         &inventory);
     }
+    free(runs);
+    free(completions);
 }
 
 /* Passes the result of an order to its owner, unless the owner is gone. */
@@ -838,12 +846,20 @@
     }
 }
 
+/* Returns the number of a job's tasks over all steps and occurrences. */
+static size_t
+count_tasks(const SimJob *job)
+{
+    return (size_t)job->spec.occurrences * (size_t)job->spec.steps *
+           job->spec.step.task_count;
+}
+
 /* Builds the job's spec as a chain of equal steps. The caller owns it. */
 static GfJobSpec
 make_spec(const SimJob *job)
 {
     GfJobSpec spec = {.step_count = (size_t)job->spec.steps,
-                      .occurrences = 1,
+                      .occurrences = (uint32_t)job->spec.occurrences,
                       .payload = GfStr_Copy("x", 1)};
     spec.steps = calloc(spec.step_count, sizeof(GfStepSpec));
     assert(spec.steps != NULL);
@@ -1333,9 +1349,9 @@
             GfCell_AddLeasedWorker(o->cell, &info);
             continue;
         }
-        GfTaskId named[256];
         size_t count = json_array_size(tasks);
-        assert(count <= 256);
+        GfTaskId *named = calloc(count + 1, sizeof(GfTaskId));
+        assert(named != NULL);
         for (size_t t = 0; t < count; t++) {
             const json_t *task = json_array_get(tasks, t);
             named[t] = (GfTaskId){
@@ -1355,6 +1371,7 @@
         GfCell_AddClosedWorker(o->cell, &info, named,
                                w->settings.without_names ? 0 : count,
                                expires_ms);
+        free(named);
     }
     for (int k = 0; k < w->settings.workers; k++) {
         if (w->workers[k].alive && !w->workers[k].unlisted &&
@@ -1412,11 +1429,10 @@
     j->id = GfName_Format("%016x", (unsigned)number);
     j->spec = *job;
     j->spec.steps = job->steps > 0 ? job->steps : 1;
+    j->spec.occurrences = job->occurrences > 0 ? job->occurrences : 1;
     j->submitted_ms = CellSim_NowMs(w);
-    j->done =
-        calloc((size_t)j->spec.steps * job->step.task_count, sizeof(bool));
-    j->tasks = calloc((size_t)j->spec.steps * job->step.task_count,
-                      sizeof(TaskCounts));
+    j->done = calloc(count_tasks(j), sizeof(bool));
+    j->tasks = calloc(count_tasks(j), sizeof(TaskCounts));
     assert(j->done != NULL && j->tasks != NULL);
     for (int i = 0; i < w->owner_count; i++) {
         if (w->owners[i].cell != NULL) {
@@ -1551,7 +1567,7 @@
 {
     const SimJob *j = &w->jobs[job];
     int most = 0;
-    for (int i = 0; i < j->spec.steps * (int)j->spec.step.task_count; i++) {
+    for (size_t i = 0; i < count_tasks(j); i++) {
         most = j->tasks[i].late_starts > most ? j->tasks[i].late_starts : most;
     }
     return most;
--- a/tests/support/cell_sim.h
+++ b/tests/support/cell_sim.h
@@ -80,6 +80,7 @@
                                    NULL: run_ms */
     GfStepSpec step;
     int steps;        /* length of the chain of equal steps; 0: 1 */
+    int occurrences;  /* of this chain, all due at once; 0: 1 */
     bool denied;      /* advice allows no worker */
     int deadly_tasks; /* the first ones of each step crash their worker */
     int64_t tail_ms;  /* above 0: tail latency of a task alone */
