Count the memory of jobs themselves in admission

A team could hand in 40,000 jobs before it was full, and any number of timed ones, since only waiting tasks were counted.

Cause: the limit of a team took 150 bytes for each waiting task and nothing for its job.

A team is full from 16 MB of jobs on, without their steps and tasks, which are bounded by themselves, or from its share of 64 MB of all teams. The payload of a finished job is freed when nothing of it is open any more.

--- a/include/guavaflow/admission.h
+++ b/include/guavaflow/admission.h
@@ -94,12 +94,13 @@
     int64_t age_ms;          /* of the forecast */
 } GfForecastCheck;
 
-/* The backlog of a team: its waiting tasks, and the rate at which its tasks
- * are started. */
+/* The backlog of a team: its waiting tasks, the rate at which its tasks are
+ * started, and the memory that its jobs take without their tasks. */
 typedef struct {
     GfName team;
     uint32_t waiting_tasks;
     double starts_per_s;
+    size_t job_bytes;
 } GfTeamBacklog;
 
 void GfAdmission_AddCapacity(GfAdmission *admission, const GfName *service,
--- a/src/cell/admission.c
+++ b/src/cell/admission.c
@@ -10,12 +10,16 @@
 #include <assert.h>
 #include <string.h>
 
-/* Number of waiting tasks from which on a team is full. At about 150 bytes a
- * task this is 6 MB of the 160 MB of the smallest hosts. */
+/* Number of waiting tasks from which on a team is full. At 256 bytes a task
+ * this is 10 MB of the 260 MB that hosts have. */
 #define MAX_TEAM_TASKS 40000
-/* Number of waiting tasks of all teams together, 30 MB, from which on every
+/* Number of waiting tasks of all teams together, 50 MB, from which on every
  * team with at least an equal share of this number is full. */
 #define MAX_TOTAL_TASKS 200000
+/* The same limits for the memory of jobs without their tasks, which are
+ * bounded by occurrence.c. */
+#define MAX_TEAM_JOB_BYTES ((size_t)16 * 1024 * 1024)
+#define MAX_TOTAL_JOB_BYTES ((size_t)64 * 1024 * 1024)
 /* The retry time of a full team is the time in which this part of its backlog
  * is expected to start. */
 #define RETRY_BACKLOG_PERCENT 10
@@ -91,6 +95,9 @@
 static uint32_t
 full_team_retry_ms(const GfTeamBacklog *b)
 {
+    if (b->job_bytes >= MAX_TEAM_JOB_BYTES) {
+        return RETRY_MAX_MS; /* until jobs are finished */
+    }
     double tasks = (double)b->waiting_tasks * RETRY_BACKLOG_PERCENT / PERCENT;
     double ms = b->starts_per_s > 0 ? tasks / b->starts_per_s * MS_PER_S
                                     : RETRY_MAX_MS;
@@ -101,24 +108,30 @@
 }
 
 /* Replaces the list of full teams. backlogs has an entry for each team with
- * waiting tasks and stays the caller's. */
+ * waiting tasks or jobs that take much memory and stays the caller's. */
 void
 GfAdmission_SetBacklogs(GfAdmission *a, const GfTeamBacklog *backlogs,
                         size_t count)
 {
     assert(a != NULL && (backlogs != NULL || count == 0));
     uint64_t total = 0;
+    size_t total_bytes = 0;
     for (size_t i = 0; i < count; i++) {
         total += backlogs[i].waiting_tasks;
+        total_bytes += backlogs[i].job_bytes;
     }
-    uint64_t equal_share =
-        count > 0 ? MAX_TOTAL_TASKS / count : MAX_TOTAL_TASKS;
+    size_t teams = count > 0 ? count : 1;
+    uint64_t equal_share = MAX_TOTAL_TASKS / teams;
+    size_t equal_bytes = MAX_TOTAL_JOB_BYTES / teams;
     a->full_count = 0;
     for (size_t i = 0; i < count; i++) {
         const GfTeamBacklog *b = &backlogs[i];
         bool full =
             b->waiting_tasks >= MAX_TEAM_TASKS ||
-            (total >= MAX_TOTAL_TASKS && b->waiting_tasks >= equal_share);
+            (total >= MAX_TOTAL_TASKS && b->waiting_tasks >= equal_share) ||
+            b->job_bytes >= MAX_TEAM_JOB_BYTES ||
+            (total_bytes >= MAX_TOTAL_JOB_BYTES &&
+             b->job_bytes >= equal_bytes);
         if (full && a->full_count < GF_ADMISSION_MAX_TEAMS) {
             a->full[a->full_count++] =
                 (GfFullTeam){b->team, full_team_retry_ms(b)};
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -168,6 +168,7 @@
     uint32_t next_occurrence; /* those before it were opened */
     int64_t *remaining_ms;    /* of each step in the spec; NULL: unknown */
     uint32_t steps_left;      /* over all occurrences */
+    size_t bytes;             /* without its steps and tasks */
     bool loading;             /* no step is opened yet */
     bool review;              /* a step has to be opened or freed */
     bool in_review;           /* in the cell's list of jobs to review */
@@ -306,6 +307,7 @@
     GfResources peak[CELL_CLASSES]; /* decaying, of by_class + waiting_need */
     uint32_t number;   /* among the teams of a placement round; scratch */
     size_t open_bytes; /* part of the cell's */
+    size_t job_bytes;  /* of the team's jobs, without steps and tasks */
     UT_hash_handle hh;
 };
 
@@ -498,6 +500,7 @@
 void CellJob_ForgetLookup(GfCell *cell, const GfName *id);
 
 void CellJob_FinishStep(Step *step);
+void CellJob_Trim(Job *job);
 
 /* occurrence.c */
 void CellOccurrence_Init(Job *job);
--- a/src/cell/job_state.c
+++ b/src/cell/job_state.c
@@ -277,6 +277,19 @@
     GfJobSpec_RemainingMs(&job->spec, per_step, job->remaining_ms);
 }
 
+/* Returns the memory that a job takes without its steps and tasks. */
+static size_t
+count_bytes(const Job *job)
+{
+    size_t bytes = sizeof(*job) + job->spec.payload.len +
+                   job->spec.occurrences * sizeof(Occurrence) +
+                   job->spec.step_count * sizeof(GfStepSpec);
+    for (size_t i = 0; i < job->spec.step_count; i++) {
+        bytes += job->spec.steps[i].prerequisite_count * sizeof(uint32_t);
+    }
+    return bytes;
+}
+
 /* Adds a job that finished in a former term; its spec is not needed. state is
  * the stored name. Returns false if that names no final state, or if the job
  * is already known. */
@@ -344,6 +357,8 @@
     job->work_class = q == NULL || q->work_class >= CELL_CLASSES
                           ? CELL_CLASSES - 1
                           : q->work_class;
+    job->bytes = count_bytes(job);
+    job->use->job_bytes += job->bytes;
     CellOrder_AddJob(job);
     CellJob_ForgetLookup(cell, id);
     HASH_ADD(hh, cell->jobs, id.data, job->id.len, job);
@@ -357,6 +372,18 @@
     return true;
 }
 
+/* Frees what only an active job needs, once no step of it is open. */
+void
+CellJob_Trim(Job *job)
+{
+    job->use->job_bytes -= job->bytes;
+    GfStr_Clear(&job->spec.payload);
+    free(job->remaining_ms);
+    job->remaining_ms = NULL;
+    job->bytes = count_bytes(job);
+    job->use->job_bytes += job->bytes;
+}
+
 /* Frees a job and releases its tasks. Callers that wait for it are called with
  * GF_NO_OWNER. */
 void
@@ -391,6 +418,9 @@
         w->done(w->arg, GF_NO_OWNER);
         free(w);
     }
+    if (job->use != NULL) {
+        job->use->job_bytes -= job->bytes;
+    }
     HASH_DELETE(hh, cell->jobs, job);
     GfJobSpec_Clear(&job->spec);
     free(job);
--- a/src/cell/occurrence.c
+++ b/src/cell/occurrence.c
@@ -230,6 +230,18 @@
     }
 }
 
+/* Returns whether any occurrence of a job is open. */
+static bool
+is_open(const Job *job)
+{
+    for (uint32_t k = 0; k < job->spec.occurrences; k++) {
+        if (job->occurrences[k].steps != NULL) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Adds the steps of an open occurrence that may run to the waiting ones.
  * Returns false if some could not be opened. */
 static bool
@@ -279,6 +291,9 @@
         job->next_occurrence++;
         pending = !list_steps(job, o) || pending;
     }
+    if (!CellJob_Active(job) && !is_open(job)) {
+        CellJob_Trim(job);
+    }
     job->review = job->review || pending;
     if (!job->review && (!CellJob_Active(job) ||
                          job->next_occurrence == job->spec.occurrences)) {
--- a/src/cell/share.c
+++ b/src/cell/share.c
@@ -17,6 +17,8 @@
 /* Weight of the latest sample, about one second, in a team's start rate. */
 #define RATE_WEIGHT 0.3
 #define MS_PER_S 1000
+/* A team without waiting tasks matters to admission from this memory on. */
+#define LISTED_JOB_BYTES ((size_t)512 * 1024)
 
 /* Returns the entry of a team, which belongs to the cell; it is added if
  * missing. */
@@ -166,9 +168,10 @@
         u->starts = 0;
         u->starts_per_s += (rate - u->starts_per_s) * RATE_WEIGHT;
         uint32_t waiting = count_waiting(cell, u);
-        if (waiting > 0 && count < GF_ADMISSION_MAX_TEAMS) {
-            backlogs[count++] =
-                (GfTeamBacklog){u->team, waiting, u->starts_per_s};
+        if ((waiting > 0 || u->job_bytes >= LISTED_JOB_BYTES) &&
+            count < GF_ADMISSION_MAX_TEAMS) {
+            backlogs[count++] = (GfTeamBacklog){u->team, waiting,
+                                                u->starts_per_s, u->job_bytes};
         }
     }
     GfAdmission_SetBacklogs(admission, backlogs, count);
--- a/tests/unit/admission.c
+++ b/tests/unit/admission.c
@@ -81,7 +81,7 @@
     GfAdmission a = {0};
     uint32_t retry = 0;
     GfStepSpec step = {.task_count = 1};
-    GfTeamBacklog backlogs[] = {{team_a, 39999, 100}, {team_b, 10, 100}};
+    GfTeamBacklog backlogs[] = {{team_a, 39999, 100, 0}, {team_b, 10, 100, 0}};
     GfAdmission_SetBacklogs(&a, backlogs, 2);
     CU_ASSERT_EQUAL(check(&a, &team_a, step, &retry), GF_OK);
     backlogs[0].waiting_tasks = 40000;
@@ -112,9 +112,9 @@
     GfStepSpec step = {.task_count = 1};
     GfTeamBacklog backlogs[8];
     for (int i = 0; i < 8; i++) {
-        backlogs[i] = (GfTeamBacklog){GfName_Format("t%d", i), 32000, 10};
+        backlogs[i] = (GfTeamBacklog){GfName_Format("t%d", i), 32000, 10, 0};
     }
-    backlogs[0] = (GfTeamBacklog){team_a, 100, 10};
+    backlogs[0] = (GfTeamBacklog){team_a, 100, 10, 0};
     GfAdmission_SetBacklogs(&a, backlogs, 8);
     CU_ASSERT_EQUAL(check(&a, &team_a, step, &retry), GF_OK);
     CU_ASSERT_EQUAL(check(&a, &backlogs[3].team, step, &retry),
--- a/tests/unit/cell_memory.c
+++ b/tests/unit/cell_memory.c
@@ -80,7 +80,8 @@
 add_job(Fixture *f, const char *team_name, uint32_t tasks, size_t steps,
         uint32_t occurrences, int64_t due_in_ms)
 {
-    GfJobSpec spec = {.payload = GfStr_Copy("x", 1),
+    static char payload[4000];
+    GfJobSpec spec = {.payload = GfStr_Copy(payload, sizeof(payload)),
                       .step_count = steps,
                       .occurrences = occurrences,
                       .first_due_ms = GfTime_WallMs() + due_in_ms,
@@ -188,6 +189,28 @@
     teardown(&f);
 }
 
+/* Timed jobs with large payloads, none of them due, from eight teams. */
+static void
+test_many_small_jobs_outgrow_owner(void)
+{
+    enum { BATCH = 800, MAX_JOBS = 70000 };
+    Fixture f;
+    setup(&f);
+    GfAdmission admission = {0};
+    while (admission.full_count < 8 && f.jobs < MAX_JOBS) {
+        for (int i = 0; i < BATCH; i++) {
+            char team[8];
+            snprintf(team, sizeof(team), "t%d", i % 8);
+            add_job(&f, team, 1, 1, 1, LATER_MS);
+        }
+        GfManualClock_Advance(&f.clock, 1000);
+        GfCell_UpdateAdmission(f.cell, &admission);
+    }
+    CU_ASSERT_EQUAL(admission.full_count, 8);
+    CU_ASSERT(used_bytes(&f) < OWNER_BYTES);
+    teardown(&f);
+}
+
 /* What a cancelled job frees goes to the next one of its team. */
 static void
 test_task_never_opened(void)
@@ -253,6 +276,7 @@
      test_wide_jobs_of_all_teams_outgrow_owner},
     {"team without memory beside another",
      test_team_without_memory_beside_another},
+    {"many small jobs outgrow owner", test_many_small_jobs_outgrow_owner},
     {"task never opened", test_task_never_opened},
     {"occurrence lost by takeover", test_occurrence_lost_by_takeover}};
 
