Take a worker's list of 500 ends for one that may be cut

Cause: a worker lists at most 500 ends at a time. With more, a finished task is neither among the runs nor among the ends, and counted as lost; after a takeover it counted as waiting. The same happened to tasks behind an end whose job had to be looked up.

An inventory says whether there may be more completions. Until all are seen, nothing is taken as lost there, a new owner doesn't count the worker as contacted, and the uncertainty period lasts on. The ends listed are acknowledged once stored, so the next page follows.

--- a/include/guavaflow/cell.h
+++ b/include/guavaflow/cell.h
@@ -113,8 +113,8 @@
     const char *checkpoint; /* the latest one, or NULL */
 } GfCompletionRow;
 
-/* All current runs and unacknowledged completions of a worker. Strings and
- * rows stay the caller's. */
+/* All current runs and unacknowledged completions of a worker, or only the
+ * first of the latter. Strings and rows stay the caller's. */
 typedef struct {
     int64_t incarnation; /* start time of the worker's incarnation */
     int64_t clock_ms;    /* time of the inventory, worker's clock */
@@ -122,6 +122,7 @@
     size_t run_count;
     const GfCompletionRow *completions;
     size_t completion_count;
+    bool more_completions; /* there may be others after those listed */
 } GfInventory;
 
 /* The worker that an order goes to, and the incarnation that it is meant for.
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -273,6 +273,8 @@
     OrphanRun *orphans; /* those that have not ended yet */
     size_t orphan_count;
     size_t unidentified_runs; /* runs of unknown size or unresolved job */
+    bool has_unseen_ends; /* not all completions in the latest inventory were
+                             listed and applied */
     int64_t class_mcores[CELL_CLASSES]; /* parts of used, by timed tasks */
     int64_t long_running_mcores;        /* part of used */
     uint32_t latency_tasks;             /* tasks with a latency target */
--- a/src/cell/former.c
+++ b/src/cell/former.c
@@ -121,8 +121,23 @@
           (long long)GfTime_DiffMs(now, cell->created_at));
 }
 
+/* Returns whether a worker with a lease has completions of former runs that
+ * this owner has not seen. */
+static bool
+has_unseen_ends(const GfCell *cell, struct timespec now)
+{
+    for (const Worker *w = cell->workers; w != NULL; w = w->hh.next) {
+        if (w->has_unseen_ends && !w->contacted &&
+            GfTime_Before(now, w->lease_until)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Ends the uncertainty period once every worker with a lease of a former owner
- * has answered, or no run of a former owner can be left. */
+ * has answered, or no run of a former owner can be left, and the completions
+ * of those that answered have been seen. */
 void
 CellFormer_Tick(GfCell *cell, struct timespec now)
 {
@@ -131,7 +146,8 @@
     }
     size_t uncontacted = CellFormer_CountUnheard(cell);
     log_unheard(cell, uncontacted, now);
-    if (uncontacted == 0 || !GfTime_Before(now, cell->uncertain_until)) {
+    bool over = uncontacted == 0 || !GfTime_Before(now, cell->uncertain_until);
+    if (over && !has_unseen_ends(cell, now)) {
         cell->in_uncertainty_period = false;
         if (uncontacted > 0) {
             CellCrash_Unseen(cell);
--- a/src/cell/inventory.c
+++ b/src/cell/inventory.c
@@ -289,7 +289,8 @@
 /* Handles the worker's tasks that an inventory requested at sent_at does not
  * list. An unconfirmed start is cancelled by a stop order; its task is
  * released when the start can no longer be carried out. A started run that is
- * missing is taken as lost. */
+ * missing is taken as lost. None is released before all completions have been
+ * seen, since the task may have been completed. */
 static void
 handle_missing(Worker *w, struct timespec sent_at)
 {
@@ -301,7 +302,8 @@
             t->state == TASK_STARTING) {
             continue;
         }
-        if (t->state == TASK_UNCONFIRMED && is_start_void(w, t, sent_at)) {
+        if (t->state == TASK_UNCONFIRMED && !w->has_unseen_ends &&
+            is_start_void(w, t, sent_at)) {
             CellTask_Release(t);
         }
         else if (t->state == TASK_UNCONFIRMED && !t->stopping) {
@@ -314,7 +316,7 @@
                 }
             }
         }
-        else if (t->state != TASK_UNCONFIRMED &&
+        else if (t->state != TASK_UNCONFIRMED && !w->has_unseen_ends &&
                  GfTime_Before(t->started_at, sent_at)) {
             GfLog(GF_LOG_WARNING, CELL_PART,
                   "run missing from inventory id=%s step=%u task=%u worker=%s",
@@ -354,6 +356,7 @@
     size_t orphans_before = w->orphan_count + w->unidentified_runs;
     CellWorker_ClearOrphans(cell, w);
     CellSpeed_BeginInventory(cell, w, now);
+    w->has_unseen_ends = inventory->more_completions;
     for (size_t i = 0; i < inventory->completion_count; i++) {
         const GfCompletionRow *completion = &inventory->completions[i];
         if (completion->number <= w->applied_completion) {
@@ -362,6 +365,7 @@
         if (!is_job_resolved(cell, &completion->task.job)) {
             /* This completion and those after it are reported again. */
             w->unidentified_runs++;
+            w->has_unseen_ends = true;
             break;
         }
         apply_completion(cell, w, completion);
@@ -373,8 +377,8 @@
     CellSpeed_EndInventory(cell, w, now);
     handle_missing(w, sent_at);
     CellNeighbours_InventoryApplied(w);
-    if (!w->contacted && w->unidentified_runs == 0) {
-        /* With an unidentified run the worker's state stays uncertain. */
+    if (!w->contacted && w->unidentified_runs == 0 && !w->has_unseen_ends) {
+        /* Before, the worker's state stays uncertain. */
         w->contacted = true;
         cell->dirty = true;
     }
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -134,6 +134,7 @@
     w->pending_seq = 0;
     w->inventory_clock_ms = 0;
     w->poll_in_flight = false;
+    w->has_unseen_ends = false;
     w->contacted = false;
     w->has_clock = false;
     w->consecutive_failures = 0;
@@ -463,7 +464,9 @@
 static void
 send_hold(GfCell *cell, Worker *w, struct timespec now)
 {
-    bool reachable = w->contacted && w->hold_failures == 0;
+    /* A worker that is not contacted yet may list further completions only
+     * after the first ones are acknowledged. */
+    bool reachable = w->has_clock && w->hold_failures == 0;
     GfHoldOrder order = {.target = CellTask_Target(w)};
     order.target.token = cell->settings.token;
     /* A call without an answer may extend the lease all the same; after a
@@ -504,7 +507,7 @@
     Worker *tmp;
     HASH_ITER(hh, cell->workers, w, tmp)
     {
-        if (w->tasks != NULL && w->contacted &&
+        if (w->tasks != NULL && w->has_clock &&
             GfTime_Before(w->lease_until, now)) {
             CellCrash_WorkerSilent(w);
             CellWorker_ReleaseTasks(w, "lease lapsed");
--- a/tests/support/cell_sim.c
+++ b/tests/support/cell_sim.c
@@ -697,6 +697,7 @@
                                   .checkpoint = c->checkpoint};
         }
     }
+    inventory.more_completions = inventory.completion_count == COMPLETION_PAGE;
     Owner *o = &w->owners[m->owner];
     if (o->cell != NULL && o->token != 0) {
         GfCell_HoldDone(o->cell, m->serial, m->sent_at, GF_ORDER_DONE,
