--- a/include/guavaflow/cell.h
+++ b/include/guavaflow/cell.h
@@ -189,21 +189,31 @@
     GfName ticket;
 } GfTicket;
 
-/* What to store in one transaction: a row for each named job and, if they
- * changed, the list of workers that may hold a lease and the token of the
+#define GF_CELL_KEY_BYTES (GF_NAME_MAX_BYTES + 32)
+
+/* A row to write or remove. It is one of a job, whose key is the job's id or
+ * begins with it and a dot, or a part of the list of workers that may hold a
+ * lease, whose key is empty or begins with a dot. */
+typedef struct {
+    bool is_lease_list;
+    char key[GF_CELL_KEY_BYTES];
+    char *text; /* JSON; NULL: the row is removed */
+    size_t len;
+} GfCellRow;
+
+/* What to store in one transaction: rows and, if it changed, the token of the
  * owner that is settled: all owners before it can act no more. Valid during
- * the callback only; a callback that keeps a JSON value takes a reference. */
+ * the callback only. */
 typedef struct {
-    const GfName *jobs;
-    json_t *const *rows;
+    const GfCellRow *rows;
     size_t count;
-    json_t *lease_list;    /* NULL: unchanged */
     int64_t settled_token; /* this owner, as settled; 0: unchanged */
 } GfCellCommit;
 
 /* Callbacks that carry out orders; ctx is that of GfCell_Create. Outcomes are
  * reported with GfCell_StartDone, GfCell_StopDone, GfCell_PaceDone,
- * GfCell_HoldDone, GfCell_AdviceDone and GfCell_CommitDone. */
+ * GfCell_HoldDone, GfCell_AdviceDone and GfCell_CommitDone or
+ * GfCell_CommitRejected. */
 typedef struct {
     void (*start)(void *ctx, const GfStartOrder *order);
     void (*stop)(void *ctx, const GfStopOrder *order);
@@ -230,6 +240,9 @@
     int64_t uncertainty_ms; /* after this no run of a former owner is left */
     int64_t clock_drift_percent; /* most that clocks may drift apart */
     uint32_t serial_base;
+    size_t single_row_bytes; /* a job with a larger row is stored in several;
+                                0: 48 KB, which leaves space in the store's 64
+                                KB for the next changes */
     GfFeatures features;
 } GfCellSettings;
 
@@ -274,6 +287,7 @@
                                  size_t count);
 bool GfCell_AllContacted(const GfCell *cell);
 bool GfCell_MayBeginPlacement(const GfCell *cell, int64_t loaded_ms);
+void GfCell_SetLeaseParts(GfCell *cell, size_t count);
 void GfCell_SetSettledToken(GfCell *cell, int64_t token);
 void GfCell_FormerOwnerEnded(GfCell *cell);
 bool GfCell_FormerOwnersEnded(const GfCell *cell);
@@ -293,6 +307,7 @@
                        const GfTicket *tickets, size_t count,
                        int64_t valid_ms);
 void GfCell_CommitDone(GfCell *cell, bool committed);
+void GfCell_CommitRejected(GfCell *cell);
 
 void GfCell_Place(GfCell *cell);
 void GfCell_Tick(GfCell *cell);
--- a/include/guavaflow/table.h
+++ b/include/guavaflow/table.h
@@ -19,6 +19,8 @@
     GF_TABLE_OK,
     GF_TABLE_CONFLICT,   /* an expectation did not hold; nothing was done */
     GF_TABLE_REFUSED,    /* not accepted or never sent; nothing was done */
+    GF_TABLE_INVALID,    /* not accepted, nor will a repetition be; nothing
+                          * was done */
     GF_TABLE_NO_HISTORY, /* changes since the version are no longer kept */
     GF_TABLE_UNKNOWN,    /* no definite answer; a transaction may be committed,
                           * now or later */
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -80,6 +80,7 @@
     cell->settings = *settings;
     cell->clock = clock;
     cell->may_grant_leases = true;
+    cell->lease_part_count = 1;
     cell->workers_current = true;
     cell->former_owner_ended = settings->former_token == 0;
     cell->callers = GfCallers_Create();
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -20,6 +20,13 @@
 #define CELL_CLASSES 4
 /* Crashes of workers that are remembered to tell single ones from a mass. */
 #define CELL_CRASH_TIMES 64
+/* Tasks of a step whose progress is stored in one row, in a large job. */
+#define CELL_BLOCK_TASKS 32
+/* Most rows in a transaction, without the two that each has; the store takes
+ * 100 entries. */
+#define CELL_COMMIT_ROWS 96
+/* Most parts of the list of leased workers, a power of two. */
+#define CELL_LEASE_PARTS 64
 
 typedef struct Task Task;
 typedef struct Step Step;
@@ -109,6 +116,9 @@
     const GfStepSpec *spec;
     Task *tasks;       /* NULL: not opened yet, or finished and freed */
     uint32_t assigned; /* tasks on workers, done ones included */
+    uint8_t *blocks;   /* state of its blocks, in job_rows.c; NULL without
+                          tasks */
+    bool has_changed_blocks;
     uint32_t occurrence;
     uint32_t number;      /* index in the job's spec */
     uint32_t blockers;    /* unfinished prerequisites */
@@ -147,6 +157,19 @@
     uint32_t left; /* unfinished steps */
 } Occurrence;
 
+/* State of a block. */
+enum {
+    CELL_BLOCK_CHANGED = 1,   /* since its row was written */
+    CELL_BLOCK_IN_COMMIT = 2, /* its row is in the pending transaction */
+    CELL_BLOCK_STORED = 4     /* it has a row */
+};
+
+/* A block of tasks, of a step that counts over all occurrences. */
+typedef struct {
+    size_t at;
+    uint32_t block;
+} BlockName;
+
 /* A caller that waits until a cancellation is stored. */
 struct Waiter {
     GfCellDone done;
@@ -179,10 +202,15 @@
     GfJobState commit_state; /* state in the pending transaction */
     bool counted_waiting;
     uint32_t work_class;
-    bool uncertain;            /* may run on a worker that has not answered */
-    bool former;               /* accepted in an earlier term */
-    bool dirty;                /* the stored row is out of date */
-    bool in_commit;            /* its row is in the pending transaction */
+    bool uncertain;      /* may run on a worker that has not answered */
+    bool former;         /* accepted in an earlier term */
+    bool dirty;          /* the stored row is out of date */
+    bool in_commit;      /* its row is in the pending transaction */
+    bool spilled;        /* stored in several rows */
+    bool set_apart;      /* the store refuses its row for good */
+    BlockName *obsolete; /* blocks whose rows are to be removed */
+    size_t obsolete_count;
+    size_t obsolete_in_commit; /* the first ones, in the transaction */
     uint64_t dirty_seq;        /* first change that is not in a transaction */
     uint64_t commit_first_seq; /* first change in the pending transaction */
     struct timespec accepted_at;
@@ -343,6 +371,23 @@
     UT_hash_handle hh;
 } Lookup;
 
+/* A part of the stored list of leased workers. Hashes are 0 if unknown. */
+typedef struct {
+    uint64_t hash; /* of its text, as encoded last */
+    uint64_t stored_hash;
+    bool in_commit;
+} LeasePart;
+
+/* The rows of a transaction that is being put together. */
+typedef struct {
+    GfCellRow rows[CELL_COMMIT_ROWS];
+    size_t count;
+    size_t bytes;
+} RowSet;
+
+/* How much of a job's changes was added to a transaction. */
+typedef enum { ROWS_NONE, ROWS_PART, ROWS_ALL } RowsAdded;
+
 struct GfCell {
     const GfCellOps *ops;
     void *ctx;
@@ -387,6 +432,9 @@
     uint64_t stored_seq; /* all changes up to this one are stored */
     bool committing;
     bool commit_has_lease_list; /* the transaction holds the lease list */
+    LeasePart lease_parts[CELL_LEASE_PARTS];
+    size_t lease_part_count;
+    size_t isolate_left; /* so many jobs get a transaction of their own */
     Job **commit_jobs;
     size_t commit_count;
     struct timespec next_commit_at; /* no transaction before this time */
@@ -517,6 +565,8 @@
 
 /* progress.c */
 json_t *CellProgress_Save(const Job *job);
+json_t *CellProgress_SaveBlock(const Step *step, size_t at, uint32_t block,
+                               bool whole);
 void CellProgress_Load(Job *job, const json_t *row);
 
 /* crash.c */
@@ -598,6 +648,21 @@
 bool CellUnanswered_MayStart(const GfCell *cell, const Worker *w);
 bool CellUnanswered_MayExtendLease(const Worker *w, struct timespec now);
 
+/* job_rows.c */
+bool CellRows_Add(RowSet *set, bool is_lease_list, const char *key,
+                  json_t *json);
+void CellRows_Clear(RowSet *set);
+void CellJobRows_Open(Step *step);
+void CellJobRows_Close(Step *step);
+void CellJobRows_MarkTask(Task *task);
+void CellJobRows_Loaded(Job *job, size_t at, uint32_t block);
+RowsAdded CellJobRows_Add(RowSet *set, Job *job);
+void CellJobRows_Done(Job *job, bool stored);
+
+/* lease_list.c */
+void CellLeaseList_Add(GfCell *cell, RowSet *set);
+void CellLeaseList_Stored(GfCell *cell);
+
 /* workers.c */
 void CellWorker_BeginIncarnation(GfCell *cell, Worker *w, int64_t incarnation);
 int64_t CellWorker_LongestLeaseMs(const GfCell *cell);
--- a/src/cell/commit.c
+++ b/src/cell/commit.c
@@ -7,98 +7,40 @@
 #include <utlist.h>
 
 #include "cell_private.h"
+#include "guavaflow/log.h"
+#include "guavaflow/metrics.h"
 
 /* Shortest time between transactions; keeps a busy cell under about forty
  * transactions a second. */
 #define COMMIT_INTERVAL_MS 25
 /* Pause after a failed transaction. */
 #define COMMIT_RETRY_PAUSE_MS 200
-/* Most rows in a transaction; the store takes 100 entries. */
-#define MAX_ROWS 80
-/* Most tasks that the lease list names, so that it stays within the size of a
- * row: 15 KB of the store's 64. */
-#define MAX_NAMED_TASKS 500
-
-/* Returns a task's entry in the stored lease list. */
-static json_t *
-encode_task_id(const GfTaskId *id)
-{
-    return json_pack("[s,i,i,i]", id->job.data, (int)id->occurrence,
-                     (int)id->step, (int)id->index);
-}
-
-/* Returns a list of the tasks that a closed worker may still run. */
-static json_t *
-encode_tasks(const Worker *w)
-{
-    json_t *tasks = json_array();
-    const Task *t;
-    DL_FOREACH(w->tasks, t)
-    {
-        GfTaskId id = CellTask_Id(t);
-        json_array_append_new(tasks, encode_task_id(&id));
-    }
-    for (size_t i = 0; !w->contacted && i < w->inherited_count; i++) {
-        json_array_append_new(tasks, encode_task_id(&w->inherited[i]));
-    }
-    return tasks;
-}
-
-/* Adds to a worker's entry of the lease list the tasks that it may still run,
- * the end of its lease, 0 if that is not known, and whether it leaves. */
+/* Moves a changed job into the next transaction, together with the callers
+ * that wait for it. added: all of its changes are in the transaction, or a
+ * part. */
 static void
-encode_closed(const GfCell *cell, Worker *w, json_t *entry, json_t *tasks)
+include_job(GfCell *cell, Job *job, RowsAdded added)
 {
-    json_array_append(entry, tasks);
-    int64_t end = w->expiry_wanted ? CellLeaseEnd_Shared(cell, w) : 0;
-    json_array_append_new(entry, json_integer((json_int_t)end));
-    json_array_append_new(entry, json_boolean(w->info.leaving));
-    if (w->expiry_wanted) {
-        w->lease_frozen = true;
-        w->expiry_in_commit = true;
-    }
-}
-
-/* Returns the list of workers that may hold a lease, for the next owner, and
- * marks the workers as part of this transaction. Closed workers beyond
- * MAX_NAMED_TASKS are listed like the others, without their tasks: then all
- * jobs count as uncertain there. */
-static json_t *
-encode_lease_list(GfCell *cell)
-{
-    json_t *list = json_array();
-    size_t named = 0;
-    for (Worker *w = cell->workers; w != NULL; w = w->hh.next) {
-        w->in_commit = w->in_lease_list;
-        w->expiry_in_commit = false;
-        if (!w->in_lease_list) {
-            continue;
-        }
-        json_t *entry = json_pack("[s,I,s,i]", w->info.id.data,
-                                  (json_int_t)w->info.incarnation,
-                                  w->info.address, (int)w->info.port);
-        w->closed_in_commit = w->closed;
-        if (w->closed) {
-            json_t *tasks = encode_tasks(w);
-            named += json_array_size(tasks);
-            if (named <= MAX_NAMED_TASKS) {
-                encode_closed(cell, w, entry, tasks);
-            }
-            json_decref(tasks);
-        }
-        json_array_append_new(list, entry);
+    job->commit_first_seq = job->dirty_seq;
+    if (added == ROWS_ALL) {
+        DL_DELETE2(cell->dirty_jobs, job, prev_dirty, next_dirty);
+        job->dirty = false;
     }
-    return list;
+    job->in_commit = true;
+    job->commit_state = job->state;
+    LL_CONCAT(job->commit_waiters, job->waiters);
+    job->waiters = NULL;
+    cell->commit_jobs[cell->commit_count++] = job;
 }
 
-/* Moves up to MAX_ROWS changed jobs, oldest change first, into the next
- * transaction, together with the callers that wait for them, and sets
- * commit_seq to the last change that the transaction covers. */
+/* Moves changed jobs, oldest change first, into the next transaction, as far
+ * as there is space for their rows, and sets commit_seq to the last change
+ * that the transaction covers. */
 static void
-collect_jobs(GfCell *cell)
+collect_jobs(GfCell *cell, RowSet *set)
 {
-    size_t max = MAX_ROWS;
-    cell->commit_jobs = malloc(max * sizeof(Job *));
+    size_t max = cell->isolate_left > 0 ? 1 : CELL_COMMIT_ROWS;
+    cell->commit_jobs = malloc(CELL_COMMIT_ROWS * sizeof(Job *));
     if (cell->commit_jobs == NULL) {
         abort();
     }
@@ -107,17 +49,15 @@
     Job *tmp;
     DL_FOREACH_SAFE2(cell->dirty_jobs, job, tmp, next_dirty)
     {
-        if (cell->commit_count == max) {
+        RowsAdded added =
+            cell->commit_count < max ? CellJobRows_Add(set, job) : ROWS_NONE;
+        if (added == ROWS_NONE) {
+            break;
+        }
+        include_job(cell, job, added);
+        if (added == ROWS_PART) {
             break;
         }
-        DL_DELETE2(cell->dirty_jobs, job, prev_dirty, next_dirty);
-        job->dirty = false;
-        job->in_commit = true;
-        job->commit_first_seq = job->dirty_seq;
-        job->commit_state = job->state;
-        LL_CONCAT(job->commit_waiters, job->waiters);
-        job->waiters = NULL;
-        cell->commit_jobs[cell->commit_count++] = job;
     }
     cell->commit_seq =
         cell->dirty_jobs == NULL ? cell->seq : cell->dirty_jobs->dirty_seq - 1;
@@ -140,40 +80,27 @@
         GfTime_Before(now, cell->next_commit_at)) {
         return;
     }
-    collect_jobs(cell);
-    if (cell->commit_count == 0 && !cell->lease_list_dirty && !settled) {
+    RowSet set = {.count = 0};
+    bool has_lease_list = cell->lease_list_dirty && cell->isolate_left == 0;
+    if (has_lease_list) {
+        CellLeaseList_Add(cell, &set);
+    }
+    collect_jobs(cell, &set);
+    cell->committing = true;
+    cell->settled_in_commit = settled;
+    cell->commit_has_lease_list = has_lease_list;
+    if (set.count == 0 && !settled) {
         /* The completions changed nothing that is stored. */
-        cell->commit_has_lease_list = false;
-        cell->settled_in_commit = false;
-        cell->committing = true;
         GfCell_CommitDone(cell, true);
         return;
     }
-    GfName names[MAX_ROWS];
-    json_t *rows[MAX_ROWS];
-    for (size_t i = 0; i < cell->commit_count; i++) {
-        names[i] = cell->commit_jobs[i]->id;
-        rows[i] = CellProgress_Save(cell->commit_jobs[i]);
-    }
-    GfCellCommit commit = {.jobs = names,
-                           .rows = rows,
-                           .count = cell->commit_count,
+    GfCellCommit commit = {.rows = set.rows,
+                           .count = set.count,
                            .settled_token =
                                settled ? cell->settings.token : 0};
-    cell->settled_in_commit = settled;
-    cell->commit_has_lease_list = cell->lease_list_dirty;
-    if (cell->lease_list_dirty) {
-        commit.lease_list = encode_lease_list(cell);
-        cell->lease_list_dirty = false;
-    }
-    cell->committing = true;
     cell->next_commit_at = GfTime_AddMs(now, COMMIT_INTERVAL_MS);
-    size_t count = cell->commit_count;
     cell->ops->commit(cell->ctx, &commit);
-    for (size_t i = 0; i < count; i++) {
-        json_decref(rows[i]);
-    }
-    json_decref(commit.lease_list);
+    CellRows_Clear(&set);
 }
 
 /* Notifies the callers that waited for the job's change to be stored. */
@@ -191,23 +118,6 @@
     }
 }
 
-/* Marks the workers that the stored lease list now names; only these get
- * tasks. */
-static void
-mark_stored_list(GfCell *cell)
-{
-    for (Worker *w = cell->workers; cell->commit_has_lease_list && w != NULL;
-         w = w->hh.next) {
-        if (w->in_commit && w->in_lease_list && !w->in_stored_list &&
-            w->closed_in_commit == w->closed) {
-            w->in_stored_list = true;
-            cell->dirty = true;
-        }
-        w->lease_frozen = w->lease_frozen && w->expiry_in_commit;
-    }
-    cell->commit_has_lease_list = false;
-}
-
 /* Marks the completions covered by the transaction as acknowledged; the next
  * call to each worker says so, and the worker discards them. */
 static void
@@ -262,6 +172,7 @@
     for (size_t i = count; i-- > 0;) {
         Job *job = jobs[i];
         job->in_commit = false;
+        CellJobRows_Done(job, committed);
         if (!committed) {
             LL_CONCAT(job->waiters, job->commit_waiters);
             job->commit_waiters = NULL;
@@ -272,10 +183,56 @@
         notify_waiters(job);
     }
     free(jobs);
+    if (committed && cell->isolate_left > 0) {
+        cell->isolate_left -= count > 0;
+        cell->isolate_left = cell->dirty_jobs == NULL ? 0 : cell->isolate_left;
+    }
     if (committed) {
         cell->stored_seq = cell->commit_seq;
         cell->settled_stored = cell->settled_stored || cell->settled_in_commit;
-        mark_stored_list(cell);
+        if (cell->commit_has_lease_list) {
+            CellLeaseList_Stored(cell);
+        }
+        cell->commit_has_lease_list = false;
         acknowledge_completions(cell);
     }
 }
+
+/* Leaves a job out of the transactions, since the store refuses its row for
+ * good, until it has a final state. Its tasks go on; their changes do not hold
+ * up those of other jobs. */
+static void
+set_apart(GfCell *cell, Job *job, size_t bytes)
+{
+    GfLog(GF_LOG_ERROR, CELL_PART,
+          "job's row refused by the store, set apart id=%s bytes=%zu",
+          job->id.data, bytes);
+    GfMetrics_Add(GF_METRIC_ROWS_SET_APART, 1);
+    DL_DELETE2(cell->dirty_jobs, job, prev_dirty, next_dirty);
+    job->dirty = false;
+    job->set_apart = true;
+}
+
+/* Handles a transaction that the store would refuse again. The jobs in it get
+ * transactions of their own, to tell which one is refused; that one is set
+ * apart. */
+void
+GfCell_CommitRejected(GfCell *cell)
+{
+    assert(cell->committing);
+    size_t count = cell->commit_count;
+    Job *only = count == 1 ? cell->commit_jobs[0] : NULL;
+    bool alone = only != NULL && !cell->commit_has_lease_list;
+    GfCell_CommitDone(cell, false);
+    if (alone) {
+        json_t *row = CellProgress_Save(only);
+        set_apart(cell, only, json_dumpb(row, NULL, 0, JSON_COMPACT));
+        json_decref(row);
+        cell->isolate_left -= cell->isolate_left > 0;
+        return;
+    }
+    cell->isolate_left = count;
+    GfLog(GF_LOG_ERROR, CELL_PART,
+          "transaction refused by the store jobs=%zu lease_list=%d", count,
+          cell->commit_has_lease_list);
+}
--- a/src/cell/crash.c
+++ b/src/cell/crash.c
@@ -25,6 +25,8 @@
 #include "guavaflow/log.h"
 
 #define MAX_CRASHES 3
+/* The latest crashes of a task that are stored; enough to give its job up. */
+#define SAVED_CRASHES 8
 /* A crash is judged after this time, as crashes at the same moment are noticed
  * one after another. */
 #define JUDGE_AFTER_MS 300
@@ -185,7 +187,7 @@
     if (task->done || !CellJob_Active(job) || !CellCrash_Add(task, key)) {
         return;
     }
-    CellJob_MarkDirty(job);
+    CellJobRows_MarkTask(task);
     GfLog(GF_LOG_WARNING, CELL_PART,
           "worker crashed under task id=%s step=%u task=%u worker=%s "
           "crashes=%u",
@@ -271,7 +273,7 @@
     if (t != NULL) {
         r->counted = true;
         t->silent_runs++;
-        CellJob_MarkDirty(t->step->job);
+        CellJobRows_MarkTask(t);
     }
 }
 
@@ -519,7 +521,7 @@
     }
     if (task->intended_serial != w->serial) {
         task->intended_serial = w->serial;
-        CellJob_MarkDirty(task->step->job);
+        CellJobRows_MarkTask(task);
         task->intended_seq = cell->seq;
         return false;
     }
@@ -614,19 +616,24 @@
 }
 
 /* Appends to crashes and placements what the stored row says of a task. at is
- * the index of its step over all occurrences. */
+ * the index of its step over all occurrences; placements may be NULL. */
 void
 CellCrash_Save(const Task *task, size_t at, json_t *crashes,
                json_t *placements)
 {
     if (task->crashes > 0) {
         json_t *entry = json_pack("[I,i]", (json_int_t)at, (int)task->index);
-        for (uint32_t i = 0; i < task->crashes; i++) {
+        uint32_t first =
+            task->crashes > SAVED_CRASHES ? task->crashes - SAVED_CRASHES : 0;
+        for (uint32_t i = first; i < task->crashes; i++) {
             json_array_append_new(
                 entry, json_integer((json_int_t)task->crashed_keys[i]));
         }
         json_array_append_new(crashes, entry);
     }
+    if (placements == NULL) {
+        return;
+    }
     const Worker *w = CellCrash_IsRecorded(task) ? task->worker : NULL;
     if (w == NULL && task->intended_serial != 0) {
         w = CellWorker_Find(task->step->job->cell, task->intended_serial);
--- a/src/cell/inventory.c
+++ b/src/cell/inventory.c
@@ -64,7 +64,7 @@
     if (!CellTask_AddFailure(task, run)) {
         return false;
     }
-    CellJob_MarkDirty(job);
+    CellJobRows_MarkTask(task);
     const GfQueue *queue = job->queue_in_force;
     if (queue != NULL && !task->done &&
         task->failures >= queue->max_attempts && CellJob_Active(job)) {
@@ -170,7 +170,7 @@
         }
     }
     else if (task->checkpoint != NULL) {
-        CellJob_MarkDirty(job);
+        CellJobRows_MarkTask(task);
     }
     if (completion->kind == GF_COMPLETION_GANG_INCOMPLETE) {
         GfLog(GF_LOG_WARNING, CELL_PART,
--- a/src/cell/job_state.c
+++ b/src/cell/job_state.c
@@ -100,7 +100,7 @@
 {
     GfCell *cell = job->cell;
     cell->seq++;
-    if (!job->dirty) {
+    if (!job->dirty && !job->set_apart) {
         job->dirty = true;
         job->dirty_seq = cell->seq;
         DL_APPEND2(cell->dirty_jobs, job, prev_dirty, next_dirty);
@@ -117,6 +117,7 @@
         return;
     }
     job->state = state;
+    job->set_apart = job->set_apart && CellJob_Active(job);
     CellJob_MarkDirty(job);
     if (CellJob_Active(job)) {
         return;
@@ -173,13 +174,13 @@
     if (task->done) {
         return;
     }
-    CellJob_MarkDirty(step->job);
     uint32_t first = step->spec->gang ? 0 : task->index;
     uint32_t end = step->spec->gang ? step->spec->task_count : first + 1;
     for (uint32_t i = first; i < end; i++) {
         Task *t = &step->tasks[i];
         if (!t->done) {
             t->done = true;
+            CellJobRows_MarkTask(t);
             step->unfinished--;
             if (t->state == TASK_IDLE) {
                 step->idle--;
--- a/src/cell/occurrence.c
+++ b/src/cell/occurrence.c
@@ -121,6 +121,7 @@
 open_tasks(Step *step)
 {
     step->tasks = allocate(step->job, step->spec->task_count, sizeof(Task));
+    CellJobRows_Open(step);
     for (uint32_t i = 0; i < step->spec->task_count; i++) {
         step->tasks[i].step = step;
         step->tasks[i].index = i;
@@ -202,6 +203,7 @@
     }
     free(step->tasks);
     step->tasks = NULL;
+    CellJobRows_Close(step);
 }
 
 /* Frees the tasks of the finished steps of an occurrence, and its steps if all
@@ -335,4 +337,5 @@
     }
     free(job->occurrences);
     free(job->remaining_ms);
+    free(job->obsolete);
 }
--- a/src/cell/tasks.c
+++ b/src/cell/tasks.c
@@ -137,7 +137,7 @@
     task->suspect = CellCrash_Suspicion(task) > 0;
     cell->suspects += task->suspect;
     if (CellCrash_IsRecorded(task)) {
-        CellJob_MarkDirty(step->job);
+        CellJobRows_MarkTask(task);
     }
     step->idle--;
     if (step->idle == 0) {
@@ -167,7 +167,7 @@
     cell->suspects -= task->suspect;
     task->suspect = false;
     if (CellCrash_IsRecorded(task) && CellJob_Active(step->job)) {
-        CellJob_MarkDirty(step->job);
+        CellJobRows_MarkTask(task);
     }
     cell->dirty = true;
     task->state = TASK_IDLE;
--- a/src/cellentry/accept.c
+++ b/src/cellentry/accept.c
@@ -295,7 +295,8 @@
 }
 
 /* Handles the result of this entry's own transaction. A conflict means that
- * an earlier attempt has stored the same job. */
+ * an earlier attempt has stored the same job. A row that the store takes for
+ * invalid, such as one that is too large, is a mistake of the caller's. */
 static void
 on_stored(void *arg, GfTableResult result, int64_t version,
           const GfTableRow *rows, size_t count)
@@ -319,6 +320,13 @@
         finish(a, GF_OK);
         return;
     }
+    if (result == GF_TABLE_INVALID) {
+        GfLog(GF_LOG_WARNING, PART,
+              "job's row refused by the store id=%s bytes=%zu", a->id.data,
+              a->row.len);
+        finish(a, GF_BAD_REQUEST);
+        return;
+    }
     a->uncertain = a->uncertain || result == GF_TABLE_UNKNOWN;
     if (a->open_calls == 0) {
         retry_or_finish(a);
--- a/src/cellentry/store_state.c
+++ b/src/cellentry/store_state.c
@@ -187,7 +187,8 @@
 }
 
 /* Records the result of a call to the store and updates whether the store
- * counts as reachable. A conflict or a missing history is an answer too. A
+ * counts as reachable. A conflict, an invalid
+ * transaction or a missing history is an answer too. A
  * single failure among successful calls does not mean that the store is
  * unreachable. */
 void
@@ -195,7 +196,7 @@
 {
     struct timespec now = GfClock_Now(entry->clock);
     if (result == GF_TABLE_OK || result == GF_TABLE_CONFLICT ||
-        result == GF_TABLE_NO_HISTORY) {
+        result == GF_TABLE_INVALID || result == GF_TABLE_NO_HISTORY) {
         record_answer(entry, now);
     }
     else if (!entry->store_failed &&
--- a/src/cellentry/term_commit.c
+++ b/src/cellentry/term_commit.c
@@ -26,13 +26,12 @@
 void
 Term_ClearCommit(Term *term)
 {
-    for (size_t i = 0; term->texts != NULL && i <= term->pending.count; i++) {
-        free(term->texts[i]);
+    for (size_t i = 0; i < term->pending_count; i++) {
+        free(term->pending[i].text);
     }
-    free(term->texts);
-    term->texts = NULL;
-    free((GfName *)term->pending.jobs);
-    memset(&term->pending, 0, sizeof(term->pending));
+    free(term->pending);
+    term->pending = NULL;
+    term->pending_count = 0;
     term->commit_open = false;
     term->commit_uncertain = false;
 }
@@ -95,6 +94,11 @@
         GfCell_CommitDone(term->cell, true);
         return;
     }
+    if (result == GF_TABLE_INVALID) {
+        Term_ClearCommit(term);
+        GfCell_CommitRejected(term->cell);
+        return;
+    }
     if (result == GF_TABLE_REFUSED && !term->commit_uncertain) {
         Term_ClearCommit(term);
         GfCell_CommitDone(term->cell, false);
@@ -111,22 +115,23 @@
 static void
 send_commit(Term *term)
 {
-    size_t rows = term->pending.count;
-    bool has_leased = term->texts[rows] != NULL;
-    GfTableChange *changes = calloc(rows + 3, sizeof(GfTableChange));
-    if (changes == NULL) {
+    GfTableChange *changes =
+        calloc(term->pending_count + 2, sizeof(GfTableChange));
+    GfName *keys = calloc(term->pending_count + 1, sizeof(GfName));
+    if (changes == NULL || keys == NULL) {
         abort();
     }
     size_t count = 0;
-    for (size_t i = 0; i < rows; i++) {
-        changes[count++] = (GfTableChange){
-            ENTRY_PROGRESS_TABLE, ENTRY_OWNER_PART, term->pending.jobs[i].data,
-            term->texts[i], strlen(term->texts[i])};
-    }
-    if (has_leased) {
-        changes[count++] = (GfTableChange){ENTRY_CELL_TABLE, ENTRY_OWNER_PART,
-                                           ENTRY_LEASED_KEY, term->texts[rows],
-                                           strlen(term->texts[rows])};
+    for (size_t i = 0; i < term->pending_count; i++) {
+        const GfCellRow *row = &term->pending[i];
+        GfTableChange *change = &changes[count++];
+        *change = (GfTableChange){ENTRY_PROGRESS_TABLE, ENTRY_OWNER_PART,
+                                  row->key, row->text, row->len};
+        if (row->is_lease_list) {
+            keys[i] = GfName_Format(ENTRY_LEASED_KEY "%s", row->key);
+            change->table = ENTRY_CELL_TABLE;
+            change->key = keys[i].data;
+        }
     }
     if (term->settled[0] != '\0') {
         changes[count++] = (GfTableChange){ENTRY_CELL_TABLE, ENTRY_OWNER_PART,
@@ -148,6 +153,7 @@
     term->commit_sent_at = GfClock_Now(term->entry->clock);
     GfTable_Transact(term->entry->table, &transaction, on_commit, term);
     free(changes);
+    free(keys);
 }
 
 /* Starts a commit for the cell: copies the rows, which are borrowed, and
@@ -160,21 +166,21 @@
     assert(!term->commit_open);
     term->commit_open = true;
     term->commit_opened_at = GfClock_Now(term->entry->clock);
-    term->pending.count = commit->count;
-    GfName *jobs = malloc((commit->count + 1) * sizeof(GfName));
-    term->texts = calloc(commit->count + 1, sizeof(char *));
-    if (jobs == NULL || term->texts == NULL) {
+    term->pending = calloc(commit->count + 1, sizeof(GfCellRow));
+    if (term->pending == NULL) {
         abort();
     }
-    term->pending.jobs = jobs;
     for (size_t i = 0; i < commit->count; i++) {
-        jobs[i] = commit->jobs[i];
-        term->texts[i] = json_dumps(commit->rows[i], JSON_COMPACT);
-    }
-    if (commit->lease_list != NULL) {
-        term->texts[commit->count] =
-            json_dumps(commit->lease_list, JSON_COMPACT);
+        const GfCellRow *row = &commit->rows[i];
+        term->pending[i] = *row;
+        if (row->text != NULL) {
+            term->pending[i].text = strdup(row->text);
+            if (term->pending[i].text == NULL) {
+                abort();
+            }
+        }
     }
+    term->pending_count = commit->count;
     term->settled[0] = '\0';
     if (commit->settled_token != 0) {
         snprintf(term->settled, sizeof(term->settled), "{\"token\":%lld}",
--- a/src/cellentry/term_loader.c
+++ b/src/cellentry/term_loader.c
@@ -12,6 +12,9 @@
 #define PART_BYTES GF_JOB_ROW_PART_BYTES
 /* Pause before a failed read is repeated. */
 #define RETRY_MS 150
+/* Rows that are removed in one transaction, and its timeout. */
+#define MAX_REMOVED 90
+#define REMOVE_TIMEOUT_MS 1500
 /* Reads besides those of the parts of the jobs table: progress, the owner's
  * rows and the table of workers. */
 #define OTHER_READS 3
@@ -177,15 +180,26 @@
     json_decref(list);
 }
 
+/* Returns whether a row holds a part of the list of leased workers. */
+static bool
+is_lease_list(const char *key)
+{
+    size_t len = strlen(ENTRY_LEASED_KEY);
+    return strncmp(key, ENTRY_LEASED_KEY, len) == 0 &&
+           (key[len] == '\0' || key[len] == '.');
+}
+
 /* Applies the rows that only owners write: the list of leased workers and the
  * token of the owner that was settled last. */
 static void
 add_owner_rows(GfCell *cell, const GfTableRow *rows, size_t count)
 {
     int64_t settled_token = 0;
+    size_t parts = 0;
     for (size_t i = 0; i < count; i++) {
-        if (strcmp(rows[i].key, ENTRY_LEASED_KEY) == 0) {
+        if (is_lease_list(rows[i].key)) {
             add_leased_workers(cell, &rows[i]);
+            parts++;
         }
         else if (strcmp(rows[i].key, ENTRY_SETTLED_KEY) == 0 &&
                  rows[i].value != NULL) {
@@ -195,27 +209,138 @@
             json_decref(row);
         }
     }
+    GfCell_SetLeaseParts(cell, parts);
     GfCell_SetSettledToken(cell, settled_token);
 }
 
+/* Logs a failed removal. Rows that remain are removed by a later term. */
+static void
+on_leftovers_removed(void *arg, GfTableResult result, int64_t version,
+                     const GfTableRow *rows, size_t count)
+{
+    (void)arg;
+    (void)version;
+    (void)rows;
+    (void)count;
+    if (result != GF_TABLE_OK) {
+        GfLog(GF_LOG_INFO, PART, "removing leftover rows failed cause=%s",
+              GfTableResult_Name(result));
+    }
+}
+
+/* Removes progress rows; keys is an array of texts. */
+static void
+remove_rows(const TermLoader *loader, const json_t *keys)
+{
+    for (size_t first = 0; first < json_array_size(keys);
+         first += MAX_REMOVED) {
+        GfTableChange changes[MAX_REMOVED];
+        size_t count = 0;
+        while (count < MAX_REMOVED && first + count < json_array_size(keys)) {
+            const json_t *key = json_array_get(keys, first + count);
+            changes[count++] =
+                (GfTableChange){ENTRY_PROGRESS_TABLE, ENTRY_OWNER_PART,
+                                json_string_value(key), NULL, 0};
+        }
+        GfTableTransaction transaction = {.changes = changes,
+                                          .change_count = count,
+                                          .timeout_ms = REMOVE_TIMEOUT_MS};
+        GfTable_Transact(loader->entry->table, &transaction,
+                         on_leftovers_removed, NULL);
+    }
+}
+
+/* Returns the id of the job that a block's row belongs to, which is the row's
+ * key without its last two parts; an empty one if it is the row of a job. */
+static GfName
+block_owner(const char *key, const json_t *row)
+{
+    GfName id = {0};
+    const char *end = strrchr(key, '.');
+    if (end == NULL || !json_is_integer(json_object_get(row, "block"))) {
+        return id;
+    }
+    while (end > key && *--end != '.') {
+    }
+    GfName_Set(&id, key, (size_t)(end - key));
+    return id;
+}
+
+/* Returns the state of a job in its main row, or NULL without one. */
+static const char *
+state_of(const json_t *row)
+{
+    return json_string_value(json_object_get(row, "state"));
+}
+
+/* Moves the rows of blocks into the main rows of their jobs, as the array
+ * "blocks". Removes those whose job has finished or has no main row. */
+static void
+join_blocks(TermLoader *loader)
+{
+    json_t *leftover = json_array();
+    const char *key;
+    json_t *row;
+    json_object_foreach(loader->progress, key, row)
+    {
+        GfName id = block_owner(key, row);
+        if (id.len == 0) {
+            continue;
+        }
+        json_t *job = json_object_get(loader->progress, id.data);
+        if (!json_is_string(json_object_get(job, "finished"))) {
+            json_array_append_new(leftover, json_string(key));
+            continue;
+        }
+        json_t *blocks = json_object_get(job, "blocks");
+        if (blocks == NULL) {
+            blocks = json_array();
+            json_object_set_new(job, "blocks", blocks);
+        }
+        json_array_append(blocks, row);
+    }
+    remove_rows(loader, leftover);
+    json_decref(leftover);
+}
+
+/* Adds jobs whose own row is gone and whose progress is not: its removal was
+ * interrupted. They are removed once more. */
+static void
+add_removed_jobs(TermLoader *loader)
+{
+    const char *key;
+    json_t *row;
+    json_object_foreach(loader->progress, key, row)
+    {
+        GfName id;
+        const char *state = state_of(row);
+        if (state != NULL && GfName_SetText(&id, key) &&
+            !GfCell_HasJob(loader->cell, &id)) {
+            GfCell_AddFinished(loader->cell, &id, state);
+        }
+    }
+}
+
 /* Adds all jobs with their progress to the cell and reports that loading is
  * complete. */
 static void
 finish(TermLoader *loader)
 {
     loader->finished = true;
+    join_blocks(loader);
     for (size_t i = 0; i < loader->job_count; i++) {
-        const JobRow *job = &loader->jobs[i];
+        JobRow *job = &loader->jobs[i];
         const json_t *progress =
             json_object_get(loader->progress, job->id.data);
-        const char *state =
-            json_string_value(json_object_get(progress, "state"));
+        const char *state = state_of(progress);
         if (state == NULL ||
             !GfCell_AddFinished(loader->cell, &job->id, state)) {
             EntryTerm_AddJobRow(loader->entry, job->id.data, job->value.data,
                                 job->value.len, progress, true);
         }
+        GfStr_Clear(&job->value);
     }
+    add_removed_jobs(loader);
     loader->done(loader->entry, loader->version);
 }
 
--- a/src/cellentry/term_private.h
+++ b/src/cellentry/term_private.h
@@ -5,6 +5,10 @@
 
 #include "entry_private.h"
 
+/* Jobs whose row is removed and whose progress is not yet; they are removed in
+ * one transaction. */
+#define TERM_MAX_REMOVED 90
+
 struct Term {
     GfCellEntry *entry;
     GfCell *cell;
@@ -21,10 +25,8 @@
     int64_t commit_version; /* of the commit row, as last known */
     uint64_t commit_number; /* of the last commit; counts from 1 per term */
     char *commit_value;     /* value of the commit row in the last commit */
-    GfCellCommit pending;   /* the current commit; its rows are in texts */
-    /* JSON of the progress rows of the current commit, then of the leased
-     * workers, which is NULL if unchanged. */
-    char **texts;
+    GfCellRow *pending;     /* rows of the current commit */
+    size_t pending_count;
     struct event *commit_timer; /* repeats the commit */
     bool commit_open;
     char settled[40];            /* value of the row of the settled owner in
@@ -39,6 +41,10 @@
     struct timespec verify_sent_at;
     bool verifying;            /* a read of the owner's row is in progress */
     struct timespec remove_at; /* when to remove finished jobs next */
+    GfName
+        removed[TERM_MAX_REMOVED]; /* jobs whose progress is to be removed */
+    size_t removed_count;
+    size_t removing;   /* the first ones are being removed */
     size_t open_calls; /* store calls that will still report to this term */
     bool ended;        /* freed once open_calls is 0 */
 };
--- a/src/common/metrics.c
+++ b/src/common/metrics.c
@@ -72,6 +72,7 @@
     {"backfill_shared", GAUGE, "Workers where backfill runs beside serving."},
     {"backfill_paced_total", COUNTER, "Backfill tasks slowed for others."},
     {"backfill_moved_total", COUNTER, "Backfill tasks stopped for others."},
+    {"rows_set_apart_total", COUNTER, "Jobs whose row the store refuses."},
 };
 
 /* Inclusive upper bounds of the histogram buckets in milliseconds; one more
--- a/src/table/table.c
+++ b/src/table/table.c
@@ -3,7 +3,7 @@
 #include <assert.h>
 
 static const char *const RESULT_NAMES[GF_TABLE_RESULTS] = {
-    "ok", "conflict", "refused", "no_history", "unknown"};
+    "ok", "conflict", "refused", "invalid", "no_history", "unknown"};
 
 /* Returns the name of a result, for log lines; it is static. */
 const char *
--- a/tests/support/cell_sim.c
+++ b/tests/support/cell_sim.c
@@ -31,6 +31,12 @@
 #define LATE_SPAN_MS 10000
 /* Completions that a worker lists at a time. */
 #define COMPLETION_PAGE 500
+/* What the store takes: the size of a row, the bytes and rows of a call less
+ * the two rows of each commit, and what JSON adds to a row. */
+#define ROW_BYTES 65536
+#define CALL_BYTES (1000 * 1000 - 1000)
+#define CALL_ROWS 98
+#define ROW_OVERHEAD_BYTES 80
 /* How long the platform's table names a worker that has crashed. */
 #define UNLIST_MS 1500
 /* After this many workers have crashed under a task, its starts are counted
@@ -126,7 +132,10 @@
     int64_t wait_until_ms;
     struct timespec sent_at;
     GfOrderResult result;
-    json_t *rows; /* of a commit by job id; "" has the leased workers */
+    json_t *rows;   /* of a commit by key; null: to be removed. Parts of the
+                       list of leased workers have "" or begin with a dot */
+    size_t bytes;   /* of the commit's rows, as sent */
+    bool too_large; /* one of them */
     int64_t settled_token; /* in a commit */
     GfName caller;
     GfName candidates[128]; /* workers that advice is requested for */
@@ -150,10 +159,12 @@
     int64_t submitted_ms;
     int64_t finished_ms; /* when a final state was stored; 0: not yet */
     GfJobState stored_state;
-    json_t *progress; /* the stored row; NULL: none */
+    json_t *progress; /* the stored main row; NULL: none */
+    json_t *blocks;   /* the stored rows of its blocks, by key */
     int starts;
     int crashes; /* of workers, through its deadly tasks */
     bool hidden;
+    bool refused;
     bool *done; /* by task_position; completions that were acknowledged */
     TaskCounts *tasks; /* by task_position */
 } SimJob;
@@ -181,7 +192,7 @@
     int owner_count;
     int current_owner;      /* index of the latest owner; -1: none */
     int64_t token;          /* the latest owner's, as the store has it */
-    json_t *leased_workers; /* the stored list; NULL: none */
+    json_t *leased_workers; /* the stored parts of the list, by key */
     int64_t settled_token;  /* as stored */
     bool store_available;
     Message *messages;
@@ -383,13 +394,16 @@
     m->token = o->token;
     m->rows = json_object();
     for (size_t i = 0; i < commit->count; i++) {
-        json_object_set_new(m->rows, commit->jobs[i].data,
-                            json_deep_copy(commit->rows[i]));
+        const GfCellRow *row = &commit->rows[i];
+        json_object_set_new(m->rows, row->key,
+                            row->text == NULL
+                                ? json_null()
+                                : json_loadb(row->text, row->len, 0, NULL));
+        m->bytes += row->text == NULL ? 0 : (row->len + 2) / 3 * 4;
+        m->bytes += ROW_OVERHEAD_BYTES + strlen(row->key);
+        m->too_large = m->too_large || row->len > ROW_BYTES;
     }
     m->settled_token = commit->settled_token;
-    if (commit->lease_list != NULL) {
-        json_object_set_new(m->rows, "", json_deep_copy(commit->lease_list));
-    }
 }
 
 static void
@@ -795,6 +809,34 @@
     return false;
 }
 
+/* Returns whether the store takes the rows of a commit: each has at most
+ * ROW_BYTES, and all of them, in base64, at most CALL_BYTES in CALL_ROWS
+ * rows. */
+static bool
+is_within_limits(const Message *m)
+{
+    return !m->too_large && json_object_size(m->rows) <= CALL_ROWS &&
+           m->bytes <= CALL_BYTES;
+}
+
+/* Returns whether a commit has a row of a job that the store refuses. */
+static bool
+is_refused(CellSim *w, const Message *m)
+{
+    const char *key;
+    json_t *row;
+    json_object_foreach(m->rows, key, row)
+    {
+        GfName name;
+        const char *state = json_string_value(json_object_get(row, "state"));
+        if (state != NULL && GfName_SetText(&name, key) &&
+            find_job(w, &name)->refused && strcmp(state, "completed") != 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Applies a commit to the simulated store if its token is the current one. A
  * commit of a former owner makes that owner give up ownership. If the store is
  * unavailable the commit fails, and is reported so unless without_durability
@@ -814,6 +856,16 @@
         o->token = 0;
         return;
     }
+    if (!is_within_limits(m)) {
+        report_violation(w, "commit beyond the limits of the store at %lld ms",
+                         (long long)CellSim_NowMs(w));
+    }
+    if (!is_within_limits(m) || is_refused(w, m)) {
+        if (o->cell != NULL && o->token != 0) {
+            GfCell_CommitRejected(o->cell);
+        }
+        return;
+    }
     if (m->settled_token != 0) {
         w->settled_token = m->settled_token;
     }
@@ -821,14 +873,22 @@
     json_t *row;
     json_object_foreach(m->rows, id, row)
     {
-        if (id[0] == '\0') {
-            json_decref(w->leased_workers);
-            w->leased_workers = json_incref(row);
+        if (id[0] == '\0' || id[0] == '.') {
+            json_object_set(w->leased_workers, id, row);
             continue;
         }
         GfName name;
         GfName_SetText(&name, id);
         SimJob *job = find_job(w, &name);
+        if (strchr(id, '.') != NULL) {
+            if (json_is_null(row)) {
+                json_object_del(job->blocks, id);
+            }
+            else {
+                json_object_set(job->blocks, id, row);
+            }
+            continue;
+        }
         json_decref(job->progress);
         job->progress = json_incref(row);
         const char *state = json_string_value(json_object_get(row, "state"));
@@ -894,6 +954,16 @@
         GfCell_AddFinished(o->cell, &job->id, state)) {
         return;
     }
+    if (former && job->progress != NULL) {
+        json_t *blocks = json_array();
+        const char *key;
+        json_t *block;
+        json_object_foreach(job->blocks, key, block)
+        {
+            json_array_append(blocks, block);
+        }
+        json_object_set_new(job->progress, "blocks", blocks);
+    }
     GfJobSpec spec = make_spec(job);
     GfCell_AddJob(o->cell, &job->id, &team, &queue,
                   CellSim_NowMs(w) - job->submitted_ms, &spec,
@@ -1264,6 +1334,7 @@
     w->config = config;
     w->random_state = settings->seed * 2654435761U + 1;
     w->store_available = true;
+    w->leased_workers = json_object();
     w->current_owner = -1;
     w->jobs = calloc(MAX_JOBS, sizeof(SimJob));
     assert(w->jobs != NULL);
@@ -1278,7 +1349,7 @@
             .service = GfName_Format("service"),
             .domain = GfName_Format("d%d", i % 3),
             .port = (uint16_t)(i + 1),
-            .address = "10.0.0.1",
+            .address = "worker-host.rack-0.domain-a.example",
             .capacity = {settings->mcores, settings->memory_mb, 0},
             .label_count = 2};
         s->info.labels[0] = GfName_Format("%c", i % 3 == 2 ? 'b' : 'a');
@@ -1296,47 +1367,13 @@
     return w->owner_count < CELL_SIM_MAX_OWNERS && w->store_available;
 }
 
-/* Creates another owner with a higher token and loads it from the store: the
- * leased workers, the workers that are alive and listed, and the jobs that are
- * not hidden. The simulation owns the returned cell. */
-GfCell *
-CellSim_TakeOver(CellSim *w)
+/* Adds the workers of a part of the stored list to an owner's cell. */
+static void
+load_leased_workers(CellSim *w, Owner *o, const json_t *part)
 {
-    assert(w->owner_count < CELL_SIM_MAX_OWNERS);
-    Owner *o = &w->owners[w->owner_count];
-    o->sim = w;
-    o->index = w->owner_count;
-    int64_t former_token = w->token;
-    w->token += 10;
-    o->token = w->token;
-    GfCellSettings settings = {
-        .token = o->token,
-        .former_token = former_token,
-        .lease_ms = LEASE_MS,
-        .ownership_valid_ms = w->settings.without_uncertainty ? 0 : PROOF_MS,
-        .uncertainty_ms = w->settings.without_uncertainty ? 0 : UNCERTAIN_MS,
-        .clock_drift_percent = 3,
-        .serial_base = (uint32_t)(o->index + 1) * 10000U,
-        .features = w->settings.features};
-    o->cell = GfCell_Create(&OPS, o, &settings, &w->clock.clock);
-    if (w->current_owner >= 0) {
-        w->owners[w->current_owner].replaced_ms = CellSim_NowMs(w);
-    }
-    w->current_owner = w->owner_count++;
-    GfCell_SetConfig(o->cell, w->config);
-    GfName callers[64];
-    for (int i = 0; i < w->settings.callers; i++) {
-        callers[i] = GfName_Format("c%d", i);
-    }
-    GfCell_SetAdviceCallers(o->cell, callers, (size_t)w->settings.callers);
-    for (int k = 0; w->settings.table_lags && k < w->settings.workers; k++) {
-        GfWorkerInfo info = w->workers[k].info;
-        info.incarnation -= info.incarnation > 1;
-        GfCell_SetWorker(o->cell, &info);
-    }
     size_t i;
     json_t *entry;
-    json_array_foreach(w->leased_workers, i, entry)
+    json_array_foreach(part, i, entry)
     {
         const char *id = json_string_value(json_array_get(entry, 0));
         long number = strtol(id + 1, NULL, 10);
@@ -1374,6 +1411,54 @@
                                expires_ms);
         free(named);
     }
+}
+
+/* Creates another owner with a higher token and loads it from the store: the
+ * leased workers, the workers that are alive and listed, and the jobs that are
+ * not hidden. The simulation owns the returned cell. */
+GfCell *
+CellSim_TakeOver(CellSim *w)
+{
+    assert(w->owner_count < CELL_SIM_MAX_OWNERS);
+    Owner *o = &w->owners[w->owner_count];
+    o->sim = w;
+    o->index = w->owner_count;
+    int64_t former_token = w->token;
+    w->token += 10;
+    o->token = w->token;
+    GfCellSettings settings = {
+        .token = o->token,
+        .former_token = former_token,
+        .lease_ms = LEASE_MS,
+        .ownership_valid_ms = w->settings.without_uncertainty ? 0 : PROOF_MS,
+        .uncertainty_ms = w->settings.without_uncertainty ? 0 : UNCERTAIN_MS,
+        .clock_drift_percent = 3,
+        .serial_base = (uint32_t)(o->index + 1) * 10000U,
+        .single_row_bytes = w->settings.single_row_bytes,
+        .features = w->settings.features};
+    o->cell = GfCell_Create(&OPS, o, &settings, &w->clock.clock);
+    if (w->current_owner >= 0) {
+        w->owners[w->current_owner].replaced_ms = CellSim_NowMs(w);
+    }
+    w->current_owner = w->owner_count++;
+    GfCell_SetConfig(o->cell, w->config);
+    GfName callers[64];
+    for (int i = 0; i < w->settings.callers; i++) {
+        callers[i] = GfName_Format("c%d", i);
+    }
+    GfCell_SetAdviceCallers(o->cell, callers, (size_t)w->settings.callers);
+    for (int k = 0; w->settings.table_lags && k < w->settings.workers; k++) {
+        GfWorkerInfo info = w->workers[k].info;
+        info.incarnation -= info.incarnation > 1;
+        GfCell_SetWorker(o->cell, &info);
+    }
+    const char *key;
+    json_t *part;
+    json_object_foreach(w->leased_workers, key, part)
+    {
+        load_leased_workers(w, o, part);
+    }
+    GfCell_SetLeaseParts(o->cell, json_object_size(w->leased_workers));
     for (int k = 0; k < w->settings.workers; k++) {
         if (w->workers[k].alive && !w->workers[k].unlisted &&
             !w->settings.table_lags) {
@@ -1413,6 +1498,14 @@
     return w->current_owner < 0 ? NULL : w->owners[w->current_owner].cell;
 }
 
+/* Has the store refuse the rows of a job for good, but not that of its
+ * completion. */
+void
+CellSim_RefuseJob(CellSim *w, int job)
+{
+    w->jobs[job].refused = true;
+}
+
 /* Makes the store available, or unavailable: then commits fail. */
 void
 CellSim_SetStoreAvailable(CellSim *w, bool available)
@@ -1432,6 +1525,7 @@
     j->spec.steps = job->steps > 0 ? job->steps : 1;
     j->spec.occurrences = job->occurrences > 0 ? job->occurrences : 1;
     j->submitted_ms = CellSim_NowMs(w);
+    j->blocks = json_object();
     j->done = calloc(count_tasks(j), sizeof(bool));
     j->tasks = calloc(count_tasks(j), sizeof(TaskCounts));
     assert(j->done != NULL && j->tasks != NULL);
@@ -1491,6 +1585,17 @@
     return j->finished_ms == 0 ? -1 : j->finished_ms - j->submitted_ms;
 }
 
+/* Returns how many rows of blocks of tasks the store has. */
+int
+CellSim_CountBlockRows(const CellSim *w)
+{
+    size_t count = 0;
+    for (int i = 0; i < w->job_count; i++) {
+        count += json_object_size(w->jobs[i].blocks);
+    }
+    return (int)count;
+}
+
 /* Returns how many runs of a job were started. */
 int
 CellSim_JobStarts(const CellSim *w, int job)
@@ -1863,6 +1968,7 @@
     }
     for (int i = 0; i < w->job_count; i++) {
         json_decref(w->jobs[i].progress);
+        json_decref(w->jobs[i].blocks);
         free(w->jobs[i].done);
         free(w->jobs[i].tasks);
     }
--- a/tests/support/cell_sim.h
+++ b/tests/support/cell_sim.h
@@ -59,6 +59,7 @@
     bool new_ids; /* each incarnation of a worker has an id of its own */
     int64_t worker_back_ms;   /* from a crash through a deadly task until the
                                  worker's next incarnation starts; 0: never */
+    size_t single_row_bytes;  /* as in GfCellSettings */
     bool without_uncertainty; /* new owners skip the uncertainty period */
     bool without_names;       /* tasks on closed workers are not inherited */
     bool without_settled;     /* the end of any former owner counts */
@@ -102,6 +103,7 @@
 bool CellSim_CanTakeOver(const CellSim *sim);
 void CellSim_KillOwner(CellSim *sim, GfCell *cell);
 GfCell *CellSim_Owner(const CellSim *sim);
+void CellSim_RefuseJob(CellSim *sim, int job);
 void CellSim_SetStoreAvailable(CellSim *sim, bool available);
 
 /* Jobs. A hidden job is not loaded by a takeover: until it is revealed, a new
@@ -112,6 +114,7 @@
 void CellSim_CancelJob(CellSim *sim, int job);
 GfJobState CellSim_JobState(const CellSim *sim, int job);
 int64_t CellSim_FinishedAfterMs(const CellSim *sim, int job);
+int CellSim_CountBlockRows(const CellSim *sim);
 int CellSim_JobStarts(const CellSim *sim, int job);
 int CellSim_JobRunning(const CellSim *sim, int job);
 int CellSim_JobWorker(const CellSim *sim, int job);
--- a/tests/unit/table_client.c
+++ b/tests/unit/table_client.c
@@ -1,6 +1,7 @@
 /* The client of the platform's store, with a stand-in for it. The tests guard
  * against one row of another writer that makes the whole answer unusable, so
- * that the table with it cannot be followed any more. */
+ * that the table with it cannot be followed any more, and against repeating a
+ * transaction that the store refuses for good. */
 #include <string.h>
 
 #include "guavaflow/log.h"
@@ -19,6 +20,7 @@
     GfHttp *http;
     GfServer *store;
     GfTable *table;
+    int status;
     const char *answers[2]; /* in their order; the last one is repeated */
     size_t calls;
     GfTableResult result;
@@ -35,7 +37,7 @@
     Fixture *f = ctx;
     const char *answer = f->answers[f->calls > 0 && f->answers[1] != NULL];
     f->calls++;
-    GfExchange_Reply(exchange, 200, "application/json", answer,
+    GfExchange_Reply(exchange, f->status, "application/json", answer,
                      strlen(answer));
 }
 
@@ -61,6 +63,7 @@
 {
     GfLog_SetLevel(GF_LOG_ERROR);
     memset(f, 0, sizeof(*f));
+    f->status = 200;
     f->answers[0] = first;
     f->answers[1] = second;
     f->base = event_base_new();
@@ -151,7 +154,35 @@
     tear_down(&f);
 }
 
+/* Statuses of a transaction that a repetition would get again, and others. */
+static void
+test_refused_transaction_repeated_for_ever(void)
+{
+    static const struct {
+        int status;
+        GfTableResult result;
+    } CASES[] = {{400, GF_TABLE_INVALID}, {403, GF_TABLE_INVALID},
+                 {413, GF_TABLE_INVALID}, {422, GF_TABLE_INVALID},
+                 {408, GF_TABLE_REFUSED}, {429, GF_TABLE_REFUSED},
+                 {503, GF_TABLE_REFUSED}, {500, GF_TABLE_UNKNOWN},
+                 {502, GF_TABLE_UNKNOWN}, {412, GF_TABLE_CONFLICT}};
+    for (size_t i = 0; i < sizeof(CASES) / sizeof(CASES[0]); i++) {
+        Fixture f;
+        set_up(&f, "{\"rows\":[]}", NULL);
+        f.status = CASES[i].status;
+        const GfTableChange change = {"progress", "owner", "a", "{}", 2};
+        GfTableTransaction transaction = {
+            .changes = &change, .change_count = 1, .timeout_ms = 1000};
+        GfTable_Transact(f.table, &transaction, on_rows, &f);
+        wait_for_result(&f);
+        CU_ASSERT_EQUAL(f.result, CASES[i].result);
+        tear_down(&f);
+    }
+}
+
 static const SuiteTest TESTS[] = {
+    {"refused transaction repeated for ever",
+     test_refused_transaction_repeated_for_ever},
     {"table lost for one odd row", test_table_lost_for_one_odd_row},
     {"page repeated after an odd key", test_page_repeated_after_odd_key}};
 
