Remove a finished job's progress after its row, and as fast as jobs end

Read in the review, not run: the row of a job and that of its progress were removed in two transactions that didn't depend on each other. With the first refused and the second done, the next owner loads a finished job without progress and runs it again.

While more jobs have expired than are removed at once, the next ones follow after 1 s.

Not tested by itself yet.

--- a/src/cellentry/term.c
+++ b/src/cellentry/term.c
@@ -45,6 +45,8 @@
 #define REMOVE_TIMEOUT_MS 1500
 /* Interval of removing finished jobs, and how many are removed at once. */
 #define REMOVE_INTERVAL_MS 4000
+/* The interval while more are left than are removed at once. */
+#define REMOVE_BUSY_INTERVAL_MS 1000
 #define REMOVE_MAX 40
 /* Finished jobs are kept this much longer than callers are promised. */
 #define KEEP_MARGIN_MS 15000
@@ -471,20 +473,81 @@
                                              has_majority_contact(entry));
 }
 
-/* Logs a failed removal. Rows that remain are removed by a later term. */
+/* The removal of a job's row. */
+typedef struct {
+    Term *term;
+    GfName id;
+} Removal;
+
+/* Handles the removal of a job's row: its progress is removed next, and never
+ * before, since a job without progress would be run again. Rows that remain
+ * are removed by a later term. */
 static void
-on_removed(void *arg, GfTableResult result, int64_t version,
-           const GfTableRow *rows, size_t count)
+on_job_removed(void *arg, GfTableResult result, int64_t version,
+               const GfTableRow *rows, size_t count)
 {
-    (void)arg;
     (void)version;
     (void)rows;
     (void)count;
+    Removal *r = arg;
+    Term *term = r->term;
+    term->open_calls--;
     if (result != GF_TABLE_OK) {
         GfLog(GF_LOG_INFO, PART,
-              "removing rows of a finished job failed cause=%s",
-              GfTableResult_Name(result));
+              "removing the row of a finished job failed id=%s cause=%s",
+              r->id.data, GfTableResult_Name(result));
+    }
+    else if (term->removed_count < TERM_MAX_REMOVED) {
+        term->removed[term->removed_count++] = r->id;
+    }
+    free(r);
+    if (term->ended) {
+        Term_FreeIfIdle(term);
+    }
+}
+
+/* Handles the removal of progress rows; after a failure it is repeated. */
+static void
+on_progress_removed(void *arg, GfTableResult result, int64_t version,
+                    const GfTableRow *rows, size_t count)
+{
+    (void)version;
+    (void)rows;
+    (void)count;
+    Term *term = arg;
+    term->open_calls--;
+    if (term->ended) {
+        Term_FreeIfIdle(term);
+        return;
+    }
+    if (result == GF_TABLE_OK) {
+        term->removed_count -= term->removing;
+        memmove(term->removed, term->removed + term->removing,
+                term->removed_count * sizeof(GfName));
+    }
+    term->removing = 0;
+}
+
+/* Removes the progress rows of the jobs whose own row is removed, in one
+ * transaction. */
+static void
+remove_progress(Term *term)
+{
+    if (term->removing > 0 || term->removed_count == 0) {
+        return;
     }
+    GfTableChange changes[TERM_MAX_REMOVED];
+    for (size_t i = 0; i < term->removed_count; i++) {
+        changes[i] = (GfTableChange){ENTRY_PROGRESS_TABLE, ENTRY_OWNER_PART,
+                                     term->removed[i].data, NULL, 0};
+    }
+    GfTableTransaction transaction = {.changes = changes,
+                                      .change_count = term->removed_count,
+                                      .timeout_ms = REMOVE_TIMEOUT_MS};
+    term->removing = term->removed_count;
+    term->open_calls++;
+    GfTable_Transact(term->entry->table, &transaction, on_progress_removed,
+                     term);
 }
 
 /* Removes the job and progress rows of jobs that finished long enough ago. */
@@ -494,26 +557,31 @@
     if (GfTime_Before(now, term->remove_at)) {
         return;
     }
-    term->remove_at = GfTime_AddMs(now, REMOVE_INTERVAL_MS);
+    remove_progress(term);
     GfName ids[REMOVE_MAX];
     int64_t keep =
         (int64_t)(term->entry->settings->keep_finished_s * MS_PER_S) +
         KEEP_MARGIN_MS;
-    size_t count = GfCell_RemoveExpiredJobs(term->cell, keep, ids, REMOVE_MAX);
+    size_t space = TERM_MAX_REMOVED - term->removed_count;
+    size_t max = space < REMOVE_MAX ? space : REMOVE_MAX;
+    size_t count = GfCell_RemoveExpiredJobs(term->cell, keep, ids, max);
+    term->remove_at =
+        GfTime_AddMs(now, count == REMOVE_MAX ? REMOVE_BUSY_INTERVAL_MS
+                                              : REMOVE_INTERVAL_MS);
     for (size_t i = 0; i < count; i++) {
+        Removal *r = calloc(1, sizeof(*r));
+        if (r == NULL) {
+            abort();
+        }
+        *r = (Removal){.term = term, .id = ids[i]};
         GfJobRowPart part = GfJobRow_Part(&ids[i]);
         const GfTableChange job = {ENTRY_JOB_TABLE, part.text, ids[i].data,
                                    NULL, 0};
-        const GfTableChange progress = {ENTRY_PROGRESS_TABLE, ENTRY_OWNER_PART,
-                                        ids[i].data, NULL, 0};
-        GfTableTransaction first = {.changes = &job,
-                                    .change_count = 1,
-                                    .timeout_ms = REMOVE_TIMEOUT_MS};
-        GfTableTransaction second = {.changes = &progress,
-                                     .change_count = 1,
-                                     .timeout_ms = REMOVE_TIMEOUT_MS};
-        GfTable_Transact(term->entry->table, &first, on_removed, NULL);
-        GfTable_Transact(term->entry->table, &second, on_removed, NULL);
+        GfTableTransaction transaction = {.changes = &job,
+                                          .change_count = 1,
+                                          .timeout_ms = REMOVE_TIMEOUT_MS};
+        term->open_calls++;
+        GfTable_Transact(term->entry->table, &transaction, on_job_removed, r);
     }
 }
 
