Write three loops so that the analyzer of the lint follows them

clang-tidy took a list that was emptied in a called function, and a divisor that is a power of two, for null and zero. No logic changed.

--- a/src/cell/commit.c
+++ b/src/cell/commit.c
@@ -221,12 +221,12 @@
 {
     assert(cell->committing);
     size_t count = cell->commit_count;
-    Job *only = count == 1 ? cell->commit_jobs[0] : NULL;
-    bool alone = only != NULL && !cell->commit_has_lease_list;
+    bool alone = count == 1 && !cell->commit_has_lease_list;
+    Job *first = count > 0 ? cell->commit_jobs[0] : NULL;
     GfCell_CommitDone(cell, false);
     if (alone) {
-        json_t *row = CellProgress_Save(only);
-        set_apart(cell, only, json_dumpb(row, NULL, 0, JSON_COMPACT));
+        json_t *row = CellProgress_Save(first);
+        set_apart(cell, first, json_dumpb(row, NULL, 0, JSON_COMPACT));
         json_decref(row);
         cell->isolate_left -= cell->isolate_left > 0;
         return;
--- a/src/cell/lease_list.c
+++ b/src/cell/lease_list.c
@@ -20,7 +20,7 @@
 static size_t
 part_of(const GfCell *cell, const Worker *w)
 {
-    return GfName_Hash(&w->info.id, 0) % cell->lease_part_count;
+    return GfName_Hash(&w->info.id, 0) & (cell->lease_part_count - 1);
 }
 
 /* Sets how many parts the stored list has. */
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -131,13 +131,13 @@
     event_active(c->http->reaper, EV_TIMEOUT, 0);
 }
 
-/* Takes an idle connection out of its endpoint's list. */
+/* Takes an idle connection out of the list of its endpoint. */
 static void
-remove_idle(Connection *c)
+remove_idle(Endpoint *e, Connection *c)
 {
     evtimer_del(c->idle_timer);
-    DL_DELETE(c->endpoint->idle, c);
-    c->endpoint->idle_count--;
+    DL_DELETE(e->idle, c);
+    e->idle_count--;
 }
 
 /* Timer callback: closes a connection that has been idle for long. */
@@ -147,7 +147,7 @@
     (void)fd;
     (void)what;
     Connection *c = arg;
-    remove_idle(c);
+    remove_idle(c->endpoint, c);
     retire(c);
 }
 
@@ -177,7 +177,7 @@
     Endpoint *e = p->endpoint;
     Connection *c = e->idle;
     if (c != NULL) {
-        remove_idle(c);
+        remove_idle(e, c);
         return c;
     }
     c = calloc(1, sizeof(*c));
@@ -329,9 +329,11 @@
 static void
 retire_idle(Endpoint *e)
 {
-    while (e->idle != NULL) {
-        Connection *c = e->idle;
-        remove_idle(c);
+    Connection *c;
+    Connection *tmp;
+    DL_FOREACH_SAFE(e->idle, c, tmp)
+    {
+        remove_idle(e, c);
         retire(c);
     }
 }
@@ -598,8 +600,7 @@
     }
     Endpoint *e;
     Endpoint *etmp;
-    HASH_ITER(hh, http->endpoints, e, etmp)
-    {
+    for (e = http->endpoints; e != NULL; e = e->hh.next) {
         retire_idle(e);
         DL_FOREACH_SAFE(e->waiting, p, ptmp)
         {
@@ -607,6 +608,9 @@
             evhttp_request_free(p->request);
             free_pending(p);
         }
+    }
+    HASH_ITER(hh, http->endpoints, e, etmp)
+    {
         HASH_DEL(http->endpoints, e);
         free(e);
     }
