Count only orders without an answer against a worker, not unsent ones

A start that waited too long for one of the four connections to a worker is reported as not sent. Three of them in a row counted as three orders without an answer, so a burst of starts over a slow link paused the worker for a second. Unsent orders are certain, and say nothing of the worker.

--- a/src/cell/unanswered.c
+++ b/src/cell/unanswered.c
@@ -15,11 +15,15 @@
  * for this long, during which a stop order is sent several times. */
 #define STUCK_AFTER_MS 1500
 
-/* Records the outcome of a start, stop or pace order to a worker. */
+/* Records the outcome of a start, stop or pace order to a worker. One that was
+ * not sent, as when too many wait, says nothing of the worker. */
 void
 CellUnanswered_Record(Worker *w, GfOrderResult result, struct timespec now)
 {
-    if (result != GF_ORDER_UNKNOWN && result != GF_ORDER_UNSENT) {
+    if (result == GF_ORDER_UNSENT) {
+        return;
+    }
+    if (result != GF_ORDER_UNKNOWN) {
         if (w->unanswered_orders >= MAX_UNANSWERED) {
             GfLog(GF_LOG_INFO, CELL_PART,
                   "worker answers orders again worker=%s unanswered=%u",
