--- a/include/guavaflow/cell.h
+++ b/include/guavaflow/cell.h
@@ -274,8 +274,9 @@
                       void *arg);
 size_t GfCell_CountQueuedJobs(const GfCell *cell, const GfName *queue);
 size_t GfCell_JobCount(const GfCell *cell);
-size_t GfCell_RemoveExpiredJobs(GfCell *cell, int64_t keep_ms, GfName *jobs,
-                                size_t max);
+size_t GfCell_ListExpiredJobs(GfCell *cell, int64_t keep_ms, GfName *jobs,
+                              size_t max);
+void GfCell_JobRemoved(GfCell *cell, const GfName *id, bool removed);
 
 void GfCell_SetWorker(GfCell *cell, const GfWorkerInfo *info);
 void GfCell_AddLeasedWorker(GfCell *cell, const GfWorkerInfo *info);
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -206,6 +206,7 @@
     bool former;         /* accepted in an earlier term */
     bool dirty;          /* the stored row is out of date */
     bool in_commit;      /* its row is in the pending transaction */
+    bool in_removal;     /* its row is being removed */
     bool spilled;        /* stored in several rows */
     bool set_apart;      /* the store refuses its row for good */
     BlockName *obsolete; /* blocks whose rows are to be removed */
--- a/src/cell/job_state.c
+++ b/src/cell/job_state.c
@@ -497,27 +497,38 @@
     return HASH_COUNT(cell->jobs);
 }
 
-/* Removes up to max jobs that finished more than keep_ms ago and are stored as
- * finished, and writes their ids to jobs, so that their rows can be deleted.
- * Returns their number. */
+/* Writes to jobs the ids of up to max jobs that finished more than keep_ms ago
+ * and are stored as finished, so that their rows can be removed, and returns
+ * their number. The outcome of each must be reported with GfCell_JobRemoved;
+ * until then it is not listed again. */
 size_t
-GfCell_RemoveExpiredJobs(GfCell *cell, int64_t keep_ms, GfName *jobs,
-                         size_t max)
+GfCell_ListExpiredJobs(GfCell *cell, int64_t keep_ms, GfName *jobs, size_t max)
 {
     struct timespec now = GfClock_Now(cell->clock);
     size_t count = 0;
-    Job *job;
-    Job *tmp;
-    HASH_ITER(hh, cell->jobs, job, tmp)
-    {
-        if (count == max) {
-            break;
-        }
+    for (Job *job = cell->jobs; job != NULL && count < max;
+         job = job->hh.next) {
         if (!CellJob_Active(job) && !job->dirty && !job->in_commit &&
+            !job->in_removal &&
             GfTime_DiffMs(now, job->finished_at) > keep_ms) {
+            job->in_removal = true;
             jobs[count++] = job->id;
-            CellJob_Free(job);
         }
     }
     return count;
 }
+
+/* Handles the outcome of the removal of a job's row. The job is forgotten only
+ * then: a row that is still there would be taken for that of a new job. */
+void
+GfCell_JobRemoved(GfCell *cell, const GfName *id, bool removed)
+{
+    Job *job = CellJob_Find(cell, id);
+    if (job == NULL || !job->in_removal) {
+        return;
+    }
+    job->in_removal = false;
+    if (removed) {
+        CellJob_Free(job);
+    }
+}
--- a/src/cellentry/store_state.c
+++ b/src/cellentry/store_state.c
@@ -187,10 +187,9 @@
 }
 
 /* Records the result of a call to the store and updates whether the store
- * counts as reachable. A conflict, an invalid
- * transaction or a missing history is an answer too. A
- * single failure among successful calls does not mean that the store is
- * unreachable. */
+ * counts as reachable. A conflict, an invalid transaction or a missing history
+ * is an answer too. A single failure among successful calls does not mean that
+ * the store is unreachable. */
 void
 EntryStore_RecordResult(GfCellEntry *entry, GfTableResult result)
 {
--- a/src/cellentry/term.c
+++ b/src/cellentry/term.c
@@ -480,8 +480,8 @@
 } Removal;
 
 /* Handles the removal of a job's row: its progress is removed next, and never
- * before, since a job without progress would be run again. Rows that remain
- * are removed by a later term. */
+ * before, since a job without progress would be run again. After a failure the
+ * job's row is removed once more. */
 static void
 on_job_removed(void *arg, GfTableResult result, int64_t version,
                const GfTableRow *rows, size_t count)
@@ -492,18 +492,23 @@
     Removal *r = arg;
     Term *term = r->term;
     term->open_calls--;
+    term->open_removals--;
     if (result != GF_TABLE_OK) {
         GfLog(GF_LOG_INFO, PART,
               "removing the row of a finished job failed id=%s cause=%s",
               r->id.data, GfTableResult_Name(result));
     }
-    else if (term->removed_count < TERM_MAX_REMOVED) {
-        term->removed[term->removed_count++] = r->id;
-    }
-    free(r);
     if (term->ended) {
         Term_FreeIfIdle(term);
     }
+    else {
+        GfCell_JobRemoved(term->cell, &r->id, result == GF_TABLE_OK);
+        if (result == GF_TABLE_OK) {
+            assert(term->removed_count < TERM_MAX_REMOVED);
+            term->removed[term->removed_count++] = r->id;
+        }
+    }
+    free(r);
 }
 
 /* Handles the removal of progress rows; after a failure it is repeated. */
@@ -562,9 +567,10 @@
     int64_t keep =
         (int64_t)(term->entry->settings->keep_finished_s * MS_PER_S) +
         KEEP_MARGIN_MS;
-    size_t space = TERM_MAX_REMOVED - term->removed_count;
+    size_t space =
+        TERM_MAX_REMOVED - term->removed_count - term->open_removals;
     size_t max = space < REMOVE_MAX ? space : REMOVE_MAX;
-    size_t count = GfCell_RemoveExpiredJobs(term->cell, keep, ids, max);
+    size_t count = GfCell_ListExpiredJobs(term->cell, keep, ids, max);
     term->remove_at =
         GfTime_AddMs(now, count == REMOVE_MAX ? REMOVE_BUSY_INTERVAL_MS
                                               : REMOVE_INTERVAL_MS);
@@ -581,6 +587,7 @@
                                           .change_count = 1,
                                           .timeout_ms = REMOVE_TIMEOUT_MS};
         term->open_calls++;
+        term->open_removals++;
         GfTable_Transact(term->entry->table, &transaction, on_job_removed, r);
     }
 }
--- a/src/cellentry/term_private.h
+++ b/src/cellentry/term_private.h
@@ -44,9 +44,10 @@
     GfName
         removed[TERM_MAX_REMOVED]; /* jobs whose progress is to be removed */
     size_t removed_count;
-    size_t removing;   /* the first ones are being removed */
-    size_t open_calls; /* store calls that will still report to this term */
-    bool ended;        /* freed once open_calls is 0 */
+    size_t open_removals; /* of jobs' rows */
+    size_t removing;      /* the first ones are being removed */
+    size_t open_calls;    /* store calls that will still report to this term */
+    bool ended;           /* freed once open_calls is 0 */
 };
 
 /* term.c */
