Encode each row of a commit once

The size of a row was found by encoding it, and it was encoded again for the transaction; parts of the list of workers three times. Also, a worker whose list of ends may be cut answers the next hold call at once.

Tests of rows, completions, takeovers and terms pass as before.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -651,7 +651,8 @@
 
 /* job_rows.c */
 bool CellRows_Add(RowSet *set, bool is_lease_list, const char *key,
-                  json_t *json);
+                  char *text);
+char *CellRows_Dump(json_t *json);
 void CellRows_Clear(RowSet *set);
 void CellJobRows_Open(Step *step);
 void CellJobRows_Close(Step *step);
--- a/src/cell/commit.c
+++ b/src/cell/commit.c
@@ -3,6 +3,7 @@
  * only after a transaction that contains its effects is committed. */
 #include <assert.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include <utlist.h>
 
@@ -225,9 +226,9 @@
     Job *first = count > 0 ? cell->commit_jobs[0] : NULL;
     GfCell_CommitDone(cell, false);
     if (alone) {
-        json_t *row = CellProgress_Save(first);
-        set_apart(cell, first, json_dumpb(row, NULL, 0, JSON_COMPACT));
-        json_decref(row);
+        char *row = CellRows_Dump(CellProgress_Save(first));
+        set_apart(cell, first, strlen(row));
+        free(row);
         cell->isolate_left -= cell->isolate_left > 0;
         return;
     }
--- a/src/cell/job_rows.c
+++ b/src/cell/job_rows.c
@@ -32,14 +32,12 @@
            step->number;
 }
 
-/* Adds a row to a transaction; its JSON is taken, NULL removes the row.
- * Returns false, with nothing added, if there is no space for it. */
+/* Adds a row to a transaction; text is taken, NULL removes the row. Returns
+ * false, with nothing added, if there is no space for it. */
 bool
-CellRows_Add(RowSet *set, bool is_lease_list, const char *key, json_t *json)
+CellRows_Add(RowSet *set, bool is_lease_list, const char *key, char *text)
 {
-    char *text = json == NULL ? NULL : json_dumps(json, JSON_COMPACT);
     size_t len = text == NULL ? 0 : strlen(text);
-    json_decref(json);
     if (set->count == CELL_COMMIT_ROWS ||
         set->bytes + len > TRANSACTION_BYTES) {
         free(text);
@@ -53,6 +51,16 @@
     return true;
 }
 
+/* Returns the text of a JSON value, whose reference is taken; NULL for NULL.
+ * The caller frees it. */
+char *
+CellRows_Dump(json_t *json)
+{
+    char *text = json == NULL ? NULL : json_dumps(json, JSON_COMPACT);
+    json_decref(json);
+    return text;
+}
+
 /* Frees the texts of a transaction's rows. */
 void
 CellRows_Clear(RowSet *set)
@@ -151,17 +159,18 @@
     snprintf(key, GF_CELL_KEY_BYTES, "%s.%zu.%u", job->id.data, at, block);
 }
 
-/* Returns the row of a block, without what is not needed if it is too large
- * otherwise; NULL if there is nothing to store. */
-static json_t *
+/* Returns the text of a block's row, without what is not needed if it is too
+ * large otherwise; NULL if there is nothing to store. The caller frees it. */
+static char *
 save_block(const Step *step, uint32_t block)
 {
-    json_t *row = CellProgress_SaveBlock(step, position(step), block, true);
-    if (row != NULL && json_dumpb(row, NULL, 0, JSON_COMPACT) > ROW_BYTES) {
-        json_decref(row);
-        row = CellProgress_SaveBlock(step, position(step), block, false);
+    size_t at = position(step);
+    char *text = CellRows_Dump(CellProgress_SaveBlock(step, at, block, true));
+    if (text != NULL && strlen(text) > ROW_BYTES) {
+        free(text);
+        text = CellRows_Dump(CellProgress_SaveBlock(step, at, block, false));
     }
-    return row;
+    return text;
 }
 
 /* Adds the changed blocks of a step. Returns false if some are left. */
@@ -171,7 +180,7 @@
     const Job *job = step->job;
     for (uint32_t i = 0; i < count_blocks(step); i++) {
         uint8_t *state = &step->blocks[i];
-        json_t *row = NULL;
+        char *row = NULL;
         if ((*state & CELL_BLOCK_CHANGED) != 0 && step->unfinished > 0) {
             row = save_block(step, i);
         }
@@ -220,15 +229,14 @@
 RowsAdded
 CellJobRows_Add(RowSet *set, Job *job)
 {
-    json_t *row = CellProgress_Save(job);
+    char *row = CellRows_Dump(CellProgress_Save(job));
     size_t limit = job->cell->settings.single_row_bytes;
     if (CellJob_Active(job) && !job->spilled &&
-        json_dumpb(row, NULL, 0, JSON_COMPACT) >
-            (limit > 0 ? limit : SINGLE_ROW_BYTES)) {
+        strlen(row) > (limit > 0 ? limit : SINGLE_ROW_BYTES)) {
         job->spilled = true;
         mark_all(job);
-        json_decref(row);
-        row = CellProgress_Save(job);
+        free(row);
+        row = CellRows_Dump(CellProgress_Save(job));
     }
     if (!CellRows_Add(set, false, job->id.data, row)) {
         return ROWS_NONE;
--- a/src/cell/lease_list.c
+++ b/src/cell/lease_list.c
@@ -102,41 +102,22 @@
     }
 }
 
-/* Frees the JSON of all parts. */
-static void
-free_parts(json_t **parts)
+/* Encodes the list into parts, as many as there are now. Writes their texts,
+ * which the caller frees. Returns whether none of them is too large. */
+static bool
+encode_parts(GfCell *cell, char **texts)
 {
-    for (size_t i = 0; i < CELL_LEASE_PARTS; i++) {
-        json_decref(parts[i]);
-        parts[i] = NULL;
+    json_t *parts[CELL_LEASE_PARTS];
+    for (size_t i = 0; i < cell->lease_part_count; i++) {
+        parts[i] = json_array();
     }
-}
-
-/* Encodes the list into as many parts as it needs. */
-static void
-encode_parts(GfCell *cell, json_t **parts)
-{
-    bool fits = false;
-    while (!fits) {
-        for (size_t i = 0; i < cell->lease_part_count; i++) {
-            parts[i] = json_array();
-        }
-        encode_workers(cell, parts);
-        fits = true;
-        for (size_t i = 0; i < cell->lease_part_count; i++) {
-            fits = fits &&
-                   json_dumpb(parts[i], NULL, 0, JSON_COMPACT) <= PART_BYTES;
-        }
-        if (!fits && cell->lease_part_count < CELL_LEASE_PARTS) {
-            free_parts(parts);
-            cell->lease_part_count *= 2;
-            memset(cell->lease_parts, 0, sizeof(cell->lease_parts));
-            fits = false;
-        }
-        else {
-            fits = true;
-        }
+    encode_workers(cell, parts);
+    bool fits = true;
+    for (size_t i = 0; i < cell->lease_part_count; i++) {
+        texts[i] = CellRows_Dump(parts[i]);
+        fits = fits && strlen(texts[i]) <= PART_BYTES;
     }
+    return fits;
 }
 
 /* Adds the parts of the list that changed to a transaction. Those that find no
@@ -144,26 +125,31 @@
 void
 CellLeaseList_Add(GfCell *cell, RowSet *set)
 {
-    json_t *parts[CELL_LEASE_PARTS] = {NULL};
-    encode_parts(cell, parts);
+    char *texts[CELL_LEASE_PARTS];
+    while (!encode_parts(cell, texts) &&
+           cell->lease_part_count < CELL_LEASE_PARTS) {
+        for (size_t i = 0; i < cell->lease_part_count; i++) {
+            free(texts[i]);
+        }
+        cell->lease_part_count *= 2;
+        memset(cell->lease_parts, 0, sizeof(cell->lease_parts));
+    }
     cell->lease_list_dirty = false;
     for (size_t i = 0; i < cell->lease_part_count; i++) {
         LeasePart *part = &cell->lease_parts[i];
-        char *text = json_dumps(parts[i], JSON_COMPACT);
-        part->hash = XXH3_64bits(text, strlen(text)) | 1U;
-        free(text);
+        part->hash = XXH3_64bits(texts[i], strlen(texts[i])) | 1U;
         part->in_commit = false;
         if (part->hash == part->stored_hash) {
+            free(texts[i]);
             continue;
         }
         char key[GF_CELL_KEY_BYTES] = "";
         if (i > 0) {
             snprintf(key, sizeof(key), ".%zu", i);
         }
-        part->in_commit = CellRows_Add(set, true, key, json_incref(parts[i]));
+        part->in_commit = CellRows_Add(set, true, key, texts[i]);
         cell->lease_list_dirty = cell->lease_list_dirty || !part->in_commit;
     }
-    free_parts(parts);
 }
 
 /* Marks the workers that the stored list now names; only these get tasks. */
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -475,7 +475,8 @@
     order.until_ms =
         w->hold_failures == 0 ? CellWorker_ExtendLease(cell, w, now) : 0;
     order.acked = reachable ? w->acked_completion : 0;
-    bool nothing_pending = w->applied_completion == w->acked_completion &&
+    bool nothing_pending = !w->has_unseen_ends &&
+                           w->applied_completion == w->acked_completion &&
                            w->orphan_count + w->unidentified_runs == 0;
     int wait_ms = runs_quick_tasks(w) ? quick_wait_ms(cell) : HOLD_WAIT_MS;
     order.wait_ms = reachable && nothing_pending ? wait_ms : 0;
