Apply the limit of failed runs before each start

Cause: the limit was applied only when a failure was counted, and only with the queue in the configuration. Neither the return of the queue, nor a lower limit, nor a takeover applied it to what had failed.

Evidence: the stored row names the failed run, and the task starts 10 ms after the version with its route.

One module decides it now: when a run fails, when the configuration changes, when a job is loaded, and before each start.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -160,6 +160,7 @@
     cell->dirty = true;
     for (Job *j = cell->jobs; j != NULL; j = j->hh.next) {
         CellJob_BindConfig(j);
+        CellAttempts_CheckJob(j);
     }
 }
 
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -202,6 +202,7 @@
     GfJobState commit_state; /* state in the pending transaction */
     bool counted_waiting;
     uint32_t work_class;
+    bool has_failures;   /* a failed run of a task was counted */
     bool uncertain;      /* may run on a worker that has not answered */
     bool former;         /* accepted in an earlier term */
     bool dirty;          /* the stored row is out of date */
@@ -643,6 +644,11 @@
 int64_t CellLeaseEnd_Shared(const GfCell *cell, const Worker *w);
 struct timespec CellLeaseEnd_Inherited(const GfCell *cell, const Worker *w);
 
+/* attempts.c */
+Task *CellAttempts_CountedTask(Task *task);
+bool CellAttempts_Check(Task *task);
+void CellAttempts_CheckJob(Job *job);
+
 /* unanswered.c */
 void CellUnanswered_Record(Worker *w, GfOrderResult result,
                            struct timespec now);
--- a/src/cell/inventory.c
+++ b/src/cell/inventory.c
@@ -64,28 +64,12 @@
     if (!CellTask_AddFailure(task, run)) {
         return false;
     }
+    job->has_failures = true;
     CellJobRows_MarkTask(task);
-    const GfQueue *queue = job->queue_in_force;
-    if (queue != NULL && !task->done &&
-        task->failures >= queue->max_attempts && CellJob_Active(job)) {
-        GfLog(GF_LOG_INFO, CELL_PART,
-              "job given up id=%s step=%u task=%u failures=%u", job->id.data,
-              task->step->number, task->index, task->failures);
-        CellJob_SetState(job, GF_JOB_GIVEN_UP);
-        CellTask_StopJob(job);
-    }
+    CellAttempts_Check(task);
     return true;
 }
 
-/* Returns the task on which failures are counted: for a gang its first member,
- * whichever member reports the failure, so that a failed gang run counts
- * once. */
-static Task *
-counted_task(Task *task)
-{
-    return task->step->spec->gang ? &task->step->tasks[0] : task;
-}
-
 /* Returns whether a job is known here or known not to exist. If neither, which
  * happens for a job that a former owner accepted late, a lookup in the store
  * is started unless one is pending. */
@@ -155,7 +139,7 @@
         CellJob_TaskDone(task);
     }
     else if (completion->kind == GF_COMPLETION_FAILED) {
-        Task *counted = counted_task(task);
+        Task *counted = CellAttempts_CountedTask(task);
         if (count_failure(counted, completion->run)) {
             GfLog(GF_LOG_NOTICE, CELL_PART,
                   "run failed id=%s step=%u task=%u run=%lld worker=%s "
--- a/src/cell/job_state.c
+++ b/src/cell/job_state.c
@@ -368,6 +368,7 @@
         CellProgress_Load(job, progress);
     }
     job->loading = false;
+    CellAttempts_CheckJob(job);
     CellOccurrence_Review(job);
     CellOccurrence_Update(job, GfTime_WallMs());
     return true;
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -93,7 +93,7 @@
             CellCrash_Awaits(cell, task, now)) {
             continue;
         }
-        if (!CellShare_Allows(step, 1)) {
+        if (!CellAttempts_Check(task) || !CellShare_Allows(step, 1)) {
             return 0;
         }
         Worker *w =
@@ -155,6 +155,9 @@
     if (step->idle < step->spec->task_count) {
         return true; /* the former run has not ended on all workers */
     }
+    if (!CellAttempts_Check(&step->tasks[0])) {
+        return true;
+    }
     for (uint32_t i = 0; i < step->spec->task_count; i++) {
         if (CellFit_IsUncertain(cell, &step->tasks[i], now) ||
             CellCrash_Awaits(cell, &step->tasks[i], now)) {
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -289,6 +289,7 @@
     json_t *entry;
     json_array_foreach(json_object_get(row, "failures"), i, entry)
     {
+        job->has_failures = true;
         Task *task = find_task(job, entry);
         for (size_t k = 2; task != NULL && k < json_array_size(entry); k++) {
             json_int_t run = json_integer_value(json_array_get(entry, k));
