Answer the open calls of a test before it ends

term_rows failed in the check with sanitizers: its table never answered the calls that follow changes, and what they hold was reported as leaked. Also, workers of cell_large_fleet answer each 100 ms.

--- a/tests/unit/cell_large_fleet.c
+++ b/tests/unit/cell_large_fleet.c
@@ -16,6 +16,8 @@
 #define ROW_OVERHEAD_BYTES 80
 /* Within this time all workers must be usable. */
 #define LIMIT_MS 2000
+/* Workers answer at this interval. */
+#define ANSWER_MS 100
 
 typedef struct {
     uint32_t serial;
@@ -125,10 +127,12 @@
     for (int t = 0; t < ms; t += 10) {
         GfManualClock_Advance(&o->clock, 10);
         Hold *holds = o->holds;
-        size_t count = o->hold_count;
-        o->holds = NULL;
-        o->hold_count = 0;
-        o->hold_capacity = 0;
+        size_t count = t % ANSWER_MS == 0 ? o->hold_count : 0;
+        if (count > 0) {
+            o->holds = NULL;
+            o->hold_count = 0;
+            o->hold_capacity = 0;
+        }
         for (size_t i = 0; i < count; i++) {
             if (holds[i].incarnation != o->incarnations[holds[i].worker]) {
                 continue;
@@ -138,7 +142,9 @@
             GfCell_HoldDone(o->cell, holds[i].serial, holds[i].sent_at,
                             GF_ORDER_DONE, &inventory);
         }
-        free(holds);
+        if (count > 0) {
+            free(holds);
+        }
         if (o->commit_open) {
             o->commit_open = false;
             GfCell_CommitDone(o->cell, true);
--- a/tests/unit/term_rows.c
+++ b/tests/unit/term_rows.c
@@ -11,6 +11,7 @@
 #include "suite.h"
 
 #define MAX_CALLS 512
+#define MAX_FOLLOWS 8
 #define SECONDS_KEPT 1
 
 /* A call in progress; a transaction is carried out when it is answered. */
@@ -28,6 +29,8 @@
     json_t *rows; /* text by "table/part/key" */
     Call calls[MAX_CALLS];
     size_t open;
+    Call follows[MAX_FOLLOWS];
+    size_t follow_count;
     int64_t version;
     int64_t
         owner_version; /* of the owner's row, which each read by key gets */
@@ -63,17 +66,17 @@
     snprintf(call->key, sizeof(call->key), "%s", key == NULL ? "" : key);
 }
 
-/* Follow requests are never answered. */
+/* A follow request is answered when the test is over. */
 static void
 memory_follow(GfTable *table, const char *name, int64_t after, int wait_ms,
               GfTableCallback callback, void *arg)
 {
-    (void)table;
     (void)name;
     (void)after;
     (void)wait_ms;
-    (void)callback;
-    (void)arg;
+    MemoryTable *t = (MemoryTable *)table;
+    CU_ASSERT_FATAL(t->follow_count < MAX_FOLLOWS);
+    t->follows[t->follow_count++] = (Call){.callback = callback, .arg = arg};
 }
 
 static void
@@ -256,6 +259,10 @@
 {
     EntryTerm_End(&f->entry);
     answer_all(&f->table);
+    for (size_t i = 0; i < f->table.follow_count; i++) {
+        const Call *call = &f->table.follows[i];
+        call->callback(call->arg, GF_TABLE_UNKNOWN, 0, NULL, 0);
+    }
     EntryStore_End(&f->entry);
     event_base_free(f->entry.base);
     json_decref(f->table.rows);
