--- a/src/net/http.c
+++ b/src/net/http.c
@@ -18,6 +18,9 @@
 #define MAX_IDLE_PER_ENDPOINT 64
 /* How long a connection stays open without a call, unless the call says. */
 #define IDLE_MS 10000
+/* The same for further ones to a server with a limit: they end a burst of
+ * calls, and the server may keep them for good if this host loses power. */
+#define SPARE_IDLE_MS 1000
 #define MAX_HEADER_BYTES 16384
 #define MAX_BODY_BYTES (8 * 1024 * 1024)
 
@@ -244,7 +247,9 @@
     DL_DELETE(p->http->pending, p);
     Connection *c = p->connection;
     if (c != NULL && reuse && e->idle_count < MAX_IDLE_PER_ENDPOINT) {
-        struct timeval idle = GfTime_ToTimeval(p->idle_ms);
+        bool spare = p->max_connections > 0 && e->idle_count > 0;
+        struct timeval idle =
+            GfTime_ToTimeval(spare ? SPARE_IDLE_MS : p->idle_ms);
         DL_PREPEND(e->idle, c);
         e->idle_count++;
         evtimer_add(c->idle_timer, &idle);
--- a/tests/unit/commands_client.c
+++ b/tests/unit/commands_client.c
@@ -20,6 +20,8 @@
 #define CONNECTIONS (WORKER_LIMIT / 3 / OWNERS)
 /* Idle connections are closed before they have been silent for this long. */
 #define IDLE_LIMIT_MS 3000
+/* All but one of them earlier. */
+#define SPARE_LIMIT_MS 1500
 
 /* A worker that answers each command, or none while it is silent. */
 typedef struct {
@@ -175,6 +177,8 @@
     Worker w;
     open_worker(&w);
     send_starts(&w, 10);
+    run_loop(&w, SPARE_LIMIT_MS);
+    CU_ASSERT_EQUAL(w.open_count, 1);
     run_loop(&w, IDLE_LIMIT_MS);
     CU_ASSERT_EQUAL(w.results[GF_ORDER_DONE], 10);
     CU_ASSERT_EQUAL(w.open_count, 0);
