--- a/src/cell/commit.c
+++ b/src/cell/commit.c
@@ -16,6 +16,7 @@
 #define COMMIT_INTERVAL_MS 25
 /* Pause after a failed transaction. */
 #define COMMIT_RETRY_PAUSE_MS 200
+
 /* Moves a changed job into the next transaction, together with the callers
  * that wait for it. added: all of its changes are in the transaction, or a
  * part. */
