Show that a start taken as void too early runs twice

With the time limit of a start left out (a trial: any start that an inventory doesn't list counts as void), no test found a breach: late starts of the simulation came after 2 s, when they are refused. They may come earlier now.

--- a/tests/support/cell_sim.c
+++ b/tests/support/cell_sim.c
@@ -292,8 +292,10 @@
     else if (fraction < w->settings.lose_order + w->settings.late_order ||
              (kind == START && s->starts_delayed)) {
         m->no_reply = true;
+        int64_t least = w->settings.late_min_ms;
         m->due_ms +=
-            LATE_MIN_MS + (int64_t)(random_fraction(w) * LATE_SPAN_MS);
+            (least > 0 ? least : LATE_MIN_MS) +
+            (int64_t)(random_fraction(w) * (least > 0 ? 1000 : LATE_SPAN_MS));
         Message *reply = send_message(w, kind, owner);
         reply->serial = m->serial;
         reply->worker = m->worker;
--- a/tests/support/cell_sim.h
+++ b/tests/support/cell_sim.h
@@ -49,6 +49,7 @@
     double lose_order;    /* the order does not arrive */
     double lose_answer;   /* the reply does not arrive */
     double late_order;    /* carried out 2 to 12 s later, without a reply */
+    int64_t late_min_ms;  /* above 0: late orders come 1 s after it at most */
     double fail_run;      /* the run fails */
     CellSimFactor factor; /* NULL: tasks do not slow each other down */
     int64_t pace_ms;      /* from a pace order until it takes effect */
--- a/tests/unit/cell_completions.c
+++ b/tests/unit/cell_completions.c
@@ -91,9 +91,16 @@
 test_finished_task_runs_again_in_a_second_outage(void)
 {
     GfCellConfig *config;
-    CellSim *sim = create(&SETTINGS, &config);
+    CellSimSettings settings = SETTINGS;
+    settings.workers = 4;
+    CellSim *sim = create(&settings, &config);
+    CellSim_SetListed(sim, 2, false);
+    CellSim_SetListed(sim, 3, false);
     int job = CellSim_Submit(sim, &MANY);
     CellSim_Run(sim, 1000);
+    CellSim_SetListed(sim, 2, true);
+    CellSim_SetListed(sim, 3, true);
+    CellSim_Run(sim, 100);
     CellSim_SetStoreAvailable(sim, false);
     CellSim_Run(sim, 3000);
     CellSim_KillOwner(sim, CellSim_Owner(sim));
--- a/tests/unit/cell_unanswered.c
+++ b/tests/unit/cell_unanswered.c
@@ -144,11 +144,38 @@
     destroy(sim, config);
 }
 
+/* Starts without an answer are carried out up to 1.3 s later. */
+static void
+test_start_taken_as_void_is_carried_out(void)
+{
+    for (uint32_t seed = 1; seed <= 10; seed++) {
+        GfLog_SetLevel(GF_LOG_ERROR);
+        GfCellConfig *config = CellSim_MakeConfig(0);
+        CellSimSettings settings = SETTINGS;
+        settings.seed = seed;
+        settings.late_order = 0.3;
+        settings.late_min_ms = 300;
+        CellSim *sim = CellSim_Create(&settings, config);
+        CellSim_TakeOver(sim);
+        CellSim_Run(sim, 200);
+        CellSimJob job = QUICK;
+        job.run_ms = 3000;
+        job.step.task_count = 20;
+        job.step.max_per_worker = 0;
+        int id = CellSim_Submit(sim, &job);
+        CellSim_Run(sim, 20000);
+        CU_ASSERT_EQUAL(CellSim_JobState(sim, id), GF_JOB_COMPLETED);
+        destroy(sim, config);
+    }
+}
+
 static const SuiteTest TESTS[] = {
     {"task never runs as only holds get through",
      test_task_never_runs_as_only_holds_get_through},
     {"cancelled run goes on as only holds get through",
      test_cancelled_run_goes_on_as_only_holds_get_through},
+    {"start taken as void is carried out",
+     test_start_taken_as_void_is_carried_out},
     {"run lost though only orders fail",
      test_run_lost_though_only_orders_fail},
     {"worker unused after orders are answered again",
