Show that an end of a new life is acknowledged unread

Read: workers.c, commit.c. A hold carries the acknowledged number of completions of a worker's former incarnation if no hold was in progress while the worker restarted, so the worker forgets completions of the new one that nobody has read.

Jobs of five steps while the store is down, crashes at any time: not shown, as all workers are called at about the same time; with tasks of 150 to 1,050 ms the calls are spread and it shows.

--- a/review/standin-2/case-6.c
+++ b/review/standin-2/case-6.c
@@ -1,139 +1,134 @@
-/* TWICE: tasks of a large job run again although their ends were taken note
- * of. The owner is killed as it has just written to the store, while it
- * spreads the job's progress over several rows. */
+/* TWICE: a task that is done runs again. Its end on a new life of a worker is
+ * acknowledged by a number that counts the ends of the life before. */
 #include <stdlib.h>
 #include <string.h>
 
-#include <sodium.h>
-
 #include "sim.h"
 
-#define WORKERS 16
-#define JOB "aaaa0000000000f1"
-#define TASKS 4096
-#define SHORT_MS 300
-#define MEDIUM_MS 5000
-#define LONG_MS 60000
-#define MEDIUM_EVERY 64
-#define WATCH_MS 15000
+#define WORKERS 8
+#define STORE_DOWN_MS 4200
+#define ROUNDS 10
+#define JOBS 14 /* handed in before each outage */
+#define STEPS 5
+#define TASK_MS                                                               \
+    150           /* the shortest task; the others take up to seven times     \
+                   */
+#define CRASHES 2 /* in an outage at most, one after the other */
+#define DOWN_MS 150
+/* While ends are not stored, the owner calls a worker at this interval, and no
+ * call waits at the worker meanwhile. */
+#define CALL_MS 900
+/* Bounds of the time from the call of a worker to that of another one, after
+ * which the owner starts further steps. */
+#define LEAST_GAP_MS 250
+#define MOST_GAP_MS 600
+#define MAX_NOTED 4096
 
-static bool trouble_on;
-static bool spread; /* the job's main row has lost its list of done tasks */
-static bool noted_done[TASKS];
-static int noted;
+static char noted[MAX_NOTED][80];
+static int noted_count;
 static int broken;
-
-static int
-index_of(const char *task)
-{
-    const char *dot = strrchr(task, '.');
-    int index = dot == NULL ? -1 : atoi(dot + 1);
-    return index >= 0 && index < TASKS ? index : -1;
-}
-
-/* Every second task is short; of the others a few end while the rest has
- * reported checkpoints. */
-static int64_t
-task_ms(int index)
-{
-    return index % 2 == 1              ? SHORT_MS
-           : index % MEDIUM_EVERY == 0 ? MEDIUM_MS
-                                       : LONG_MS;
-}
+static int jobs;
 
 static void
 on_acked(SimWorker *w, const SimEnd *end)
 {
     (void)w;
-    int index = index_of(end->task);
-    if (index >= 0 && strcmp(end->how, "done") == 0 && !noted_done[index]) {
-        noted_done[index] = true;
-        noted++;
+    if (strcmp(end->how, "done") == 0 && noted_count < MAX_NOTED) {
+        memcpy(noted[noted_count++], end->task, 80);
     }
 }
 
 static void
 on_start(SimWorker *w, SimRun *run)
 {
-    int index = index_of(run->task);
-    if (index >= 0 && noted_done[index]) {
-        if (broken++ < 20) {
+    for (int i = 0; i < noted_count; i++) {
+        if (strcmp(noted[i], run->task) == 0) {
+            broken++;
             Sim_Record("%s: start of %s, whose end was taken note of before",
                        w->id, run->task);
+            return;
         }
     }
 }
 
-/* Notices the transaction with which the job's progress goes to several rows:
- * its main row then has the member "finished". */
-static void
-on_tx(const json_t *body)
+/* Returns a worker that the owner has called just now, and that it will call
+ * again well after another one; NULL if there is none. */
+static SimWorker *
+choose(void)
 {
-    size_t i;
-    json_t *e;
-    json_array_foreach(json_object_get(body, "upserts"), i, e)
-    {
-        const char *table = json_string_value(json_object_get(e, "table"));
-        const char *key = json_string_value(json_object_get(e, "key"));
-        const char *value = json_string_value(json_object_get(e, "value"));
-        char text[65536];
-        size_t len = 0;
-        if (spread || table == NULL || key == NULL || value == NULL ||
-            strcmp(table, "progress") != 0 || strcmp(key, JOB) != 0 ||
-            sodium_base642bin((unsigned char *)text, sizeof(text) - 1, value,
-                              strlen(value), NULL, &len, NULL,
-                              sodium_base64_VARIANT_ORIGINAL) != 0) {
+    int64_t now = Sim_Now();
+    for (int i = 0; i < sim_worker_count; i++) {
+        SimWorker *x = &sim_workers[i];
+        int64_t since = now - x->hold_at;
+        if (x->acked == 0 || x->holds != NULL || since < 20 || since > 60) {
             continue;
         }
-        text[len] = '\0';
-        if (strstr(text, "\"finished\"") != NULL) {
-            spread = true;
-            Sim_Record("store: the job's progress goes to several rows, %zu "
-                       "rows in this transaction; %d ends of done tasks were "
-                       "taken note of",
-                       json_array_size(json_object_get(body, "upserts")),
-                       noted);
-            if (trouble_on) {
-                Sim_KillEntry(Sim_Owner());
+        for (int k = 0; k < sim_worker_count; k++) {
+            const SimWorker *y = &sim_workers[k];
+            int64_t gap = y->hold_at + CALL_MS - x->hold_at;
+            if (y != x && y->acked > 0 && y->holds == NULL &&
+                gap > LEAST_GAP_MS && gap < MOST_GAP_MS) {
+                return x;
             }
         }
     }
+    return NULL;
+}
+
+/* Kills a worker that is running tasks and starts it again. */
+static void
+crash(SimWorker *w)
+{
+    Sim_CrashWorker(w);
+    Sim_Run(DOWN_MS);
+    Sim_BootWorker(w, 16000, "a");
 }
 
 int
 Case_Run(bool trouble)
 {
-    trouble_on = trouble;
     sim_hooks.on_start = on_start;
     sim_hooks.on_acked = on_acked;
-    sim_hooks.task_ms = task_ms;
-    sim_hooks.on_tx = on_tx;
-    Sim_StartPlatform(WORKERS, 64000, 131072);
+    Sim_StartPlatform(WORKERS, 16000, 64000);
     Sim_Config(json_pack("{s:i,s:[o],s:[{s:s,s:b}],s:{},s:[o]}", "version", 7,
-                         "routes", Sim_Route("plan", "/plan/", 2, 2),
+                         "routes", Sim_Route("plan", "/plan/", 2, 3),
                          "services", "name", "plan", "admissionCheck", 0,
                          "limits", "tenants",
-                         Sim_Tenant("desk", SIM_KEY, 10000000)));
+                         Sim_Tenant("desk", SIM_KEY, 1000000)));
     Sim_StartEntries(3);
     if (!Sim_WaitReady(10000)) {
         return 2;
     }
     Sim_Run(2000);
-    char body[256];
-    snprintf(body, sizeof(body),
-             "{\"spec\":\"cpu=100 saves=1\",\"steps\":[{\"count\":%d,"
-             "\"cpu\":100,\"memMb\":128,\"estMs\":30000,"
-             "\"checkpointed\":true}]}",
-             TASKS);
-    if (Sim_SubmitBody(0, "/plan/", JOB, SIM_KEY, body, 3000) != 200) {
-        return 2;
-    }
-    for (int64_t end = Sim_Now() + 40000; !spread && Sim_Now() < end;) {
-        Sim_Run(50);
+    for (int i = 0; i < ROUNDS; i++) {
+        for (int k = 0; k < JOBS; k++) {
+            char id[20];
+            snprintf(id, sizeof(id), "f6f6%012x", jobs);
+            Sim_SubmitChain(jobs % 3, "/plan/", id, SIM_KEY, STEPS, 1, 4000,
+                            TASK_MS * (1 + jobs * 7919 % 7));
+            jobs++;
+        }
+        if (trouble) {
+            Sim_Record("store: down for %d ms", STORE_DOWN_MS);
+            sim_store_down = true;
+        }
+        int crashes = trouble ? CRASHES : 0;
+        for (int64_t end = Sim_Now() + STORE_DOWN_MS; Sim_Now() < end;) {
+            Sim_Run(5);
+            SimWorker *w = crashes > 0 ? choose() : NULL;
+            if (w != NULL) {
+                crash(w);
+                crashes--;
+            }
+        }
+        if (trouble) {
+            Sim_Record("store: back");
+            sim_store_down = false;
+        }
+        Sim_Run(4000);
     }
-    Sim_Run(WATCH_MS);
-    Sim_Record("ends of done tasks taken note of: %d; starts of such tasks "
-               "afterwards: %d",
-               noted, broken);
-    return !spread ? 2 : broken > 0;
+    Sim_Record("jobs %d; ends of done tasks taken note of: %d; "
+               "starts of such tasks afterwards: %d",
+               jobs, noted_count, broken);
+    return broken > 0;
 }
--- a/review/standin-2/case-7.c
+++ b/review/standin-2/case-7.c
@@ -41,11 +41,11 @@
 {
     sim_hooks.on_end = on_end;
     Sim_StartPlatform(WORKERS, 16000, 64000);
-    Sim_Config(json_pack("{s:i,s:[o],s:[{s:s,s:b}],s:{},s:[o]}", "version", 7,
-                         "routes", Sim_Route("plan", "/plan/", 2, MAX_ATTEMPTS),
-                         "services", "name", "plan", "admissionCheck", 0,
-                         "limits", "tenants",
-                         Sim_Tenant("desk", SIM_KEY, 1000000)));
+    Sim_Config(
+        json_pack("{s:i,s:[o],s:[{s:s,s:b}],s:{},s:[o]}", "version", 7,
+                  "routes", Sim_Route("plan", "/plan/", 2, MAX_ATTEMPTS),
+                  "services", "name", "plan", "admissionCheck", 0, "limits",
+                  "tenants", Sim_Tenant("desk", SIM_KEY, 1000000)));
     Sim_StartEntries(3);
     if (!Sim_WaitReady(10000)) {
         return 2;
--- a/review/standin-2/case-9.c
+++ b/review/standin-2/case-9.c
@@ -1,48 +1,75 @@
-/* LIMIT: a worker that has crashed comes back as a smaller one under its id,
- * and gets tasks for the capacity that it had before. */
+/* UNASKED: a job starts long after its cancel was answered with 410. The write
+ * that stores the job gets no answer and is carried out some seconds later;
+ * the caller leaves meanwhile and cancels the job. */
 #include <string.h>
 
 #include "sim.h"
 
 #define WORKERS 8
-#define LARGE 16000
-#define SMALL 8000
-#define TASK_MCORES 4000
-#define TASKS 8
-#define JOBS 40
-/* The first pause of a worker that has crashed, and by how much each further
- * one is longer: the times at which the owner calls it again come in all
- * relations to those at which it reads the table of workers. */
-#define DOWN_MS 150
-#define LONGER_MS 70
-#define CRASHES 8
-#define BETWEEN_MS 3530
+#define JOB "7a7a0000000000d1"
+#define LATE_MS 5000
+#define LEAVES_AFTER_MS 400
+#define CANCEL_MS 3000  /* bounds.cancel_ms */
+#define CONTACT_MS 3000 /* bounds.contactMs */
 
+static bool late;
+static int64_t acked_at;
 static int broken;
 
+/* Puts off the one transaction that stores the job. */
+static int64_t
+hold_tx(const json_t *body)
+{
+    size_t i;
+    json_t *e;
+    json_array_foreach(json_object_get(body, "upserts"), i, e)
+    {
+        const char *key = json_string_value(json_object_get(e, "key"));
+        if (late && key != NULL && strcmp(key, JOB) == 0) {
+            late = false;
+            Sim_Record("store: the write of job %s gets no answer and is put "
+                       "off for %d ms",
+                       JOB, LATE_MS);
+            return LATE_MS;
+        }
+    }
+    return 0;
+}
+
 static void
 on_start(SimWorker *w, SimRun *run)
 {
-    int64_t sum = 0;
-    for (const SimRun *r = w->runs; r != NULL; r = r->next) {
-        sum += r->mcores;
-    }
-    if (sum > w->mcores) {
+    if (strncmp(run->task, JOB, strlen(JOB)) == 0 && acked_at > 0 &&
+        run->started_at > acked_at + CANCEL_MS) {
         broken++;
-        Sim_Record("%s: start of %s brings the worker to %lld mcores of %lld, "
-                   "%lld ms after its life began",
-                   w->id, run->task, (long long)sum, (long long)w->mcores,
-                   (long long)(Sim_Now() - w->born_at));
+        Sim_Record("%s: start of a task of job %s, %lld ms after its cancel "
+                   "was acknowledged",
+                   w->id, JOB, (long long)(run->started_at - acked_at));
+    }
+}
+
+/* Returns how many runs of the job go on. */
+static int
+count_runs(void)
+{
+    int count = 0;
+    for (int i = 0; i < sim_worker_count; i++) {
+        for (const SimRun *r = sim_workers[i].runs; r != NULL; r = r->next) {
+            count += strncmp(r->task, JOB, strlen(JOB)) == 0;
+        }
     }
+    return count;
 }
 
 int
 Case_Run(bool trouble)
 {
+    sim_hooks.hold_tx = hold_tx;
     sim_hooks.on_start = on_start;
-    Sim_StartPlatform(WORKERS, LARGE, 64000);
+    late = trouble;
+    Sim_StartPlatform(WORKERS, 16000, 64000);
     Sim_Config(json_pack("{s:i,s:[o],s:[{s:s,s:b}],s:{},s:[o]}", "version", 7,
-                         "routes", Sim_Route("plan", "/plan/", 2, 3),
+                         "routes", Sim_Route("plan", "/plan/", 2, 2),
                          "services", "name", "plan", "admissionCheck", 0,
                          "limits", "tenants",
                          Sim_Tenant("desk", SIM_KEY, 1000000)));
@@ -50,23 +77,23 @@
     if (!Sim_WaitReady(10000)) {
         return 2;
     }
-    Sim_Run(2000);
-    for (int i = 0; i < JOBS; i++) {
-        char id[20];
-        snprintf(id, sizeof(id), "9a9a%012x", i);
-        Sim_Submit(i % 3, "/plan/", id, SIM_KEY, TASKS, TASK_MCORES, 7000,
-                   3000);
-    }
-    for (int i = 0; i < CRASHES; i++) {
-        Sim_Run(BETWEEN_MS);
-        if (trouble) {
-            SimWorker *w = &sim_workers[i];
-            Sim_CrashWorker(w);
-            Sim_Run(DOWN_MS + i * LONGER_MS);
-            Sim_BootWorker(w, SMALL, "b");
-        }
+    Sim_Run(4000); /* all machines are in touch */
+    int posted =
+        Sim_Submit(0, "/plan/", JOB, SIM_KEY, 2, 4000, 30000, LEAVES_AFTER_MS);
+    int cancelled =
+        Sim_Call(1, "DELETE", "/plan/" JOB, SIM_KEY, NULL, 3000, NULL);
+    Sim_Record("caller: DELETE /plan/" JOB " at e1: %d", cancelled);
+    if (cancelled != 200 && cancelled != 410) {
+        return 2;
     }
-    Sim_Run(3000);
-    Sim_Record("starts above a worker's capacity: %d", broken);
-    return broken > 0;
+    acked_at = Sim_Now();
+    Sim_Run(CANCEL_MS + SIM_STOP_MS);
+    Sim_Run(CONTACT_MS + LATE_MS);
+    int left = count_runs();
+    Sim_State(2, "/plan/", JOB, SIM_KEY);
+    Sim_Record("POST answered %d; starts later than %d ms after the cancel: "
+               "%d; runs %lld ms after it: %d",
+               posted, CANCEL_MS, broken, (long long)(Sim_Now() - acked_at),
+               left);
+    return broken > 0 || left > 0;
 }
--- a/review/standin-2/sim.c
+++ b/review/standin-2/sim.c
@@ -74,6 +74,9 @@
 SimWorker sim_workers[SIM_MAX_WORKERS];
 int sim_worker_count;
 SimHooks sim_hooks;
+int sim_store_ms = SIM_STORE_MS;
+bool sim_store_down;
+int sim_accepted;
 
 static struct event_base *base;
 static GfHttp *http;
@@ -182,7 +185,7 @@
     Later *l = calloc(1, sizeof(*l));
     *l = (Later){.exchange = exchange, .reply = reply, .status = status};
     l->timer = evtimer_new(base, on_later, l);
-    struct timeval tv = {0, SIM_STORE_MS * 1000};
+    struct timeval tv = {sim_store_ms / 1000, sim_store_ms % 1000 * 1000};
     evtimer_add(l->timer, &tv);
 }
 
@@ -245,6 +248,12 @@
     Feed **at = &feeds;
     while (*at != NULL) {
         Feed *f = *at;
+        if (sim_store_down) {
+            *at = f->next;
+            GfExchange_Drop(f->exchange);
+            free(f);
+            continue;
+        }
         Row *found[4096];
         size_t count = 0;
         for (Row *r = rows; r != NULL && count < 4096; r = r->next) {
@@ -375,6 +384,10 @@
 {
     (void)ctx;
     const char *path = GfExchange_Path(exchange);
+    if (sim_store_down) {
+        GfExchange_Drop(exchange);
+        return;
+    }
     if (strcmp(path, "/v1/rows-get") == 0) {
         read_rows(exchange);
         return;
@@ -492,16 +505,17 @@
 static json_t *
 order_reply(const SimWorker *w, const char *reason)
 {
-    json_t *reply = json_pack("{s:I,s:I}", "clockMs",
-                              (json_int_t)worker_clock(w), "born",
-                              (json_int_t)w->born);
+    json_t *reply =
+        json_pack("{s:I,s:I}", "clockMs", (json_int_t)worker_clock(w), "born",
+                  (json_int_t)w->born);
     if (reason != NULL) {
         json_object_set_new(reply, "reason", json_string(reason));
     }
     return reply;
 }
 
-/* Answers the holds of a worker that has ends to list or whose time is over. */
+/* Answers the holds of a worker that has ends to list or whose time is over.
+ */
 static void
 serve_holds(SimWorker *w)
 {
@@ -674,6 +688,14 @@
 hold(SimWorker *w, const json_t *body, GfExchange *exchange)
 {
     int64_t acked = integer_of(body, "ackCursor");
+    if (acked > 0 || w->acked == 0) {
+        Sim_Record("%s: hold, ackCursor %lld, untilMs %lld at clock %lld",
+                   w->id, (long long)acked,
+                   (long long)integer_of(body, "untilMs"),
+                   (long long)worker_clock(w));
+    }
+    w->hold_at = Sim_Now();
+    w->acked = acked > w->acked ? acked : w->acked;
     while (w->ends != NULL && w->ends->number <= acked) {
         SimEnd *e = w->ends;
         w->ends = e->next;
@@ -815,11 +837,13 @@
     w->mcores = mcores;
     w->kind = kind;
     w->last_end = 0;
+    w->acked = 0;
+    w->hold_at = 0;
     w->fence = 0;
     w->until = 0;
     w->seq = 0;
-    w->server = GfServer_Create(base, ADDRESS, w->port, MAX_BODY, on_order, w,
-                                &error);
+    w->server =
+        GfServer_Create(base, ADDRESS, w->port, MAX_BODY, on_order, w, &error);
     if (w->server == NULL) {
         fprintf(stderr, "sim: %s\n", error.text);
         exit(2);
@@ -1073,19 +1097,85 @@
     return status;
 }
 
-int
-Sim_Submit(int entry, const char *prefix, const char *id, const char *key,
-           int count, int64_t mcores, int64_t ms, int timeout_ms)
+/* Writes the body of a job of one step. */
+static void
+format_job(char *body, size_t size, int count, int64_t mcores, int64_t ms)
 {
-    char body[512];
-    snprintf(body, sizeof(body),
+    snprintf(body, size,
              "{\"spec\":\"ms=%lld cpu=%lld\",\"steps\":[{\"count\":%d,"
              "\"cpu\":%lld,\"memMb\":256,\"estMs\":%lld}]}",
              (long long)ms, (long long)mcores, count, (long long)mcores,
              (long long)ms);
+}
+
+int
+Sim_Submit(int entry, const char *prefix, const char *id, const char *key,
+           int count, int64_t mcores, int64_t ms, int timeout_ms)
+{
+    char body[512];
+    format_job(body, sizeof(body), count, mcores, ms);
     return Sim_SubmitBody(entry, prefix, id, key, body, timeout_ms);
 }
 
+int
+Sim_SubmitChain(int entry, const char *prefix, const char *id, const char *key,
+                int steps, int count, int64_t mcores, int64_t ms)
+{
+    char body[4096];
+    int len = snprintf(body, sizeof(body),
+                       "{\"spec\":\"ms=%lld cpu=%lld\","
+                       "\"steps\":[",
+                       (long long)ms, (long long)mcores);
+    for (int i = 0; i < steps; i++) {
+        len += snprintf(body + len, sizeof(body) - (size_t)len,
+                        "%s{\"count\":%d,\"cpu\":%lld,\"memMb\":256,"
+                        "\"estMs\":%lld",
+                        i == 0 ? "" : ",", count, (long long)mcores,
+                        (long long)ms);
+        if (i > 0) {
+            len += snprintf(body + len, sizeof(body) - (size_t)len,
+                            ",\"after\":[%d]", i - 1);
+        }
+        len += snprintf(body + len, sizeof(body) - (size_t)len, "}");
+    }
+    snprintf(body + len, sizeof(body) - (size_t)len, "]}");
+    return Sim_SubmitBody(entry, prefix, id, key, body, 3000);
+}
+
+static void
+on_later_answer(void *arg, const GfHttpResult *result)
+{
+    char *path = arg;
+    int status = result->kind == GF_OK ? result->status : 0;
+    sim_accepted += status == 200;
+    Sim_Record("caller: POST %s: %d", path, status);
+    free(path);
+}
+
+void
+Sim_SubmitLater(int entry, const char *prefix, const char *id, const char *key,
+                int count, int64_t mcores, int64_t ms)
+{
+    char body[512];
+    char *path = malloc(128);
+    format_job(body, sizeof(body), count, mcores, ms);
+    snprintf(path, 128, "%s%s", prefix, id);
+    GfHttpHeader headers[] = {{"Content-Type", "application/json"},
+                              {"X-Guavaflow-Deadline", "3000"},
+                              {"X-Api-Key", key}};
+    GfHttpCall call = {.address = ADDRESS,
+                       .port = entries[entry].front,
+                       .method = EVHTTP_REQ_POST,
+                       .path = path,
+                       .host = SIM_HOST,
+                       .headers = headers,
+                       .header_count = 3,
+                       .body = body,
+                       .body_len = strlen(body),
+                       .timeout_ms = 3000};
+    GfHttp_Start(http, &call, on_later_answer, path);
+}
+
 const char *
 Sim_State(int entry, const char *prefix, const char *id, const char *key)
 {
--- a/review/standin-2/sim.h
+++ b/review/standin-2/sim.h
@@ -17,11 +17,11 @@
 
 #define SIM_MAX_WORKERS 16
 #define SIM_MAX_ENTRIES 4
-#define SIM_HOLD_MAX_MS 10000 /* bounds.holdMaxMs */
-#define SIM_STOP_MS 200       /* bounds.stopMs */
-#define SIM_BEAT_MS 1500      /* heartbeatMs */
+#define SIM_HOLD_MAX_MS 10000  /* bounds.holdMaxMs */
+#define SIM_STOP_MS 200        /* bounds.stopMs */
+#define SIM_BEAT_MS 1500       /* heartbeatMs */
 #define SIM_CHECKPOINT_MS 1000 /* checkpointS */
-#define SIM_STORE_MS 4        /* time of an answer of the store */
+#define SIM_STORE_MS 4         /* time of an answer of the store */
 #define SIM_KEY "key-desk"
 #define SIM_HOST "jobs.example"
 
@@ -75,6 +75,8 @@
     SimStopped *stopped;
     SimHold *holds;
     int64_t last_end;
+    int64_t acked;   /* highest ackCursor in this life */
+    int64_t hold_at; /* its latest hold */
     int64_t fence;
     int64_t until; /* end of the lease, worker's clock */
 } SimWorker;
@@ -97,10 +99,12 @@
 extern SimWorker sim_workers[SIM_MAX_WORKERS];
 extern int sim_worker_count;
 extern SimHooks sim_hooks;
+extern int sim_store_ms;    /* time of an answer of the store */
+extern bool sim_store_down; /* it closes the connection of each call */
+extern int sim_accepted;    /* answers 200 to Sim_SubmitLater */
 
 int64_t Sim_Now(void);
-void Sim_Record(const char *format, ...)
-    __attribute__((format(printf, 1, 2)));
+void Sim_Record(const char *format, ...) __attribute__((format(printf, 1, 2)));
 void Sim_Run(int ms);
 
 void Sim_StartPlatform(int workers, int64_t mcores, int64_t memory_mb);
@@ -129,6 +133,13 @@
                    const char *key, const char *body, int timeout_ms);
 int Sim_Submit(int entry, const char *prefix, const char *id, const char *key,
                int count, int64_t mcores, int64_t ms, int timeout_ms);
+/* Hands in a job whose steps follow each other, each of count tasks. */
+int Sim_SubmitChain(int entry, const char *prefix, const char *id,
+                    const char *key, int steps, int count, int64_t mcores,
+                    int64_t ms);
+/* The same without waiting for the answer. */
+void Sim_SubmitLater(int entry, const char *prefix, const char *id,
+                     const char *key, int count, int64_t mcores, int64_t ms);
 /* Returns the state of a job, or "" without one; valid until the next call. */
 const char *Sim_State(int entry, const char *prefix, const char *id,
                       const char *key);
