--- a/review/standin-2/sim.c
+++ b/review/standin-2/sim.c
@@ -968,26 +968,33 @@
     launch(i);
 }
 
-/* Returns the entry that the owner's row names, or -1. */
-int
-Sim_Owner(void)
+json_t *
+Sim_StoredRow(const char *table, const char *part, const char *key)
 {
-    json_t *names = json_pack("{s:s,s:s,s:s}", "table", "cell", "part",
-                              "owner", "key", "owner");
+    json_t *names =
+        json_pack("{s:s,s:s,s:s}", "table", table, "part", part, "key", key);
     const Row *r = find_row(names, false);
     json_decref(names);
     if (r == NULL || r->deleted) {
-        return -1;
+        return NULL;
     }
-    char text[1024];
-    size_t len = 0;
     const char *value = text_of(r->row, "value");
-    if (sodium_base642bin((unsigned char *)text, sizeof(text), value,
-                          strlen(value), NULL, &len, NULL,
-                          sodium_base64_VARIANT_ORIGINAL) != 0) {
-        return -1;
+    size_t len = strlen(value);
+    char *text = malloc(len + 1);
+    json_t *json = NULL;
+    if (sodium_base642bin((unsigned char *)text, len + 1, value, len, NULL,
+                          &len, NULL, sodium_base64_VARIANT_ORIGINAL) == 0) {
+        json = json_loadb(text, len, 0, NULL);
     }
-    json_t *json = json_loadb(text, len, 0, NULL);
+    free(text);
+    return json;
+}
+
+/* Returns the entry that the owner's row names, or -1. */
+int
+Sim_Owner(void)
+{
+    json_t *json = Sim_StoredRow("cell", "owner", "owner");
     int entry = -1;
     sscanf(text_of(json, "member"), "e%d", &entry);
     json_decref(json);
--- a/review/standin-2/sim.h
+++ b/review/standin-2/sim.h
@@ -117,6 +117,9 @@
 void Sim_KillEntry(int entry);
 void Sim_RestartEntry(int entry);
 int Sim_Owner(void);
+/* Returns the value of a row that an entry stored, which the caller releases;
+ * NULL without one. */
+json_t *Sim_StoredRow(const char *table, const char *part, const char *key);
 
 void Sim_CrashWorker(SimWorker *w);
 void Sim_BootWorker(SimWorker *w, int64_t mcores, const char *kind);
