--- a/review/standin-2/case-6.c
+++ b/review/standin-2/case-6.c
@@ -10,9 +10,8 @@
 #define ROUNDS 10
 #define JOBS 14 /* handed in before each outage */
 #define STEPS 5
-#define TASK_MS                                                               \
-    150           /* the shortest task; the others take up to seven times     \
-                   */
+/* The shortest task; the others take up to seven times as long. */
+#define TASK_MS 150
 #define CRASHES 2 /* in an outage at most, one after the other */
 #define DOWN_MS 150
 /* While ends are not stored, the owner calls a worker at this interval, and no
--- a/review/standin-2/sim.c
+++ b/review/standin-2/sim.c
@@ -76,7 +76,6 @@
 SimHooks sim_hooks;
 int sim_store_ms = SIM_STORE_MS;
 bool sim_store_down;
-int sim_accepted;
 
 static struct event_base *base;
 static GfHttp *http;
@@ -89,7 +88,7 @@
 static uint16_t advice_port;
 static Entry entries[SIM_MAX_ENTRIES];
 static int entry_count;
-static char work_dir[64];
+static char work_dir[512];
 
 static int64_t
 steady_ms(void)
@@ -903,7 +902,7 @@
 launch(int i)
 {
     Entry *e = &entries[i];
-    char path[128];
+    char path[600];
     snprintf(path, sizeof(path), "%s/entry-%d.yaml", work_dir, i);
     FILE *file = fopen(path, "w");
     fprintf(file,
@@ -923,7 +922,7 @@
             "overload_refusal: true\nworker_speeds: true\n",
             e->metrics, SIM_HOLD_MAX_MS);
     fclose(file);
-    char log[128];
+    char log[600];
     snprintf(log, sizeof(log), "%s/entry-%d.%d.log", work_dir, i, e->starts++);
     e->pid = fork();
     if (e->pid == 0) {
@@ -1154,7 +1153,6 @@
 {
     char *path = arg;
     int status = result->kind == GF_OK ? result->status : 0;
-    sim_accepted += status == 200;
     Sim_Record("caller: POST %s: %d", path, status);
     free(path);
 }
@@ -1232,7 +1230,7 @@
         printf("%s\n", work_dir);
     }
     else {
-        char command[128];
+        char command[600];
         snprintf(command, sizeof(command), "rm -rf '%s'", work_dir);
         if (system(command) != 0) {
             fprintf(stderr, "sim: cannot remove %s\n", work_dir);
--- a/review/standin-2/sim.h
+++ b/review/standin-2/sim.h
@@ -101,7 +101,6 @@
 extern SimHooks sim_hooks;
 extern int sim_store_ms;    /* time of an answer of the store */
 extern bool sim_store_down; /* it closes the connection of each call */
-extern int sim_accepted;    /* answers 200 to Sim_SubmitLater */
 
 int64_t Sim_Now(void);
 void Sim_Record(const char *format, ...) __attribute__((format(printf, 1, 2)));
