--- a/review/standin-2/case-8.c
+++ b/review/standin-2/case-8.c
@@ -15,6 +15,7 @@
 #define MEDIUM_MS 5000
 #define LONG_MS 60000
 #define MEDIUM_EVERY 64
+#define RESTART_MS 1000 /* the platform starts a killed entry again */
 #define WATCH_MS 15000
 
 static bool trouble_on;
@@ -22,6 +23,7 @@
 static bool noted_done[TASKS];
 static int noted;
 static int broken;
+static int killed = -1;
 
 static int
 index_of(const char *task)
@@ -94,7 +96,8 @@
                        json_array_size(json_object_get(body, "upserts")),
                        noted);
             if (trouble_on) {
-                Sim_KillEntry(Sim_Owner());
+                killed = Sim_Owner();
+                Sim_KillEntry(killed);
             }
         }
     }
@@ -131,6 +134,10 @@
     for (int64_t end = Sim_Now() + 40000; !spread && Sim_Now() < end;) {
         Sim_Run(50);
     }
+    Sim_Run(RESTART_MS);
+    if (killed >= 0) {
+        Sim_RestartEntry(killed);
+    }
     Sim_Run(WATCH_MS);
     Sim_Record("ends of done tasks taken note of: %d; starts of such tasks "
                "afterwards: %d",
