--- a/review/standin-2/sim.c
+++ b/review/standin-2/sim.c
@@ -484,6 +484,10 @@
 static void
 publish(SimWorker *w)
 {
+    w->next_beat_at = Sim_Now() + SIM_BEAT_MS;
+    if (sim_store_down) {
+        return; /* tried again with the next beat */
+    }
     char address[40];
     snprintf(address, sizeof(address), ADDRESS ":%u", w->port);
     char rack[16];
@@ -498,7 +502,6 @@
                         (json_int_t)w->memory_mb, "gpu", 0, "labels", w->kind,
                         rack, "clockMs", (json_int_t)worker_clock(w), "seq",
                         (json_int_t)++w->seq, "born", (json_int_t)w->born));
-    w->next_beat_at = Sim_Now() + SIM_BEAT_MS;
 }
 
 static json_t *
