Acknowledge ends only to the life of a worker that is known to listen

What callers saw: finished tasks of their jobs ran once more (TWICE) after a worker had crashed and was back under its id while the store was away.

Cause: the owner acknowledged by the numbers of the life before until a call failed or an inventory named the new one. The header with the worker's id can't tell the two apart, and any rule by time leaves the time from the last answer to the arrival of the next call.

Ruled out: ends that were applied and lost with the commits of the outage; the acknowledged numbers are above all those of the new life, and no line names the ends.

Change: a connection ends with the process at its other end. The HTTP client keeps a label with each connection, gone when it is closed; an answered hold labels its connection with the incarnation, and a hold acknowledges and extends the lease on such a connection only. Otherwise it fetches the inventory at once.

--- a/include/guavaflow/commands.h
+++ b/include/guavaflow/commands.h
@@ -37,7 +37,10 @@
 /* start, stop, pace and hold send a command to a worker and copy what they
  * need of it. A hold extends the worker's lease, if until_ms is not 0,
  * acknowledges completions and fetches the inventory; it is a long poll that
- * the worker answers after wait_ms milliseconds at the latest. advise asks
+ * the worker answers after wait_ms milliseconds at the latest. The lease and
+ * the acknowledgement reach the target's incarnation only: while it is not
+ * certain that this one will get them, the hold just fetches the inventory, at
+ * once. advise asks
  * which of the workers may run a step and gives up after timeout_ms
  * milliseconds; arg is passed to the callback. set_sink sets the receiver of
  * outcomes, which is borrowed; with NULL they are dropped. destroy frees the
--- a/include/guavaflow/http.h
+++ b/include/guavaflow/http.h
@@ -21,7 +21,9 @@
  * incomplete. A call that waited too long for a connection has timed out and
  * was not sent. sent is false only if no byte of the call left this process.
  * status, request_id (the answer's X-Request-Id, or NULL) and body are set
- * only if kind is GF_OK. */
+ * only if kind is GF_OK, and so is label: the callback may set it to what it
+ * knows of the process at the other end, and it stays with the connection for
+ * as long as that is open. */
 typedef struct {
     GfErrorKind kind;
     bool sent;
@@ -29,6 +31,7 @@
     const char *request_id;
     const char *body;
     size_t body_len;
+    int64_t *label; /* of the connection; 0 at first */
 } GfHttpResult;
 
 /* Receives the outcome, whose texts are valid during the call only. */
@@ -50,8 +53,10 @@
     size_t header_count;
     const char *body;
     size_t body_len;
-    int timeout_ms;      /* from when it is sent */
-    int max_connections; /* above 0: with so many open, it waits for one */
+    int timeout_ms; /* from when it is sent */
+    int pool; /* calls to a server share connections within a pool only */
+    int max_connections; /* above 0: with so many of the pool open, it waits
+                            for one */
     int queue_ms;        /* longest such wait; it is then not sent */
     int idle_ms;         /* above 0: its connection is closed after this time
                             without a call */
@@ -70,6 +75,8 @@
                      GfHttpCallback callback, void *arg);
 void GfHttp_DropWaiting(GfHttp *http);
 void GfHttp_AbandonOlder(GfHttp *http, const char *address, uint16_t port);
+int64_t GfHttp_NextLabel(GfHttp *http, const char *address, uint16_t port,
+                         int pool);
 json_t *GfHttp_ParseJson(const GfHttpResult *result);
 
 #endif
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -33,12 +33,13 @@
     GfHttp *http;
     Endpoint *endpoint;
     struct event *idle_timer; /* closes it; pending while it is idle */
+    int64_t label;            /* set by callers; 0 once it was closed */
     struct Connection *next;
     struct Connection *prev;
 } Connection;
 
-/* A server's address and port with its idle connections and the calls that
- * wait for one. key is ADDRESS:PORT. */
+/* A pool of connections to a server: its idle connections and the calls that
+ * wait for one. key is ADDRESS:PORT/POOL. */
 struct Endpoint {
     char key[ENDPOINT_BYTES];
     Connection *idle;
@@ -154,12 +155,12 @@
     retire(c);
 }
 
-/* Returns the endpoint of an address and a port, adding it if needed. */
+/* Returns a pool of an address and a port, adding it if needed. */
 static Endpoint *
-get_endpoint(GfHttp *http, const char *address, uint16_t port)
+get_endpoint(GfHttp *http, const char *address, uint16_t port, int pool)
 {
     char key[ENDPOINT_BYTES];
-    snprintf(key, sizeof(key), "%s:%u", address, port);
+    snprintf(key, sizeof(key), "%s:%u/%d", address, port, pool);
     Endpoint *e;
     HASH_FIND_STR(http->endpoints, key, e);
     if (e == NULL) {
@@ -173,6 +174,16 @@
     return e;
 }
 
+/* Callback of libevent for a connection that was closed. If it is used again,
+ * it is opened anew, to whatever listens then. */
+static void
+on_close(struct evhttp_connection *evcon, void *arg)
+{
+    (void)evcon;
+    Connection *c = arg;
+    c->label = 0;
+}
+
 /* Returns an idle connection, or creates one. Returns NULL if that fails. */
 static Connection *
 acquire_connection(const Pending *p)
@@ -199,6 +210,7 @@
     evhttp_connection_set_max_headers_size(c->evcon, MAX_HEADER_BYTES);
     evhttp_connection_set_max_body_size(c->evcon, MAX_BODY_BYTES);
     evhttp_connection_set_retries(c->evcon, 0);
+    evhttp_connection_set_closecb(c->evcon, on_close, c);
     e->open++;
     return c;
 }
@@ -316,6 +328,7 @@
         p->endpoint->answered = p->number;
     }
     result.kind = GF_OK;
+    result.label = &p->connection->label;
     result.status = evhttp_request_get_response_code(req);
     result.body_len = evbuffer_get_length(in);
     result.body = (const char *)evbuffer_pullup(in, -1);
@@ -415,15 +428,15 @@
     give_up(p);
 }
 
-/* Completes with GF_TIMEOUT the calls to an endpoint that were started before
- * the latest of its calls that has been answered. Meant for the end of an
+/* Completes with GF_TIMEOUT the calls of a server's pool 0 that were started
+ * before the latest of them that has been answered. Meant for the end of an
  * outage, when the older ones wait on connections that it has silenced. Must
  * not be called from a GfHttpCallback. */
 void
 GfHttp_AbandonOlder(GfHttp *http, const char *address, uint16_t port)
 {
     assert(http != NULL && address != NULL);
-    Endpoint *e = get_endpoint(http, address, port);
+    Endpoint *e = get_endpoint(http, address, port, 0);
     retire_idle(e);
     Pending *p = http->pending;
     while (p != NULL) {
@@ -505,21 +518,22 @@
     if (p == NULL) {
         abort();
     }
-    *p = (Pending){.http = http,
-                   .number = ++http->last_number,
-                   .endpoint = get_endpoint(http, call->address, call->port),
-                   .address = strdup(call->address),
-                   .port = call->port,
-                   .method = call->method,
-                   .path = strdup(call->path),
-                   .max_connections = call->max_connections,
-                   .timeout_ms = call->timeout_ms,
-                   .idle_ms = call->idle_ms > 0 ? call->idle_ms : IDLE_MS,
-                   .urgent = call->urgent,
-                   .progress_ms = call->progress_ms,
-                   .extension_ms = call->timeout_ms,
-                   .callback = callback,
-                   .arg = arg};
+    *p = (Pending){
+        .http = http,
+        .number = ++http->last_number,
+        .endpoint = get_endpoint(http, call->address, call->port, call->pool),
+        .address = strdup(call->address),
+        .port = call->port,
+        .method = call->method,
+        .path = strdup(call->path),
+        .max_connections = call->max_connections,
+        .timeout_ms = call->timeout_ms,
+        .idle_ms = call->idle_ms > 0 ? call->idle_ms : IDLE_MS,
+        .urgent = call->urgent,
+        .progress_ms = call->progress_ms,
+        .extension_ms = call->timeout_ms,
+        .callback = callback,
+        .arg = arg};
     if (p->address == NULL || p->path == NULL) {
         abort();
     }
@@ -538,6 +552,17 @@
     }
 }
 
+/* Returns the label of the connection on which the next call of a pool to a
+ * server would be sent now; 0 if that is a new one or has no label, or if the
+ * call would wait. */
+int64_t
+GfHttp_NextLabel(GfHttp *http, const char *address, uint16_t port, int pool)
+{
+    assert(http != NULL && address != NULL);
+    const Endpoint *e = get_endpoint(http, address, port, pool);
+    return e->idle == NULL ? 0 : e->idle->label;
+}
+
 /* Completes the calls that wait for a connection as not sent. Their callbacks
  * must not start calls that would wait. */
 void
--- a/tests/unit/commands_client.c
+++ b/tests/unit/commands_client.c
@@ -25,6 +25,12 @@
 
 /* A worker that answers each command, or none while it is silent. */
 typedef struct {
+    int64_t born;          /* of its current life */
+    char request[1024];    /* the latest one */
+    char hold[1024];       /* the latest hold */
+    int hold_count;        /* holds with an outcome */
+    GfInventory inventory; /* the latest one, without rows */
+
     struct event_base *base;
     struct evconnlistener *listener;
     GfHttp *http;
@@ -56,18 +62,27 @@
 static void
 on_read(struct bufferevent *bev, void *arg)
 {
-    static const char ANSWER[] =
-        "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"clockMs\":1}";
     Worker *w = arg;
     struct evbuffer *in = bufferevent_get_input(bev);
     struct evbuffer_ptr end = evbuffer_search(in, "\r\n\r\n", 4, NULL);
     if (end.pos < 0) {
         return;
     }
+    int len = evbuffer_remove(in, w->request, sizeof(w->request) - 1);
+    w->request[len] = '\0';
     evbuffer_drain(in, evbuffer_get_length(in));
     w->requests++;
+    if (strstr(w->request, "/v1/hold") != NULL) {
+        memcpy(w->hold, w->request, sizeof(w->hold));
+    }
+    char body[128];
+    snprintf(body, sizeof(body),
+             "{\"clockMs\":1,\"born\":%lld,\"running\":[],\"ended\":[]}",
+             (long long)w->born);
     if (!w->silent) {
-        bufferevent_write(bev, ANSWER, strlen(ANSWER));
+        evbuffer_add_printf(bufferevent_get_output(bev),
+                            "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+                            strlen(body), body);
     }
 }
 
@@ -99,7 +114,22 @@
     w->result_count++;
 }
 
-static const GfCommandSink SINK = {.start_done = on_start_done};
+static void
+on_hold_done(void *ctx, uint32_t serial, struct timespec sent_at,
+             GfOrderResult result, const GfInventory *inventory)
+{
+    (void)serial;
+    (void)sent_at;
+    Worker *w = ctx;
+    w->results[result]++;
+    w->hold_count++;
+    if (inventory != NULL) {
+        w->inventory = *inventory;
+    }
+}
+
+static const GfCommandSink SINK = {.start_done = on_start_done,
+                                   .hold_done = on_hold_done};
 
 static void
 open_worker(Worker *w)
@@ -214,10 +244,96 @@
     close_worker(&w);
 }
 
+/* Sends a hold for a life of the worker and waits for its outcome. */
+static void
+hold(Worker *w, int64_t incarnation, int64_t acked)
+{
+    w->worker.incarnation = incarnation;
+    GfHoldOrder order = {.target = {.worker = &w->worker, .serial = 1},
+                         .until_ms = 9000,
+                         .acked = acked,
+                         .wait_ms = 1000};
+    int before = w->hold_count;
+    w->commands->ops->hold(w->commands, &order);
+    for (int i = 0; i < 100 && w->hold_count == before; i++) {
+        run_loop(w, 5);
+    }
+}
+
+/* Returns whether the latest request acknowledges ends or extends the lease.
+ */
+static bool
+names_a_life(const Worker *w)
+{
+    return strstr(w->request, "\"ackCursor\":0") == NULL ||
+           strstr(w->request, "untilMs") != NULL;
+}
+
+/* Ends the worker's life: its connections are closed, and the next life
+ * listens at the same address. */
+static void
+restart(Worker *w)
+{
+    while (w->open_count > 0) {
+        bufferevent_free(w->open[--w->open_count]);
+    }
+    w->born++;
+}
+
+/* A worker starts again under its id between two holds. */
+static void
+test_end_of_a_new_life_acknowledged_unread(void)
+{
+    Worker w;
+    open_worker(&w);
+    w.born = 100;
+    hold(&w, 100, 8);
+    CU_ASSERT_FALSE(names_a_life(&w)); /* not yet known who answers there */
+    hold(&w, 100, 8);
+    CU_ASSERT_TRUE(names_a_life(&w));
+    for (int seen = 0; seen < 2; seen++) {
+        /* seen: the client has noticed that the connections are closed. */
+        restart(&w);
+        run_loop(&w, seen * 50);
+        hold(&w, w.born - 1, 8);
+        hold(&w, w.born - 1, 8);
+        CU_ASSERT_FALSE(names_a_life(&w));
+        hold(&w, w.born - 1, 8);
+        CU_ASSERT_FALSE(names_a_life(&w));
+        CU_ASSERT_EQUAL(w.inventory.incarnation, w.born);
+        hold(&w, w.born, 3);
+        CU_ASSERT_TRUE(names_a_life(&w));
+    }
+    close_worker(&w);
+}
+
+/* Starts and holds do not share connections: else a start on its way would
+ * keep a hold from the connection on which the worker is known. */
+static void
+test_holds_lose_their_connection_to_starts(void)
+{
+    Worker w;
+    open_worker(&w);
+    w.born = 100;
+    hold(&w, 100, 8);
+    send_starts(&w, 10);
+    hold(&w, 100, 8);
+    CU_ASSERT_TRUE(strstr(w.hold, "\"ackCursor\":8") != NULL);
+    for (int i = 0; i < 100 && w.result_count < 10; i++) {
+        run_loop(&w, 5);
+    }
+    CU_ASSERT(w.open_max <= CONNECTIONS);
+    close_worker(&w);
+}
+
 static const SuiteTest TESTS[] = {
     {"connections grow with starts", test_connections_grow_with_starts},
     {"idle connections kept for good", test_idle_connections_kept_for_good},
     {"waiting start in doubt", test_waiting_start_in_doubt},
-    {"start sent after the term", test_start_sent_after_the_term}};
+    {"start sent after the term", test_start_sent_after_the_term},
+    {"end of a new life acknowledged unread",
+     test_end_of_a_new_life_acknowledged_unread},
+    {"holds lose their connection to starts",
+     test_holds_lose_their_connection_to_starts}};
 
 SUITE_MAIN("commands client", TESTS)
