Count a worker's crash only for tasks that are known to have run there

What callers saw: a job shown as failed after one start and one run lost with a worker (LOST), though no run had ended as failed.

Cause: a suspect's row names the worker before its start, in the same list as workers on which tasks ran; the next owner counted the crash of one that had never been told to start it. In one term, too, starts on their way were counted.

Ruled out: one crash counted under two keys; the lines name three incarnations.

Change: rows have lists of their own for runs that are confirmed and for starts that are intended or on their way; the list of closed workers marks the latter. Only confirmed runs count. The crash of a worker that an ended owner had meant is doubtful: the task is placed apart, and four crashes are needed if doubtful ones are among them.

--- a/include/guavaflow/cell.h
+++ b/include/guavaflow/cell.h
@@ -78,6 +78,13 @@
     uint32_t index;
 } GfTaskId;
 
+/* A task that a former owner had on a worker. confirmed: it is known to have
+ * run there; else its start may not have been carried out. */
+typedef struct {
+    GfTaskId task;
+    bool confirmed;
+} GfInheritedTask;
+
 /* One incarnation of a worker, identified by its start time. An incarnation
  * has none of the runs and completions of an earlier one. */
 typedef struct {
@@ -281,7 +288,7 @@
 void GfCell_SetWorker(GfCell *cell, const GfWorkerInfo *info);
 void GfCell_AddLeasedWorker(GfCell *cell, const GfWorkerInfo *info);
 void GfCell_AddClosedWorker(GfCell *cell, const GfWorkerInfo *info,
-                            const GfTaskId *tasks, size_t count,
+                            const GfInheritedTask *tasks, size_t count,
                             int64_t expires_ms);
 void GfCell_UnlistWorker(GfCell *cell, const GfName *id);
 void GfCell_UnlistMissingWorkers(GfCell *cell, const GfTableRow *rows,
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -232,7 +232,7 @@
         closed += w->inherited != NULL && !w->contacted;
         tasks += w->contacted ? 0 : w->inherited_count;
         for (size_t i = 0; i < w->inherited_count; i++) {
-            Task *task = CellJob_Task(cell, &w->inherited[i]);
+            Task *task = CellJob_Task(cell, &w->inherited[i].task);
             if (task != NULL) {
                 task->uncertain_serial = w->serial;
             }
@@ -334,7 +334,7 @@
     Worker *w = task->worker;
     Step *step = task->step;
     if (result == GF_ORDER_DONE) {
-        task->state = TASK_RUNNING;
+        CellTask_Confirm(task);
         task->started_at = GfClock_Now(cell->clock);
         CellSpeed_Started(task, task->started_at);
         GfMetrics_Add(GF_METRIC_TASKS_PLACED, 1);
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -58,6 +58,8 @@
     int64_t run;           /* number of the current or latest run */
     int64_t *failed_runs;  /* run numbers of the counted failures, unordered */
     int64_t *crashed_keys; /* worker incarnations that crashed under it */
+    int64_t *doubted_keys; /* those that crashed when a former owner had meant
+                              them for its next run */
     char *checkpoint;      /* latest one reported, or NULL */
     GfRunProgress progress; /* of the current run, for speed.c */
     TaskSharing *sharing;   /* NULL if idle, or if separation is off */
@@ -71,13 +73,15 @@
     uint32_t index;            /* in the step's tasks */
     uint32_t failures;         /* counted failures; size of failed_runs */
     uint32_t crashes;          /* size of crashed_keys */
+    uint32_t doubts;           /* size of doubted_keys */
     uint32_t silent_runs;      /* of it, that the cell remembers */
     uint32_t inventory_number; /* latest inventory that listed the run */
     uint32_t avoid_serial;     /* worker of the latest failed run or start */
     uint32_t intended_serial;  /* worker named in the row before a start */
-    uint64_t intended_seq;     /* the change of the row that names it */
-    uint32_t uncertain_serial; /* closed worker that may run it, or 0 */
-    uint8_t state;             /* a TaskState */
+    int64_t intended_incarnation; /* of that worker */
+    uint64_t intended_seq;        /* the change of the row that names it */
+    uint32_t uncertain_serial;    /* closed worker that may run it, or 0 */
+    uint8_t state;                /* a TaskState */
     bool done;
     bool moved_off_slow; /* was stopped once, as its worker was slow */
     bool excused;        /* a crash was put down to another task */
@@ -269,7 +273,7 @@
     bool in_commit;      /* named in the list that is being stored */
     bool closed;         /* gets no tasks; the list names those it has */
     bool closed_in_commit;
-    GfTaskId *inherited; /* tasks that a former owner had there */
+    GfInheritedTask *inherited; /* tasks that a former owner had there */
     size_t inherited_count;
     int64_t expires_ms;    /* no inherited run goes on after it, shared clock;
                               0: unknown */
@@ -343,8 +347,7 @@
     UT_hash_handle hh;
 };
 
-/* A task that ran on a worker which fell silent, or that the stored row names
- * as placed there. */
+/* A task on a worker which fell silent, or that a stored row names there. */
 typedef struct SilentRun {
     GfName worker;
     char address[64];
@@ -352,6 +355,8 @@
     int64_t incarnation;
     GfTaskId task;
     struct timespec since; /* when the worker's lease had expired */
+    bool confirmed;        /* its start was answered, or the run listed */
+    bool inherited;        /* known from a former owner's row */
     bool counted;          /* in the task's silent_runs */
     struct SilentRun *next;
     struct SilentRun *prev;
@@ -573,10 +578,11 @@
 
 /* crash.c */
 bool CellCrash_Add(Task *task, int64_t key);
+bool CellCrash_AddDoubt(Task *task, int64_t key);
 uint32_t CellCrash_Suspicion(const Task *task);
 bool CellCrash_IsRecorded(const Task *task);
 void CellCrash_Remember(GfCell *cell, const GfWorkerInfo *worker,
-                        const GfTaskId *task);
+                        const GfTaskId *task, bool confirmed);
 void CellCrash_Unseen(GfCell *cell);
 void CellCrash_WorkerSilent(Worker *w);
 void CellCrash_WorkerRestarted(GfCell *cell, Worker *w);
@@ -592,10 +598,12 @@
 bool CellCrash_Excludes(const GfCell *cell, const Worker *w, const Task *task);
 bool CellCrash_Discourages(const GfCell *cell, const Worker *w,
                            const Task *task);
-void CellCrash_Save(const Task *task, size_t at, json_t *crashes,
-                    json_t *placements);
-void CellCrash_Loaded(Task *task);
-void CellCrash_LoadPlacement(Task *task, const json_t *entry);
+json_t *CellCrash_SaveKeys(size_t at, uint32_t index, const int64_t *keys,
+                           uint32_t count);
+void CellCrash_SavePlacements(const Task *task, size_t at, json_t *placements,
+                              json_t *intended);
+void CellCrash_Check(Task *task);
+void CellCrash_LoadPlacement(Task *task, const json_t *entry, bool confirmed);
 
 /* move.c */
 void CellMove_Tick(GfCell *cell, struct timespec now);
@@ -616,6 +624,7 @@
 
 /* tasks.c */
 void CellTask_Assign(Task *task, Worker *w, int64_t run, TaskState state);
+void CellTask_Confirm(Task *task);
 void CellTask_Release(Task *task);
 void CellTask_Stop(Task *task);
 void CellTask_SendStops(Worker *w, struct timespec now);
--- a/src/cell/crash.c
+++ b/src/cell/crash.c
@@ -8,13 +8,20 @@
  * points to another cause: then one more crash is awaited.
  *
  * A crash is proved by a new incarnation of the worker, or by another worker
- * at its address, unless it had reported that it leaves. Tasks of a worker
- * that fell silent are remembered until it answers again: in the same
- * incarnation it was merely cut off. One that stays missing is presumed to
- * have crashed. The counts are stored with the job's progress. A crash may
- * also coincide with the end of the owner, so the row also names the worker on
- * which a suspect is to run, before the start, and that on which a job of an
- * earlier term runs, after it, for the next owner to look at. */
+ * at its address, unless it had reported that it leaves. It counts for a task
+ * whose start was answered, or which the worker has listed; a task whose start
+ * was on its way may never have run there. Tasks of a worker that fell silent
+ * are remembered until it answers again: in the same incarnation it was merely
+ * cut off. One that stays missing is presumed to have crashed. The counts are
+ * stored with the job's progress.
+ *
+ * A crash may also coincide with the end of the owner. So the row names the
+ * worker on which a task of an earlier term or a suspect runs, as a placement,
+ * and before a start that on which a suspect is to run, as intended. If an
+ * intended worker crashes under the next owner, nobody knows whether the start
+ * was sent. Such crashes are doubtful: they make the task a suspect, and count
+ * only once there are more of them than starts that can have gone unnoticed.
+ */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -25,6 +32,8 @@
 #include "guavaflow/log.h"
 
 #define MAX_CRASHES 3
+/* The same if doubtful ones are among them. */
+#define MAX_DOUBTED_CRASHES 4
 /* The latest crashes of a task that are stored; enough to give its job up. */
 #define SAVED_CRASHES 8
 /* A crash is judged after this time, as crashes at the same moment are noticed
@@ -60,39 +69,69 @@
     return (int64_t)(GfName_Hash(worker, (uint64_t)incarnation) >> 16U);
 }
 
-/* Counts a crashed incarnation for a task. Returns false if it is counted
- * already. */
-bool
-CellCrash_Add(Task *task, int64_t key)
+/* Adds a key to a list, unless it is there. Returns whether it was added. */
+static bool
+add_key(int64_t **keys, uint32_t *count, int64_t key)
 {
-    for (uint32_t i = 0; i < task->crashes; i++) {
-        if (task->crashed_keys[i] == key) {
+    for (uint32_t i = 0; i < *count; i++) {
+        if ((*keys)[i] == key) {
             return false;
         }
     }
-    task->crashed_keys =
-        realloc(task->crashed_keys, (task->crashes + 1U) * sizeof(int64_t));
-    if (task->crashed_keys == NULL) {
+    *keys = realloc(*keys, (*count + 1U) * sizeof(int64_t));
+    if (*keys == NULL) {
         abort();
     }
-    task->crashed_keys[task->crashes++] = key;
+    (*keys)[(*count)++] = key;
     return true;
 }
 
+/* Counts a crashed incarnation for a task. Returns false if it is counted
+ * already. */
+bool
+CellCrash_Add(Task *task, int64_t key)
+{
+    return add_key(&task->crashed_keys, &task->crashes, key);
+}
+
+/* Counts a crashed incarnation on which a task may have run. Returns false if
+ * it is counted already. */
+bool
+CellCrash_AddDoubt(Task *task, int64_t key)
+{
+    return add_key(&task->doubted_keys, &task->doubts, key);
+}
+
+/* Returns whether so many crashes, and so many doubtful ones, are enough to
+ * give a job up; extra: more than that, by so many. */
+static bool
+are_too_many(uint32_t crashes, uint32_t doubts, uint32_t extra)
+{
+    return crashes >= MAX_CRASHES + extra ||
+           (doubts > 0 && crashes + doubts >= MAX_DOUBTED_CRASHES + extra);
+}
+
+/* Returns whether a crash may have been a task's fault. */
+static bool
+is_suspect(const Task *task)
+{
+    return task->crashes + task->doubts > 0;
+}
+
 /* Returns how many workers may have crashed under a task: those that did, and
  * those that are silent since. */
 uint32_t
 CellCrash_Suspicion(const Task *task)
 {
-    return task->crashes + task->silent_runs;
+    return task->crashes + task->doubts + task->silent_runs;
 }
 
-/* Returns whether the stored row names the worker on which the task runs. */
+/* Returns whether the stored row names the worker that has the task. */
 bool
 CellCrash_IsRecorded(const Task *task)
 {
     return task->worker != NULL &&
-           (task->crashes > 0 || task->step->job->former);
+           (is_suspect(task) || task->step->job->former);
 }
 
 /* Adds a task that has crashed too many workers to those to be judged. */
@@ -165,12 +204,13 @@
             cell->dirty = true;
         }
         bool mass = count_crashes_near(cell, a->at) > MASS_CRASHES;
-        if (active && !may_run && (!mass || task->crashes > MAX_CRASHES)) {
+        if (active && !may_run &&
+            are_too_many(task->crashes, task->doubts, mass ? 1 : 0)) {
             GfLog(GF_LOG_WARNING, CELL_PART,
                   "job given up, crashes its workers id=%s step=%u task=%u "
-                  "crashes=%u",
-                  a->task.job.data, a->task.step, a->task.index,
-                  task->crashes);
+                  "crashes=%u doubtful=%u",
+                  a->task.job.data, a->task.step, a->task.index, task->crashes,
+                  task->doubts);
             CellJob_SetState(task->step->job, GF_JOB_GIVEN_UP);
             CellTask_StopJob(task->step->job);
         }
@@ -179,30 +219,36 @@
     }
 }
 
-/* Counts a crash for one task and accuses it after MAX_CRASHES. */
+/* A task on a worker that crashed. confirmed: it ran there. */
+typedef struct {
+    GfTaskId task;
+    bool confirmed;
+} CrashedTask;
+
+/* Counts a crash for one task and accuses it if there are too many. */
 static void
-count_crash(Task *task, const GfName *worker, int64_t key)
+count_crash(Task *task, const GfName *worker, int64_t key, bool confirmed)
 {
     Job *job = task->step->job;
-    if (task->done || !CellJob_Active(job) || !CellCrash_Add(task, key)) {
+    if (task->done || !CellJob_Active(job) ||
+        !(confirmed ? CellCrash_Add(task, key)
+                    : CellCrash_AddDoubt(task, key))) {
         return;
     }
     CellJobRows_MarkTask(task);
     GfLog(GF_LOG_WARNING, CELL_PART,
           "worker crashed under task id=%s step=%u task=%u worker=%s "
-          "crashes=%u",
+          "confirmed=%d crashes=%u doubtful=%u",
           job->id.data, task->step->number, task->index, worker->data,
-          task->crashes);
-    if (task->crashes >= MAX_CRASHES && !task->accused) {
-        accuse(task);
-    }
+          confirmed, task->crashes, task->doubts);
+    CellCrash_Check(task);
 }
 
 /* Counts the crash of a worker incarnation for the tasks that ran there. If
  * suspects are among them, the others are excused, once each. */
 static void
-blame(GfCell *cell, const GfTaskId *ids, size_t count, const GfName *worker,
-      int64_t incarnation)
+blame(GfCell *cell, const CrashedTask *tasks, size_t count,
+      const GfName *worker, int64_t incarnation)
 {
     int64_t key = incarnation_key(worker, incarnation);
     if (count > 0) {
@@ -211,16 +257,16 @@
     }
     bool suspects = false;
     for (size_t i = 0; i < count; i++) {
-        const Task *t = CellJob_Task(cell, &ids[i]);
-        suspects = suspects || (t != NULL && t->crashes > 0);
+        const Task *t = CellJob_Task(cell, &tasks[i].task);
+        suspects = suspects || (t != NULL && is_suspect(t));
     }
     for (size_t i = 0; i < count; i++) {
-        Task *t = CellJob_Task(cell, &ids[i]);
-        if (t != NULL && suspects && t->crashes == 0 && !t->excused) {
+        Task *t = CellJob_Task(cell, &tasks[i].task);
+        if (t != NULL && suspects && !is_suspect(t) && !t->excused) {
             t->excused = true;
         }
         else if (t != NULL) {
-            count_crash(t, worker, key);
+            count_crash(t, worker, key, tasks[i].confirmed);
         }
     }
 }
@@ -244,9 +290,9 @@
            run->task.step == task->step && run->task.index == task->index;
 }
 
-/* Remembers that a task ran on an incarnation of a worker of which it is not
+/* Remembers that a task was on an incarnation of a worker of which it is not
  * known whether it crashed, from a time on; not twice. */
-static void
+static SilentRun *
 remember(GfCell *cell, const GfWorkerInfo *worker, const GfTaskId *task,
          struct timespec since)
 {
@@ -255,7 +301,7 @@
     {
         if (is_run_of(r, task) && r->incarnation == worker->incarnation &&
             GfName_Equal(&r->worker, &worker->id)) {
-            return;
+            return r;
         }
     }
     r = calloc(1, sizeof(*r));
@@ -275,18 +321,23 @@
         t->silent_runs++;
         CellJobRows_MarkTask(t);
     }
+    return r;
 }
 
-/* Remembers a task that a stored row names on a worker. If the worker is cut
- * off, its lease may have been extended until now. */
+/* Remembers a task that a stored row names on a worker; confirmed: it ran
+ * there. If the worker is cut off, its lease may have been extended until
+ * now. */
 void
 CellCrash_Remember(GfCell *cell, const GfWorkerInfo *worker,
-                   const GfTaskId *task)
+                   const GfTaskId *task, bool confirmed)
 {
     int64_t lease_ms = CellWorker_LongestLeaseMs(cell);
     if (!worker->leaving) {
-        remember(cell, worker, task,
-                 GfTime_AddMs(GfClock_Now(cell->clock), lease_ms));
+        SilentRun *r =
+            remember(cell, worker, task,
+                     GfTime_AddMs(GfClock_Now(cell->clock), lease_ms));
+        r->inherited = true;
+        r->confirmed = r->confirmed || confirmed;
     }
 }
 
@@ -300,8 +351,9 @@
     {
         if (may_be_cause(w, t)) {
             GfTaskId id = CellTask_Id(t);
-            remember(t->step->job->cell, &w->info, &id,
-                     GfClock_Now(t->step->job->cell->clock));
+            SilentRun *r = remember(t->step->job->cell, &w->info, &id,
+                                    GfClock_Now(t->step->job->cell->clock));
+            r->confirmed = r->confirmed || t->state == TASK_RUNNING;
         }
     }
 }
@@ -324,15 +376,15 @@
     size_t count = 0;
     const Task *t;
     DL_COUNT(w->tasks, t, count);
-    GfTaskId *ids = calloc(count + 1, sizeof(GfTaskId));
-    if (ids == NULL) {
+    CrashedTask *tasks = calloc(count + 1, sizeof(CrashedTask));
+    if (tasks == NULL) {
         abort();
     }
     count = 0;
     DL_FOREACH(w->tasks, t)
     {
-        if (may_be_cause(w, t)) {
-            ids[count++] = CellTask_Id(t);
+        if (t->state == TASK_RUNNING && may_be_cause(w, t)) {
+            tasks[count++] = (CrashedTask){CellTask_Id(t), true};
         }
     }
     if (w->former_lease && !w->contacted) {
@@ -341,9 +393,9 @@
     if (!w->info.leaving) {
         w->has_crashed = true;
         w->crashed_at = GfClock_Now(cell->clock);
-        blame(cell, ids, count, &w->info.id, w->info.incarnation);
+        blame(cell, tasks, count, &w->info.id, w->info.incarnation);
     }
-    free(ids);
+    free(tasks);
 }
 
 /* Removes a remembered run. */
@@ -358,11 +410,12 @@
     free(run);
 }
 
-/* Removes the remembered runs of an incarnation of a worker and writes their
- * tasks to ids, which has space for all. Returns their number. */
+/* Removes the remembered runs of an incarnation of a worker and writes those
+ * that count if it has crashed to tasks, which has space for all. Returns
+ * their number. A start of this owner's that had no answer does not count. */
 static size_t
 take_silent_runs(GfCell *cell, const GfName *worker, int64_t incarnation,
-                 GfTaskId *ids)
+                 CrashedTask *tasks)
 {
     size_t count = 0;
     SilentRun *r;
@@ -371,7 +424,9 @@
     {
         if (r->incarnation == incarnation &&
             GfName_Equal(&r->worker, worker)) {
-            ids[count++] = r->task;
+            if (r->confirmed || r->inherited) {
+                tasks[count++] = (CrashedTask){r->task, r->confirmed};
+            }
             forget_run(cell, r);
         }
     }
@@ -401,8 +456,8 @@
     size_t total = 0;
     SilentRun *r;
     DL_COUNT(cell->silent_runs, r, total);
-    GfTaskId *ids = calloc(total, sizeof(GfTaskId));
-    if (ids == NULL) {
+    CrashedTask *tasks = calloc(total, sizeof(CrashedTask));
+    if (tasks == NULL) {
         abort();
     }
     bool found = true;
@@ -416,16 +471,16 @@
             if (crashed || alive) {
                 GfName worker = r->worker;
                 int64_t incarnation = r->incarnation;
-                size_t n = take_silent_runs(cell, &worker, incarnation, ids);
+                size_t n = take_silent_runs(cell, &worker, incarnation, tasks);
                 if (crashed) {
-                    blame(cell, ids, n, &worker, incarnation);
+                    blame(cell, tasks, n, &worker, incarnation);
                 }
                 found = true;
                 break;
             }
         }
     }
-    free(ids);
+    free(tasks);
 }
 
 /* Presumes that workers which have been missing for PRESUME_MS crashed. */
@@ -446,13 +501,13 @@
         size_t total = 0;
         SilentRun *each;
         DL_COUNT(cell->silent_runs, each, total);
-        GfTaskId *ids = calloc(total, sizeof(GfTaskId));
-        if (ids == NULL) {
+        CrashedTask *tasks = calloc(total, sizeof(CrashedTask));
+        if (tasks == NULL) {
             abort();
         }
-        size_t n = take_silent_runs(cell, &worker, incarnation, ids);
-        blame(cell, ids, n, &worker, incarnation);
-        free(ids);
+        size_t n = take_silent_runs(cell, &worker, incarnation, tasks);
+        blame(cell, tasks, n, &worker, incarnation);
+        free(tasks);
         r = cell->silent_runs;
     }
 }
@@ -488,15 +543,19 @@
     if (task->accused) {
         return true;
     }
-    uint32_t possible = task->crashes;
+    uint32_t crashes = task->crashes;
+    uint32_t doubts = task->doubts;
     GfTaskId id = CellTask_Id(task);
     const SilentRun *r;
-    for (r = task->crashes > 0 ? cell->silent_runs : NULL; r != NULL;
+    for (r = is_suspect(task) ? cell->silent_runs : NULL; r != NULL;
          r = r->next) {
-        possible += is_run_of(r, &id) &&
-                    GfTime_DiffMs(now, r->since) < AWAIT_RETURN_MS;
+        bool awaited = is_run_of(r, &id) &&
+                       GfTime_DiffMs(now, r->since) < AWAIT_RETURN_MS;
+        crashes += awaited && r->confirmed;
+        doubts += awaited && !r->confirmed && r->inherited;
     }
-    return possible >= MAX_CRASHES && possible > task->crashes;
+    return are_too_many(crashes, doubts, 0) &&
+           crashes + doubts > task->crashes + task->doubts;
 }
 
 /* Returns whether the stored row has to name the worker before the task
@@ -508,7 +567,7 @@
     bool unseen =
         cell->unseen_crash && GfTime_DiffMs(GfClock_Now(cell->clock),
                                             cell->unseen_crash_at) < UNSEEN_MS;
-    return task->crashes > 0 || (unseen && task->step->job->former);
+    return is_suspect(task) || (unseen && task->step->job->former);
 }
 
 /* Returns whether a task may start on a worker now. If its row has to name the
@@ -519,8 +578,10 @@
     if (!needs_intent(cell, task)) {
         return true;
     }
-    if (task->intended_serial != w->serial) {
+    if (task->intended_serial != w->serial ||
+        task->intended_incarnation != w->info.incarnation) {
         task->intended_serial = w->serial;
+        task->intended_incarnation = w->info.incarnation;
         CellJobRows_MarkTask(task);
         task->intended_seq = cell->seq;
         return false;
@@ -615,32 +676,40 @@
                   worker->data, (json_int_t)incarnation, address, (int)port));
 }
 
-/* Appends to crashes and placements what the stored row says of a task. at is
- * the index of its step over all occurrences; placements may be NULL. */
-void
-CellCrash_Save(const Task *task, size_t at, json_t *crashes,
-               json_t *placements)
+/* Returns the entry of a task with the latest of its crashed incarnations,
+ * which the caller owns. at is the index of the task's step over all
+ * occurrences, index that of the task. */
+json_t *
+CellCrash_SaveKeys(size_t at, uint32_t index, const int64_t *keys,
+                   uint32_t count)
 {
-    if (task->crashes > 0) {
-        json_t *entry = json_pack("[I,i]", (json_int_t)at, (int)task->index);
-        uint32_t first =
-            task->crashes > SAVED_CRASHES ? task->crashes - SAVED_CRASHES : 0;
-        for (uint32_t i = first; i < task->crashes; i++) {
-            json_array_append_new(
-                entry, json_integer((json_int_t)task->crashed_keys[i]));
-        }
-        json_array_append_new(crashes, entry);
-    }
-    if (placements == NULL) {
-        return;
+    json_t *entry = json_pack("[I,i]", (json_int_t)at, (int)index);
+    for (uint32_t i = count > SAVED_CRASHES ? count - SAVED_CRASHES : 0;
+         i < count; i++) {
+        json_array_append_new(entry, json_integer((json_int_t)keys[i]));
     }
+    return entry;
+}
+
+/* Appends to placements on which workers a task runs or ran, and to intended
+ * those on which its start may have been carried out or is to be. at is the
+ * index of its step over all occurrences. */
+void
+CellCrash_SavePlacements(const Task *task, size_t at, json_t *placements,
+                         json_t *intended)
+{
     const Worker *w = CellCrash_IsRecorded(task) ? task->worker : NULL;
+    bool confirmed = w != NULL && task->state == TASK_RUNNING;
     if (w == NULL && task->intended_serial != 0) {
         w = CellWorker_Find(task->step->job->cell, task->intended_serial);
+        if (w != NULL && w->info.incarnation != task->intended_incarnation) {
+            w = NULL;
+        }
     }
     if (w != NULL && !w->info.leaving) {
         save_placement(task, at, &w->info.id, w->info.incarnation,
-                       w->info.address, w->info.port, placements);
+                       w->info.address, w->info.port,
+                       confirmed ? placements : intended);
     }
     GfTaskId id = CellTask_Id(task);
     const SilentRun *r;
@@ -648,24 +717,25 @@
          r != NULL; r = r->next) {
         if (is_run_of(r, &id)) {
             save_placement(task, at, &r->worker, r->incarnation, r->address,
-                           r->port, placements);
+                           r->port, r->confirmed ? placements : intended);
         }
     }
 }
 
-/* Accuses a task whose stored count is too high: a former owner may have ended
+/* Accuses a task whose counts are too high. A former owner may have ended
  * before it judged. A task that runs is left alone. */
 void
-CellCrash_Loaded(Task *task)
+CellCrash_Check(Task *task)
 {
-    if (task->crashes >= MAX_CRASHES && !task->accused) {
+    if (are_too_many(task->crashes, task->doubts, 0) && !task->accused) {
         accuse(task);
     }
 }
 
-/* Restores what CellCrash_Save appended to placements for a task. */
+/* Restores what CellCrash_SavePlacements appended for a task; confirmed: to
+ * placements. */
 void
-CellCrash_LoadPlacement(Task *task, const json_t *entry)
+CellCrash_LoadPlacement(Task *task, const json_t *entry, bool confirmed)
 {
     GfWorkerInfo worker = {
         .incarnation = json_integer_value(json_array_get(entry, 3)),
@@ -676,6 +746,6 @@
                        json_string_value(json_array_get(entry, 2)))) {
         snprintf(worker.address, sizeof(worker.address), "%s", address);
         GfTaskId id = CellTask_Id(task);
-        CellCrash_Remember(task->step->job->cell, &worker, &id);
+        CellCrash_Remember(task->step->job->cell, &worker, &id, confirmed);
     }
 }
--- a/src/cell/inventory.c
+++ b/src/cell/inventory.c
@@ -240,7 +240,7 @@
     if (task->worker == w && task->run == row->run) {
         if (task->state == TASK_STARTING ||
             (task->state == TASK_UNCONFIRMED && !task->stopping)) {
-            task->state = TASK_RUNNING;
+            CellTask_Confirm(task);
         }
     }
     else if (task->state == TASK_IDLE && !task->done && CellJob_Active(job)) {
--- a/src/cell/lease_list.c
+++ b/src/cell/lease_list.c
@@ -33,12 +33,17 @@
     }
 }
 
-/* Returns a task's entry in the stored lease list. */
-static json_t *
-encode_task_id(const GfTaskId *id)
+/* Appends a task's entry in the stored lease list. One that may not have been
+ * started has a fifth element. */
+static void
+append_task(json_t *tasks, const GfTaskId *id, bool confirmed)
 {
-    return json_pack("[s,i,i,i]", id->job.data, (int)id->occurrence,
-                     (int)id->step, (int)id->index);
+    json_t *entry = json_pack("[s,i,i,i]", id->job.data, (int)id->occurrence,
+                              (int)id->step, (int)id->index);
+    if (!confirmed) {
+        json_array_append_new(entry, json_true());
+    }
+    json_array_append_new(tasks, entry);
 }
 
 /* Returns a list of the tasks that a closed worker may still run. */
@@ -50,10 +55,10 @@
     DL_FOREACH(w->tasks, t)
     {
         GfTaskId id = CellTask_Id(t);
-        json_array_append_new(tasks, encode_task_id(&id));
+        append_task(tasks, &id, t->state == TASK_RUNNING);
     }
     for (size_t i = 0; !w->contacted && i < w->inherited_count; i++) {
-        json_array_append_new(tasks, encode_task_id(&w->inherited[i]));
+        append_task(tasks, &w->inherited[i].task, w->inherited[i].confirmed);
     }
     return tasks;
 }
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -98,7 +98,7 @@
         }
         Worker *w =
             CellFit_ChooseWorker(cell, step, task, NULL, needs_advice, now);
-        if (w == NULL && task->failures + task->crashes > 0) {
+        if (w == NULL && task->failures + CellCrash_Suspicion(task) > 0) {
             continue; /* other tasks may accept more workers */
         }
         if (w == NULL) {
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -49,9 +49,19 @@
     json_t *failures;
     json_t *checkpoints;
     json_t *crashes;
+    json_t *doubts;
     json_t *placements;
+    json_t *intended;
 } TaskLists;
 
+/* Returns empty lists; set_lists releases them. */
+static TaskLists
+make_lists(void)
+{
+    return (TaskLists){json_array(), json_array(), json_array(),
+                       json_array(), json_array(), json_array()};
+}
+
 /* Appends the entry of a task's failures. Those beyond SAVED_FAILURES are a
  * negative number, their count. */
 static void
@@ -72,7 +82,7 @@
 
 /* Appends to the lists what is stored of the step's unfinished tasks from one
  * index to before another. at is the number of the step over all occurrences.
- * Checkpoints and placements are left out unless whole is set. */
+ * Checkpoints and workers are left out unless whole is set. */
 static void
 save_tasks(const Step *step, size_t at, uint32_t from, uint32_t to,
            const TaskLists *lists, bool whole)
@@ -91,8 +101,20 @@
                 lists->checkpoints,
                 json_pack("[I,i,s]", (json_int_t)at, (int)i, t->checkpoint));
         }
-        CellCrash_Save(t, at, lists->crashes,
-                       whole ? lists->placements : NULL);
+        if (t->crashes > 0) {
+            json_array_append_new(
+                lists->crashes,
+                CellCrash_SaveKeys(at, i, t->crashed_keys, t->crashes));
+        }
+        if (t->doubts > 0) {
+            json_array_append_new(
+                lists->doubts,
+                CellCrash_SaveKeys(at, i, t->doubted_keys, t->doubts));
+        }
+        if (whole) {
+            CellCrash_SavePlacements(t, at, lists->placements,
+                                     lists->intended);
+        }
     }
 }
 
@@ -113,7 +135,9 @@
     set_list(row, "failures", lists->failures);
     set_list(row, "checkpoints", lists->checkpoints);
     set_list(row, "crashes", lists->crashes);
+    set_list(row, "doubts", lists->doubts);
     set_list(row, "placements", lists->placements);
+    set_list(row, "intended", lists->intended);
 }
 
 /* Returns whether all tasks of a step of a job are done. */
@@ -170,7 +194,7 @@
         return row;
     }
     json_t *done = json_object();
-    TaskLists lists = {json_array(), json_array(), json_array(), json_array()};
+    TaskLists lists = make_lists();
     for (uint32_t k = 0; k < job->spec.occurrences; k++) {
         for (uint32_t i = 0; i < job->spec.step_count; i++) {
             size_t at = (size_t)k * job->spec.step_count + i;
@@ -195,7 +219,7 @@
 
 /* Returns the row of a block of a step with tasks, which the caller owns, or
  * NULL if there is nothing to store of them. at is the number of the step over
- * all occurrences. Checkpoints and placements are left out unless whole is
+ * all occurrences. Checkpoints and workers are left out unless whole is
  * set. */
 json_t *
 CellProgress_SaveBlock(const Step *step, size_t at, uint32_t block, bool whole)
@@ -210,7 +234,7 @@
         done[i - from] = step->tasks[i].done ? '1' : '0';
         any = any || step->tasks[i].done;
     }
-    TaskLists lists = {json_array(), json_array(), json_array(), json_array()};
+    TaskLists lists = make_lists();
     save_tasks(step, at, from, to, &lists, whole);
     json_t *row =
         json_pack("{s:I,s:i}", "step", (json_int_t)at, "block", (int)block);
@@ -302,6 +326,22 @@
     }
 }
 
+/* Restores on which workers tasks ran or, unless confirmed is set, may have
+ * been started. */
+static void
+load_placements(Job *job, const json_t *list, bool confirmed)
+{
+    size_t i;
+    json_t *entry;
+    json_array_foreach(list, i, entry)
+    {
+        Task *task = find_task(job, entry);
+        if (task != NULL) {
+            CellCrash_LoadPlacement(task, entry, confirmed);
+        }
+    }
+}
+
 /* Restores what the lists of a row say of the job's tasks. */
 static void
 load_lists(Job *job, const json_t *row)
@@ -324,16 +364,22 @@
             CellCrash_Add(task, json_integer_value(json_array_get(entry, k)));
         }
         if (task != NULL) {
-            CellCrash_Loaded(task);
+            CellCrash_Check(task);
         }
     }
-    json_array_foreach(json_object_get(row, "placements"), i, entry)
+    json_array_foreach(json_object_get(row, "doubts"), i, entry)
     {
         Task *task = find_task(job, entry);
+        for (size_t k = 2; task != NULL && k < json_array_size(entry); k++) {
+            CellCrash_AddDoubt(task,
+                               json_integer_value(json_array_get(entry, k)));
+        }
         if (task != NULL) {
-            CellCrash_LoadPlacement(task, entry);
+            CellCrash_Check(task);
         }
     }
+    load_placements(job, json_object_get(row, "placements"), true);
+    load_placements(job, json_object_get(row, "intended"), false);
 }
 
 /* Marks the steps as finished that the main row of a job with several rows
--- a/src/cell/share.c
+++ b/src/cell/share.c
@@ -125,7 +125,7 @@
     }
     for (const Worker *w = cell->workers; w != NULL; w = w->hh.next) {
         for (size_t i = 0; !w->contacted && i < w->inherited_count; i++) {
-            const Task *task = CellJob_Task(cell, &w->inherited[i]);
+            const Task *task = CellJob_Task(cell, &w->inherited[i].task);
             if (task != NULL && task->state == TASK_IDLE &&
                 CellFit_IsUncertain(cell, task, now)) {
                 TeamUse *u = task->step->job->use;
--- a/src/cell/tasks.c
+++ b/src/cell/tasks.c
@@ -72,13 +72,16 @@
     free(task->checkpoint);
     free(task->failed_runs);
     free(task->crashed_keys);
+    free(task->doubted_keys);
     free(task->sharing);
     task->sharing = NULL;
     task->checkpoint = NULL;
     task->failed_runs = NULL;
     task->crashed_keys = NULL;
+    task->doubted_keys = NULL;
     task->failures = 0;
     task->crashes = 0;
+    task->doubts = 0;
 }
 
 /* Returns the resources that a task of a step takes on its worker; a backfill
@@ -136,7 +139,7 @@
     task->intended_serial = 0;
     task->suspect = CellCrash_Suspicion(task) > 0;
     cell->suspects += task->suspect;
-    if (CellCrash_IsRecorded(task)) {
+    if (state == TASK_RUNNING && CellCrash_IsRecorded(task)) {
         CellJobRows_MarkTask(task);
     }
     step->idle--;
@@ -145,6 +148,17 @@
     }
 }
 
+/* Records that the current run of a task has begun: its start was answered, or
+ * the worker lists it. */
+void
+CellTask_Confirm(Task *task)
+{
+    task->state = TASK_RUNNING;
+    if (CellCrash_IsRecorded(task)) {
+        CellJobRows_MarkTask(task);
+    }
+}
+
 /* Removes a task from its worker and frees its resources. The task waits again
  * unless it is done. */
 void
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -245,18 +245,19 @@
  * tasks are copied. */
 void
 GfCell_AddClosedWorker(GfCell *cell, const GfWorkerInfo *info,
-                       const GfTaskId *tasks, size_t count, int64_t expires_ms)
+                       const GfInheritedTask *tasks, size_t count,
+                       int64_t expires_ms)
 {
     Worker *w = add_from_list(cell, info);
     w->closed = true;
-    w->inherited = calloc(count + 1, sizeof(GfTaskId));
+    w->inherited = calloc(count + 1, sizeof(GfInheritedTask));
     if (w->inherited == NULL) {
         abort();
     }
-    memcpy(w->inherited, tasks, count * sizeof(GfTaskId));
+    memcpy(w->inherited, tasks, count * sizeof(GfInheritedTask));
     w->inherited_count = count;
     for (size_t i = 0; i < count; i++) {
-        CellCrash_Remember(cell, info, &tasks[i]);
+        CellCrash_Remember(cell, info, &tasks[i].task, tasks[i].confirmed);
     }
     w->expires_ms = expires_ms;
     w->expiry_wanted = expires_ms > 0;
--- a/src/cellentry/term_loader.c
+++ b/src/cellentry/term_loader.c
@@ -116,7 +116,8 @@
 add_closed_worker(GfCell *cell, const GfWorkerInfo *info, const json_t *list,
                   int64_t expires_ms)
 {
-    GfTaskId *tasks = calloc(json_array_size(list) + 1, sizeof(GfTaskId));
+    GfInheritedTask *tasks =
+        calloc(json_array_size(list) + 1, sizeof(GfInheritedTask));
     if (tasks == NULL) {
         abort();
     }
@@ -125,10 +126,11 @@
     json_t *item;
     json_array_foreach(list, i, item)
     {
-        GfTaskId *id = &tasks[count];
+        GfTaskId *id = &tasks[count].task;
         id->occurrence = (uint32_t)json_integer_value(json_array_get(item, 1));
         id->step = (uint32_t)json_integer_value(json_array_get(item, 2));
         id->index = (uint32_t)json_integer_value(json_array_get(item, 3));
+        tasks[count].confirmed = !json_is_true(json_array_get(item, 4));
         if (GfName_SetText(&id->job,
                            json_string_value(json_array_get(item, 0)))) {
             count++;
--- a/tests/support/cell_sim.c
+++ b/tests/support/cell_sim.c
@@ -1390,17 +1390,18 @@
             continue;
         }
         size_t count = json_array_size(tasks);
-        GfTaskId *named = calloc(count + 1, sizeof(GfTaskId));
+        GfInheritedTask *named = calloc(count + 1, sizeof(GfInheritedTask));
         assert(named != NULL);
         for (size_t t = 0; t < count; t++) {
             const json_t *task = json_array_get(tasks, t);
-            named[t] = (GfTaskId){
+            named[t].task = (GfTaskId){
                 .occurrence =
                     (uint32_t)json_integer_value(json_array_get(task, 1)),
                 .step = (uint32_t)json_integer_value(json_array_get(task, 2)),
                 .index =
                     (uint32_t)json_integer_value(json_array_get(task, 3))};
-            GfName_SetText(&named[t].job,
+            named[t].confirmed = !json_is_true(json_array_get(task, 4));
+            GfName_SetText(&named[t].task.job,
                            json_string_value(json_array_get(task, 0)));
         }
         info.leaving = json_is_true(json_array_get(entry, 6));
@@ -1598,6 +1599,30 @@
     return (int)count;
 }
 
+/* Returns the number of a worker that the stored main row of a job names, in
+ * its present incarnation, for a task that runs there or is to; or -1. */
+int
+CellSim_NamedWorker(const CellSim *w, int job)
+{
+    static const char *const LISTS[] = {"placements", "intended"};
+    for (size_t i = 0; i < sizeof(LISTS) / sizeof(LISTS[0]); i++) {
+        const json_t *list = json_object_get(w->jobs[job].progress, LISTS[i]);
+        size_t k;
+        json_t *entry;
+        json_array_foreach(list, k, entry)
+        {
+            const char *id = json_string_value(json_array_get(entry, 2));
+            long number = strtol(id + 1, NULL, 10);
+            const SimWorker *s = &w->workers[number];
+            if (s->alive && s->info.incarnation ==
+                                json_integer_value(json_array_get(entry, 3))) {
+                return (int)number;
+            }
+        }
+    }
+    return -1;
+}
+
 /* Returns how many runs of a job were started. */
 int
 CellSim_JobStarts(const CellSim *w, int job)
--- a/tests/support/cell_sim.h
+++ b/tests/support/cell_sim.h
@@ -116,6 +116,7 @@
 GfJobState CellSim_JobState(const CellSim *sim, int job);
 int64_t CellSim_FinishedAfterMs(const CellSim *sim, int job);
 int CellSim_CountBlockRows(const CellSim *sim);
+int CellSim_NamedWorker(const CellSim *sim, int job);
 int CellSim_JobStarts(const CellSim *sim, int job);
 int CellSim_JobRunning(const CellSim *sim, int job);
 int CellSim_JobWorker(const CellSim *sim, int job);
--- a/tests/unit/cell_crash.c
+++ b/tests/unit/cell_crash.c
@@ -761,6 +761,52 @@
     end_before_judgement(200, false, 1);
 }
 
+/* Runs until the store names a worker for the next start of a job that runs
+ * nowhere, and ends the owner and that worker before the start arrives.
+ * Returns the worker. */
+static int
+end_before_start(const Scene *s, int job)
+{
+    int worker = -1;
+    for (int t = 0; t < 2000 && worker < 0; t++) {
+        CellSim_Run(s->sim, CELL_SIM_STEP_MS);
+        worker = CellSim_NamedWorker(s->sim, job);
+    }
+    CU_ASSERT_FATAL(worker >= 0);
+    CU_ASSERT_EQUAL(CellSim_JobRunning(s->sim, job), 0);
+    CellSim_KillOwner(s->sim, CellSim_Owner(s->sim));
+    CellSim_CrashWorker(s->sim, worker);
+    return worker;
+}
+
+/* A worker crashes under a job. The workers meant for its next starts crash
+ * too, each together with the owner and before the start arrives. */
+static void
+test_workers_that_never_ran_the_job(void)
+{
+    Scene s = create_scene(&SETTINGS);
+    int job = submit(&s, "batch", 1, 0, 3000);
+    CellSim_Run(s.sim, 500);
+    int worker = CellSim_JobWorker(s.sim, job);
+    CellSim_CrashWorker(s.sim, worker);
+    CellSim_Run(s.sim, 1000);
+    CellSim_RestartWorker(s.sim, worker);
+    for (int i = 0; i < 2; i++) {
+        worker = end_before_start(&s, job);
+        CellSim_Run(s.sim, 300);
+        CellSim_TakeOver(s.sim);
+        CellSim_Run(s.sim, 700);
+        CellSim_RestartWorker(s.sim, worker);
+    }
+    CellSim_Run(s.sim, 30000);
+    printf("\n  starts=%d crashes under it=%d state=%s\n",
+           CellSim_JobStarts(s.sim, job), CellSim_TaskCrashes(s.sim, job, 0),
+           GfJobState_Name(CellSim_JobState(s.sim, job)));
+    CU_ASSERT_EQUAL(CellSim_TaskCrashes(s.sim, job, 0), 1);
+    CU_ASSERT_EQUAL(CellSim_JobState(s.sim, job), GF_JOB_COMPLETED);
+    destroy_scene(&s);
+}
+
 static void
 test_return_under_new_ids(void)
 {
@@ -776,6 +822,8 @@
 }
 
 static const SuiteTest TESTS[] = {
+    {"job given up for workers that it never ran on",
+     test_workers_that_never_ran_the_job},
     {"deadly task crashes workers for ever", test_alone},
     {"deadly task is not counted if workers return after their lease",
      test_alone_back_after_lease},
