Store the blocks of a job that outgrows its row before its main row

What callers saw: 528 finished tasks of a job of 4,096 ran once more (TWICE) after the owner had been killed.

Cause: the main row of a job with several rows names no done tasks. It replaced the one that does in a first transaction, with 95 blocks; the others followed in the next one.

Ruled out: blocks that the next owner does not read; the tasks are those from block 95 on, and in the simulation from the first one that the first transaction had no space for.

Change: when a job is split, its blocks are stored first and the main row with the last of them. The next owner reads the old main row and the blocks that are there, or blocks alone, and goes on. It does not remove blocks of jobs that may still run: a late removal would hit rows that it has written itself.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -206,15 +206,17 @@
     GfJobState commit_state; /* state in the pending transaction */
     bool counted_waiting;
     uint32_t work_class;
-    bool has_failures;   /* a failed run of a task was counted */
-    bool uncertain;      /* may run on a worker that has not answered */
-    bool former;         /* accepted in an earlier term */
-    bool dirty;          /* the stored row is out of date */
-    bool in_commit;      /* its row is in the pending transaction */
-    bool in_removal;     /* its row is being removed */
-    bool spilled;        /* stored in several rows */
-    bool set_apart;      /* the store refuses its row for good */
-    BlockName *obsolete; /* blocks whose rows are to be removed */
+    bool has_failures;    /* a failed run of a task was counted */
+    bool uncertain;       /* may run on a worker that has not answered */
+    bool former;          /* accepted in an earlier term */
+    bool dirty;           /* the stored row is out of date */
+    bool in_commit;       /* its row is in the pending transaction */
+    bool in_removal;      /* its row is being removed */
+    bool spilled;         /* stored in several rows */
+    bool split_stored;    /* the stored main row is that of a spilled job */
+    bool split_in_commit; /* it is in the pending transaction */
+    bool set_apart;       /* the store refuses its row for good */
+    BlockName *obsolete;  /* blocks whose rows are to be removed */
     size_t obsolete_count;
     size_t obsolete_in_commit; /* the first ones, in the transaction */
     uint64_t dirty_seq;        /* first change that is not in a transaction */
@@ -673,6 +675,7 @@
 void CellJobRows_Close(Step *step);
 void CellJobRows_MarkTask(Task *task);
 void CellJobRows_Loaded(Job *job, size_t at, uint32_t block);
+void CellJobRows_Split(Job *job);
 RowsAdded CellJobRows_Add(RowSet *set, Job *job);
 void CellJobRows_Done(Job *job, bool stored);
 
--- a/src/cell/job_rows.c
+++ b/src/cell/job_rows.c
@@ -1,8 +1,14 @@
 /* The rows of a job. A job whose progress fits a row has one. A larger one has
  * a main row, with its state and finished steps, and a row for each block of
  * CELL_BLOCK_TASKS tasks of a step that has begun, of which only those that
- * changed are written. Which rows tasks are in does not depend on each other,
- * so that the rows of a job may be stored in several transactions. */
+ * changed are written. They may be stored in several transactions: each row
+ * tells of its own tasks only.
+ *
+ * When a job outgrows its one row, the blocks are written first. The main row,
+ * which names done tasks no more, replaces that row in the same transaction as
+ * the last of them, or later. An owner that ends in between leaves a row that
+ * is whole, as of before, and some newer blocks, and the next one goes on from
+ * both. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -137,15 +143,19 @@
     }
 }
 
-/* Has the next transactions write all blocks of a job's open steps. */
-static void
-mark_all(Job *job)
+/* Begins to store a job in several rows: the next transactions write all
+ * blocks of its open steps. */
+void
+CellJobRows_Split(Job *job)
 {
+    job->spilled = true;
     for (uint32_t k = 0; k < job->spec.occurrences; k++) {
         for (uint32_t i = 0; i < job->spec.step_count; i++) {
             Step *step = CellJob_Step(job, k, i);
             if (step != NULL && step->blocks != NULL) {
-                memset(step->blocks, CELL_BLOCK_CHANGED, count_blocks(step));
+                for (uint32_t b = 0; b < count_blocks(step); b++) {
+                    step->blocks[b] |= CELL_BLOCK_CHANGED;
+                }
                 step->has_changed_blocks = true;
             }
         }
@@ -198,13 +208,11 @@
     return true;
 }
 
-/* Adds the changed blocks of a job and removes the rows of finished ones.
- * Returns false if some are left. */
+/* Adds the changed blocks of a job. Returns false if some are left. */
 static bool
 add_all_blocks(RowSet *set, Job *job)
 {
-    bool active = CellJob_Active(job);
-    for (uint32_t k = 0; active && k < job->spec.occurrences; k++) {
+    for (uint32_t k = 0; k < job->spec.occurrences; k++) {
         for (uint32_t i = 0; i < job->spec.step_count; i++) {
             Step *step = CellJob_Step(job, k, i);
             if (step != NULL && step->blocks != NULL &&
@@ -213,6 +221,14 @@
             }
         }
     }
+    return true;
+}
+
+/* Removes the rows of a job's blocks that are not needed any more. Returns
+ * false if some are left. */
+static bool
+remove_obsolete(RowSet *set, Job *job)
+{
     for (size_t i = 0; i < job->obsolete_count; i++) {
         char key[GF_CELL_KEY_BYTES];
         format_key(key, job, job->obsolete[i].at, job->obsolete[i].block);
@@ -224,27 +240,35 @@
     return true;
 }
 
-/* Adds the rows of a job that changed to a transaction, its main row first.
- * Returns how far: a job that is added in part stays changed. */
+/* Adds the rows of a job that changed to a transaction: its main row and its
+ * blocks, in this order unless the job is being split. Returns how far: a job
+ * that is added in part stays changed. */
 RowsAdded
 CellJobRows_Add(RowSet *set, Job *job)
 {
+    size_t before = set->count;
     char *row = CellRows_Dump(CellProgress_Save(job));
     size_t limit = job->cell->settings.single_row_bytes;
     if (CellJob_Active(job) && !job->spilled &&
         strlen(row) > (limit > 0 ? limit : SINGLE_ROW_BYTES)) {
-        job->spilled = true;
-        mark_all(job);
+        CellJobRows_Split(job);
         free(row);
         row = CellRows_Dump(CellProgress_Save(job));
     }
+    bool has_blocks = CellJob_Active(job) && job->spilled;
+    bool splits = has_blocks && !job->split_stored;
+    if (splits && !add_all_blocks(set, job)) {
+        free(row);
+        return set->count > before ? ROWS_PART : ROWS_NONE;
+    }
     if (!CellRows_Add(set, false, job->id.data, row)) {
-        return ROWS_NONE;
+        return set->count > before ? ROWS_PART : ROWS_NONE;
     }
-    if (!job->spilled && job->obsolete_count == 0) {
-        return ROWS_ALL;
+    job->split_in_commit = splits;
+    if (has_blocks && !splits && !add_all_blocks(set, job)) {
+        return ROWS_PART;
     }
-    return add_all_blocks(set, job) ? ROWS_ALL : ROWS_PART;
+    return remove_obsolete(set, job) ? ROWS_ALL : ROWS_PART;
 }
 
 /* Updates the blocks of a job whose transaction is over. stored: it was
@@ -252,6 +276,8 @@
 void
 CellJobRows_Done(Job *job, bool stored)
 {
+    job->split_stored = job->split_stored || (stored && job->split_in_commit);
+    job->split_in_commit = false;
     for (uint32_t k = 0; job->spilled && k < job->spec.occurrences; k++) {
         for (uint32_t i = 0; i < job->spec.step_count; i++) {
             Step *step = CellJob_Step(job, k, i);
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -433,24 +433,34 @@
     CellJobRows_Loaded(job, (size_t)at, (uint32_t)block);
 }
 
-/* Restores the progress of an active job. */
+/* Restores the progress of an active job. Beside blocks, its main row may be
+ * the one row that it had before a former owner began to split it. */
 static void
 load_progress(Job *job, const json_t *row)
 {
     const json_t *finished = json_object_get(row, "finished");
-    if (!json_is_string(finished)) {
+    const json_t *blocks = json_object_get(row, "blocks");
+    if (json_is_string(finished)) {
+        job->spilled = true;
+        job->split_stored = true;
+        load_finished(job, finished);
+    }
+    else {
         load_done(job, json_object_get(row, "done"));
         load_lists(job, row);
-        return;
     }
-    job->spilled = true;
-    load_finished(job, finished);
     size_t i;
     json_t *block;
-    json_array_foreach(json_object_get(row, "blocks"), i, block)
+    json_array_foreach(blocks, i, block)
     {
         load_block(job, block);
     }
+    if (!job->spilled && json_array_size(blocks) > 0) {
+        GfLog(GF_LOG_INFO, CELL_PART,
+              "job was being split into several rows id=%s blocks=%zu",
+              job->id.data, json_array_size(blocks));
+        CellJobRows_Split(job);
+    }
 }
 
 /* Restores the state of a new job from its stored main row, with those of its
--- a/src/cellentry/term_loader.c
+++ b/src/cellentry/term_loader.c
@@ -275,8 +275,34 @@
     return json_string_value(json_object_get(row, "state"));
 }
 
+/* Adds main rows without progress for jobs that have none: a former owner may
+ * have ended while it stored the first progress of a large job. */
+static void
+add_main_rows(TermLoader *loader)
+{
+    for (size_t i = 0; i < loader->job_count; i++) {
+        const char *id = loader->jobs[i].id.data;
+        if (json_object_get(loader->progress, id) == NULL) {
+            json_object_set_new(
+                loader->progress, id,
+                json_pack("{s:s}", "state", GfJobState_Name(GF_JOB_QUEUED)));
+        }
+    }
+}
+
+/* Returns whether a main row is that of a job whose tasks may still run. */
+static bool
+is_active(const json_t *row)
+{
+    const char *state = state_of(row);
+    return state != NULL &&
+           (strcmp(state, GfJobState_Name(GF_JOB_QUEUED)) == 0 ||
+            strcmp(state, GfJobState_Name(GF_JOB_STARTED)) == 0);
+}
+
 /* Moves the rows of blocks into the main rows of their jobs, as the array
- * "blocks". Removes those whose job has finished or has no main row. */
+ * "blocks". Removes those whose job has finished or is gone; those of others
+ * may be written again by this owner, before a late removal takes effect. */
 static void
 join_blocks(TermLoader *loader)
 {
@@ -290,7 +316,7 @@
             continue;
         }
         json_t *job = json_object_get(loader->progress, id.data);
-        if (!json_is_string(json_object_get(job, "finished"))) {
+        if (!is_active(job)) {
             json_array_append_new(leftover, json_string(key));
             continue;
         }
@@ -329,6 +355,7 @@
 finish(TermLoader *loader)
 {
     loader->finished = true;
+    add_main_rows(loader);
     join_blocks(loader);
     for (size_t i = 0; i < loader->job_count; i++) {
         JobRow *job = &loader->jobs[i];
--- a/tests/support/cell_sim.c
+++ b/tests/support/cell_sim.c
@@ -956,6 +956,9 @@
         GfCell_AddFinished(o->cell, &job->id, state)) {
         return;
     }
+    if (former && job->progress == NULL && json_object_size(job->blocks) > 0) {
+        job->progress = json_pack("{s:s}", "state", "queued");
+    }
     if (former && job->progress != NULL) {
         json_t *blocks = json_array();
         const char *key;
--- a/tests/unit/cell_rows.c
+++ b/tests/unit/cell_rows.c
@@ -278,6 +278,61 @@
     }
 }
 
+/* Runs until the store has a number of rows of blocks or, if it is 0, for 500
+ * ms more, and replaces the owner. */
+static void
+replace_owner_at_blocks(CellSim *sim, int blocks)
+{
+    for (int t = 0;
+         t < 50 && (blocks == 0 || CellSim_CountBlockRows(sim) < blocks);
+         t++) {
+        CellSim_Run(sim, CELL_SIM_STEP_MS);
+    }
+    CU_ASSERT(CellSim_CountBlockRows(sim) >= blocks);
+    replace_owner(sim);
+}
+
+/* The widest step, half of whose tasks are done, outgrows its row. Its blocks
+ * need two transactions; the owner ends after the first one, once or in a
+ * row. */
+static void
+test_finished_tasks_run_again_after_a_split(void)
+{
+    for (int ends = 1; ends <= 3; ends++) {
+        GfCellConfig *config;
+        CellSimSettings settings = SETTINGS;
+        settings.workers = 8;
+        CellSim *sim = create(&settings, &config);
+        static int64_t run_ms[GF_JOB_MAX_TASKS];
+        for (int i = 0; i < GF_JOB_MAX_TASKS; i++) {
+            run_ms[i] = i % 2 == 0 ? 500 : 6000 + i % 7 * 300;
+        }
+        CellSimJob wide = {
+            .queue = "batch",
+            .team = "a",
+            .run_ms = 6000,
+            .task_run_ms = run_ms,
+            .step = {.task_count = GF_JOB_MAX_TASKS, .need = {100, 100, 0}}};
+        int job = CellSim_Submit(sim, &wide);
+        CellSim_Run(sim, 2500);
+        CU_ASSERT_EQUAL(CellSim_CountBlockRows(sim), 0);
+        for (int i = 0; i < settings.workers; i += 2) {
+            CellSim_CrashWorker(sim, i);
+        }
+        CellSim_Run(sim, 500);
+        for (int i = 0; i < settings.workers; i += 2) {
+            CellSim_RestartWorker(sim, i);
+        }
+        for (int i = 0; i < ends; i++) {
+            replace_owner_at_blocks(sim, i == 0 ? 1 : 0);
+        }
+        CellSim_Run(sim, 60000);
+        CU_ASSERT_EQUAL(CellSim_JobState(sim, job), GF_JOB_COMPLETED);
+        CU_ASSERT_EQUAL(CellSim_CountBlockRows(sim), 0);
+        destroy(sim, config);
+    }
+}
+
 static const SuiteTest TESTS[] = {
     {"nothing stored after hand-over of a wide job",
      test_nothing_stored_after_hand_over_of_a_wide_job},
@@ -291,6 +346,8 @@
      test_nothing_stored_as_many_rows_change},
     {"nothing stored beside a refused row",
      test_nothing_stored_beside_a_refused_row},
-    {"progress lost between rows", test_progress_lost_between_rows}};
+    {"progress lost between rows", test_progress_lost_between_rows},
+    {"finished tasks run again after a split",
+     test_finished_tasks_run_again_after_a_split}};
 
 SUITE_MAIN("cell rows", TESTS)
--- a/tests/unit/term_rows.c
+++ b/tests/unit/term_rows.c
@@ -402,11 +402,52 @@
     tear_down(&f);
 }
 
+/* The former owner ended while it went from one row to several: the main row
+ * is the former one, or there is none yet. */
+static void
+test_blocks_of_a_job_that_is_being_split_removed(void)
+{
+    static const char *const MAIN[] = {
+        "{\"state\":\"started\",\"done\":{\"0\":"
+        "\"1111111111111111111111111111111100000000000000000000000000000000\""
+        "}}",
+        NULL};
+    for (int i = 0; i < 2; i++) {
+        Fixture f;
+        set_up(&f);
+        put_job(&f, "5c0e7a21d94b36f8", MAIN[i]);
+        if (MAIN[i] == NULL) {
+            put(&f, ENTRY_PROGRESS_TABLE, ENTRY_OWNER_PART,
+                "5c0e7a21d94b36f8.0.0",
+                "{\"step\":0,\"block\":0,"
+                "\"done\":\"11111111111111111111111111111111\"}");
+        }
+        put(&f, ENTRY_PROGRESS_TABLE, ENTRY_OWNER_PART, "5c0e7a21d94b36f8.0.1",
+            "{\"step\":0,\"block\":1,"
+            "\"done\":\"11111111111111111111111111111111\"}");
+        begin_term(&f);
+        CU_ASSERT_TRUE(has(&f, ENTRY_PROGRESS_TABLE, ENTRY_OWNER_PART,
+                           "5c0e7a21d94b36f8.0.1"));
+        GfName id;
+        GfName_SetText(&id, "5c0e7a21d94b36f8");
+        GfJobState state = GF_JOB_QUEUED;
+        GfCell_StartPlacement(EntryTerm_Cell(&f.entry));
+        run(&f, 500);
+        CU_ASSERT_TRUE(GfCell_JobState(EntryTerm_Cell(&f.entry), &id, &state));
+        CU_ASSERT_EQUAL(state, GF_JOB_COMPLETED);
+        CU_ASSERT_FALSE(has(&f, ENTRY_PROGRESS_TABLE, ENTRY_OWNER_PART,
+                            "5c0e7a21d94b36f8.0.1"));
+        tear_down(&f);
+    }
+}
+
 static const SuiteTest TESTS[] = {
     {"finished jobs pile up", test_finished_jobs_pile_up},
     {"progress removed before job", test_progress_removed_before_job},
     {"rows left for good", test_rows_left_for_good},
     {"done task of a block waits again",
-     test_done_task_of_a_block_waits_again}};
+     test_done_task_of_a_block_waits_again},
+    {"blocks of a job that is being split removed",
+     test_blocks_of_a_job_that_is_being_split_removed}};
 
 SUITE_MAIN("term rows", TESTS)
