Write the parts of a divided list of workers from the last on

What callers would see: tasks started twice (TWICE) in a fleet of some ten thousand workers with long names, if the owner ends while the list of leased workers is divided.

Cause: the first transaction holds the shortened parts, the workers that moved follow in the next one.

Change: parts are written from the last on, and none before one that found no space.

Evidence: cell_large_fleet, 'leased workers missing while the list is divided', failed before and passes.

--- a/src/cell/lease_list.c
+++ b/src/cell/lease_list.c
@@ -125,8 +125,11 @@
     return fits;
 }
 
-/* Adds the parts of the list that changed to a transaction. Those that find no
- * space are left for the next one. */
+/* Adds the parts of the list that changed to a transaction, the last ones
+ * first. Those that find no space, and all before them, are left for the next
+ * one. When the list is divided, workers move to parts further back: a part is
+ * written without them only after the one that names them, so that an owner
+ * that ends in between leaves them named. */
 void
 CellLeaseList_Add(GfCell *cell, RowSet *set)
 {
@@ -140,11 +143,11 @@
         memset(cell->lease_parts, 0, sizeof(cell->lease_parts));
     }
     cell->lease_list_dirty = false;
-    for (size_t i = 0; i < cell->lease_part_count; i++) {
+    for (size_t i = cell->lease_part_count; i-- > 0;) {
         LeasePart *part = &cell->lease_parts[i];
         part->hash = XXH3_64bits(texts[i], strlen(texts[i])) | 1U;
         part->in_commit = false;
-        if (part->hash == part->stored_hash) {
+        if (part->hash == part->stored_hash || cell->lease_list_dirty) {
             free(texts[i]);
             continue;
         }
@@ -153,7 +156,7 @@
             snprintf(key, sizeof(key), ".%zu", i);
         }
         part->in_commit = CellRows_Add(set, true, key, texts[i]);
-        cell->lease_list_dirty = cell->lease_list_dirty || !part->in_commit;
+        cell->lease_list_dirty = !part->in_commit;
     }
 }
 
--- a/tests/unit/cell_large_fleet.c
+++ b/tests/unit/cell_large_fleet.c
@@ -42,6 +42,10 @@
     size_t commits;
     size_t bytes; /* of all commits */
     size_t start_count;
+    size_t named;   /* workers in the rows after the latest commit */
+    bool lost_some; /* once fewer than after the one before */
+    bool counts_named;
+    bool long_names; /* of workers and their addresses */
 } Owner;
 
 static void
@@ -65,6 +69,29 @@
                order->target.worker->incarnation};
 }
 
+/* Returns how many workers the stored rows name. */
+static size_t
+count_named(const Owner *o)
+{
+    json_t *names = json_object();
+    const char *key;
+    json_t *part;
+    json_object_foreach(o->rows, key, part)
+    {
+        size_t i;
+        json_t *entry;
+        json_array_foreach(part, i, entry)
+        {
+            json_object_set_new(names,
+                                json_string_value(json_array_get(entry, 0)),
+                                json_true());
+        }
+    }
+    size_t count = json_object_size(names);
+    json_decref(names);
+    return count;
+}
+
 static void
 op_commit(void *ctx, const GfCellCommit *commit)
 {
@@ -82,6 +109,9 @@
     }
     CU_ASSERT(bytes <= CALL_BYTES);
     CU_ASSERT(commit->count + 2 <= CALL_ROWS);
+    size_t named = o->counts_named ? count_named(o) : 0;
+    o->lost_some = o->lost_some || named < o->named;
+    o->named = named;
     o->commits++;
     o->bytes += bytes;
     o->commit_open = true;
@@ -119,6 +149,11 @@
                          .address = "10.200.100.100",
                          .port = 9000,
                          .capacity = {1000, 1000, 0}};
+    if (o->long_names) {
+        info.id =
+            GfName_Format("i-%08x-of-the-pool-of-the-zone", (unsigned)number);
+        strcpy(info.address, "worker-host.rack-0.domain-a.region-b.example");
+    }
     o->incarnations[number] = incarnation;
     GfCell_SetWorker(o->cell, &info);
 }
@@ -214,6 +249,32 @@
     GfCellConfig_Destroy(config);
 }
 
+/* A fleet grows until its list is divided, which takes several transactions.
+ * Between them the rows name all workers that they named before. */
+static void
+test_leased_workers_missing_while_the_list_is_divided(void)
+{
+    GfCellConfig *config = CellSim_MakeConfig(0);
+    static Owner o;
+    open_owner(&o, json_object(), config);
+    o.counts_named = true;
+    o.long_names = true;
+    GfCell_StartPlacement(o.cell);
+    for (int i = 0; i < WORKERS; i++) {
+        add_worker(&o, i, 1780000000000);
+        if (i % 100 == 99) {
+            run(&o, 2 * ANSWER_MS);
+        }
+    }
+    run(&o, LIMIT_MS);
+    printf("  parts %zu\n", json_object_size(o.rows));
+    CU_ASSERT_EQUAL(o.named, WORKERS);
+    CU_ASSERT_FALSE(o.lost_some);
+    json_decref(o.rows);
+    close_owner(&o);
+    GfCellConfig_Destroy(config);
+}
+
 /* A small fleet has one row, as before the list had parts. */
 static void
 test_list_of_a_small_fleet_unreadable_for_earlier_owners(void)
@@ -261,6 +322,8 @@
 static const SuiteTest TESTS[] = {
     {"workers unused beyond a row of them",
      test_workers_unused_beyond_a_row_of_them},
+    {"leased workers missing while the list is divided",
+     test_leased_workers_missing_while_the_list_is_divided},
     {"list of a small fleet unreadable for earlier owners",
      test_list_of_a_small_fleet_unreadable_for_earlier_owners},
     {"stale part left by next owner", test_stale_part_left_by_next_owner}};
