Store the cancel of an unknown job before it is answered

The write that accepts it had no answer, its caller had left, and the store carried it out after the cancel.

Cause: 410 rested on a read that found no row; nothing was left in the store that the late write would meet.

Ruled out: a job that is stored again after its cancel; the owner had no cancel, and the entry's line says that it read no row.

Change: such a cancel writes a row for the job on the condition that there is none, as acceptance does, and is answered once that is stored. An acceptance that meets the row answers 410. Callers hear that there is no such job; the row is removed like that of a finished job.

Cost: a write instead of a read for each cancel of an unknown job.

A refusal whose earlier attempt is still on its way has the same weakness; read, not shown, open.

--- a/include/guavaflow/cell.h
+++ b/include/guavaflow/cell.h
@@ -273,6 +273,7 @@
                    const GfName *queue, int64_t age_ms, GfJobSpec *spec,
                    const json_t *progress, bool former_term);
 bool GfCell_AddFinished(GfCell *cell, const GfName *id, const char *state);
+void GfCell_AddWithdrawn(GfCell *cell, const GfName *id);
 void GfCell_JobNotFound(GfCell *cell, const GfName *id);
 void GfCell_LookupFailed(GfCell *cell, const GfName *id);
 bool GfCell_HasJob(const GfCell *cell, const GfName *id);
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -209,6 +209,7 @@
     bool has_failures;    /* a failed run of a task was counted */
     bool uncertain;       /* may run on a worker that has not answered */
     bool former;          /* accepted in an earlier term */
+    bool never_accepted;  /* was cancelled before; has no spec */
     bool dirty;           /* the stored row is out of date */
     bool in_commit;       /* its row is in the pending transaction */
     bool in_removal;      /* its row is being removed */
--- a/src/cell/job_state.c
+++ b/src/cell/job_state.c
@@ -320,6 +320,17 @@
     return true;
 }
 
+/* Adds a job that was cancelled before it was accepted, unless it is known.
+ * Callers are told that there is no such job; its row is removed like that of
+ * a finished one. */
+void
+GfCell_AddWithdrawn(GfCell *cell, const GfName *id)
+{
+    if (GfCell_AddFinished(cell, id, GfJobState_Name(GF_JOB_WITHDRAWN))) {
+        CellJob_Find(cell, id)->never_accepted = true;
+    }
+}
+
 /* Adds an accepted job. The content of *spec moves to the job and *spec is
  * zeroed. age_ms is the time since acceptance. progress is the row stored in a
  * former term, or NULL, and stays the caller's. former_term says whether a
@@ -442,7 +453,7 @@
 GfCell_JobState(const GfCell *cell, const GfName *id, GfJobState *state)
 {
     const Job *job = CellJob_Find(cell, id);
-    if (job == NULL) {
+    if (job == NULL || job->never_accepted) {
         return false;
     }
     *state = job->state;
@@ -459,7 +470,7 @@
 GfCell_CancelJob(GfCell *cell, const GfName *id, GfCellDone done, void *arg)
 {
     Job *job = CellJob_Find(cell, id);
-    if (job == NULL) {
+    if (job == NULL || job->never_accepted) {
         done(arg, GF_NOT_FOUND);
         return;
     }
--- a/src/cellentry/accept.c
+++ b/src/cellentry/accept.c
@@ -2,7 +2,7 @@
  * entry or, when the store is unreachable from here, by a peer. The
  * transaction requires that no row with the job's id exists. So any number
  * of attempts, also concurrent ones and ones that the store carries out
- * late, store the job once. */
+ * late, store the job once, and none after the job was cancelled. */
 #include <assert.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -219,8 +219,8 @@
         free_if_idle(a);
         return;
     }
-    if (kind == GF_OK) {
-        finish(a, GF_OK);
+    if (kind == GF_OK || kind == GF_NO_SUCH_JOB) {
+        finish(a, (GfErrorKind)kind);
         return;
     }
     a->uncertain = a->uncertain || kind != GF_STORE_UNAVAILABLE;
@@ -294,16 +294,23 @@
     store_through_peer(a);
 }
 
+/* Returns whether the row that a read or a conflict names is that of a job
+ * which was cancelled before it was accepted. */
+static bool
+is_withdrawn(const GfTableRow *rows, size_t count)
+{
+    return count > 0 && GfJobRow_IsWithdrawn(rows[0].value, rows[0].value_len);
+}
+
 /* Handles the result of this entry's own transaction. A conflict means that
- * an earlier attempt has stored the same job. A row that the store takes for
- * invalid, such as one that is too large, is a mistake of the caller's. */
+ * an earlier attempt has stored the same job, or that it was cancelled. A row
+ * that the store takes for invalid, such as one that is too large, is a
+ * mistake of the caller's. */
 static void
 on_stored(void *arg, GfTableResult result, int64_t version,
           const GfTableRow *rows, size_t count)
 {
     (void)version;
-    (void)rows;
-    (void)count;
     Acceptance *a = arg;
     a->open_calls--;
     a->own_call_open = false;
@@ -312,6 +319,10 @@
         free_if_idle(a);
         return;
     }
+    if (result == GF_TABLE_CONFLICT && is_withdrawn(rows, count)) {
+        finish(a, GF_NO_SUCH_JOB);
+        return;
+    }
     if (result == GF_TABLE_OK || result == GF_TABLE_CONFLICT) {
         if (result == GF_TABLE_OK) {
             GfMetrics_Add(GF_METRIC_JOBS_ACCEPTED, 1);
@@ -399,7 +410,8 @@
  * ownership of row. for_peer: a peer asks for it, so no other peer is
  * asked. done is called once, during this call or later: with GF_OK, with
  * GF_STORE_UNAVAILABLE if the row is certainly not and never will be stored,
- * or with GF_TIMEOUT if that is unknown. */
+ * with GF_NO_SUCH_JOB if the job was cancelled before, or with GF_TIMEOUT if
+ * that is unknown. */
 void
 EntryAccept_Start(GfCellEntry *entry, const GfName *id, const GfName *queue,
                   GfStr row, int64_t caller_timeout_ms, bool for_peer,
@@ -420,7 +432,8 @@
     (void)version;
     Acceptance *a = arg;
     EntryStore_RecordResult(a->entry, result);
-    if (result == GF_TABLE_OK && (count == 0 || rows[0].value == NULL)) {
+    if (result == GF_TABLE_OK &&
+        (count == 0 || rows[0].value == NULL || is_withdrawn(rows, count))) {
         finish(a, a->refusal);
         return;
     }
--- a/src/cellentry/jobs.c
+++ b/src/cellentry/jobs.c
@@ -24,6 +24,8 @@
  * cancel waits for a commit first. */
 #define STATUS_TIMEOUT_MS 500
 #define CANCEL_TIMEOUT_MS 1500
+/* Timeout of storing that an unknown job is cancelled. */
+#define WITHDRAW_TIMEOUT_MS 1500
 /* A status request that found no owner for this long is answered from the
  * job's row in the store. */
 #define OWNER_WAIT_MS 700
@@ -44,7 +46,7 @@
     uint32_t tries;            /* attempts to have the owner answer */
     uint32_t hops;             /* how often the request was forwarded */
     uint32_t retry_after_ms;   /* of a refusal by admission */
-    bool uncertain;            /* a cancel that may have been carried out */
+    bool uncertain;            /* a cancel that may be carried out */
     bool answer_from_row;      /* the row is enough for a STATUS */
     struct event *timer;
     GfJobAnswerCallback callback;
@@ -164,9 +166,28 @@
     answer_kind(arg, kind);
 }
 
+/* Continues a request whose job has a row that the owner may not know: the
+ * owner is notified of it and then asked again, or a status request is
+ * answered as queued. */
+static void
+use_row(Request *r, const GfTableRow *row)
+{
+    GfStr_Clear(&r->row);
+    r->row = GfStr_Copy(row->value, row->value_len);
+    EntryAccept_NotifyOwner(r->entry, &r->id, &r->queue, &r->row);
+    if (r->verb == GF_JOB_STATUS && r->answer_from_row) {
+        GfJobAnswer reply = {.kind = GF_OK, .state = GF_JOB_QUEUED};
+        answer(r, &reply);
+        return;
+    }
+    r->answer_from_row = true;
+    if (!retry_later(r)) {
+        answer_kind(r, r->uncertain ? GF_TIMEOUT : GF_NO_OWNER);
+    }
+}
+
 /* Handles the read of a job's row, made because the owner does not know the
- * job or no owner could be asked. If the row exists, the owner is notified
- * of it and then asked again, or a status request is answered as queued. */
+ * job or no owner could be asked. */
 static void
 on_job_row(void *arg, GfTableResult result, int64_t version,
            const GfTableRow *rows, size_t count)
@@ -179,7 +200,8 @@
         }
         return;
     }
-    if (count == 0 || rows[0].value == NULL) {
+    if (count == 0 || rows[0].value == NULL ||
+        GfJobRow_IsWithdrawn(rows[0].value, rows[0].value_len)) {
         GfLog(GF_LOG_NOTICE, PART,
               "job row not found id=%s rows=%zu store_version=%lld owner=%s",
               r->id.data, count, (long long)version,
@@ -187,20 +209,62 @@
         answer_kind(r, GF_NO_SUCH_JOB);
         return;
     }
-    GfStr_Clear(&r->row);
-    r->row = GfStr_Copy(rows[0].value, rows[0].value_len);
-    EntryAccept_NotifyOwner(r->entry, &r->id, &r->queue, &r->row);
-    if (r->verb == GF_JOB_STATUS && r->answer_from_row) {
-        GfJobAnswer reply = {.kind = GF_OK, .state = GF_JOB_QUEUED};
-        answer(r, &reply);
+    use_row(r, &rows[0]);
+}
+
+/* Handles the outcome of storing that an unknown job is cancelled. Only once
+ * that is stored, nothing can accept the job any more. If the job has a row by
+ * now, the owner cancels it. */
+static void
+on_withdrawn(void *arg, GfTableResult result, int64_t version,
+             const GfTableRow *rows, size_t count)
+{
+    (void)version;
+    Request *r = arg;
+    EntryStore_RecordResult(r->entry, result);
+    bool has_row =
+        result == GF_TABLE_CONFLICT && count > 0 && rows[0].value != NULL;
+    if (result == GF_TABLE_OK ||
+        (has_row && GfJobRow_IsWithdrawn(rows[0].value, rows[0].value_len))) {
+        GfLog(GF_LOG_INFO, PART, "unknown job cancelled id=%s stored=%d",
+              r->id.data, result == GF_TABLE_OK);
+        answer_kind(r, GF_NO_SUCH_JOB);
         return;
     }
-    r->answer_from_row = true;
+    if (has_row) {
+        use_row(r, &rows[0]);
+        return;
+    }
+    r->uncertain = r->uncertain || result == GF_TABLE_UNKNOWN;
     if (!retry_later(r)) {
-        answer_kind(r, GF_NO_OWNER);
+        answer_kind(r, r->uncertain ? GF_TIMEOUT : GF_STORE_UNAVAILABLE);
     }
 }
 
+/* Stores that a job is cancelled of which the owner knows nothing. A write of
+ * its row may still be on its way: the caller may have given up the call that
+ * submits it. */
+static void
+withdraw(Request *r)
+{
+    GfStr row = GfJobRow_EncodeWithdrawn();
+    GfJobRowPart part = GfJobRow_Part(&r->id);
+    const GfTableExpectation expectation = {ENTRY_JOB_TABLE, part.text,
+                                            r->id.data, 0};
+    const GfTableChange change = {ENTRY_JOB_TABLE, part.text, r->id.data,
+                                  row.data, row.len};
+    int64_t left = time_left(r);
+    int64_t limit = left < WITHDRAW_TIMEOUT_MS ? left : WITHDRAW_TIMEOUT_MS;
+    GfTableTransaction transaction = {
+        .expectations = &expectation,
+        .expectation_count = 1,
+        .changes = &change,
+        .change_count = 1,
+        .timeout_ms = (int)(limit > RETRY_MS ? limit : RETRY_MS)};
+    GfTable_Transact(r->entry->table, &transaction, on_withdrawn, r);
+    GfStr_Clear(&row);
+}
+
 /* Reads the job's row from the store. */
 static void
 ask_store(Request *r)
@@ -211,14 +275,20 @@
 }
 
 /* Handles the owner's answer. If the owner does not know the job the store
- * is asked, and without an answer the request is tried again. A request that
- * a peer forwarded is answered at once instead. GF_TIMEOUT means that a cancel
- * may be carried out; after that no answer may say that it was not. */
+ * is asked, or told that the job is cancelled, and without an answer the
+ * request is tried again. A request that a peer forwarded is answered at once
+ * instead. GF_TIMEOUT means that a cancel may be carried out; after that no
+ * answer may say that it was not. */
 static void
 handle_owner_reply(Request *r, const GfJobAnswer *reply)
 {
     if (reply->kind == GF_NO_SUCH_JOB && r->hops == 0) {
-        ask_store(r);
+        if (r->verb == GF_JOB_CANCEL) {
+            withdraw(r);
+        }
+        else {
+            ask_store(r);
+        }
     }
     else if (reply->kind == GF_NO_OWNER || reply->kind == GF_TIMEOUT) {
         r->uncertain = r->uncertain || reply->kind == GF_TIMEOUT;
--- a/src/cellentry/term.c
+++ b/src/cellentry/term.c
@@ -378,6 +378,11 @@
         return;
     }
     json_t *row = json_loadb(value, len, 0, NULL);
+    if (GfJobRow_SaysWithdrawn(row)) {
+        GfCell_AddWithdrawn(term->cell, &name);
+        json_decref(row);
+        return;
+    }
     GfName team;
     GfName queue;
     const char *body = json_string_value(json_object_get(row, "body"));
--- a/tests/unit/term_rows.c
+++ b/tests/unit/term_rows.c
@@ -8,36 +8,11 @@
 
 #include "../../src/cellentry/term_private.h"
 #include "guavaflow/log.h"
+#include "memory_table.h"
 #include "suite.h"
 
-#define MAX_CALLS 512
-#define MAX_FOLLOWS 8
 #define SECONDS_KEPT 1
 
-/* A call in progress; a transaction is carried out when it is answered. */
-typedef struct {
-    char table[24];
-    char part[24];
-    char key[24];    /* of a read; empty: all rows of the part */
-    json_t *changes; /* [table, part, key, value or null]; NULL: a read */
-    GfTableCallback callback;
-    void *arg;
-} Call;
-
-typedef struct {
-    GfTable base;
-    json_t *rows; /* text by "table/part/key" */
-    Call calls[MAX_CALLS];
-    size_t open;
-    Call follows[MAX_FOLLOWS];
-    size_t follow_count;
-    int64_t version;
-    int64_t
-        owner_version; /* of the owner's row, which each read by key gets */
-    size_t transactions;
-    const char *refused_table; /* removals from it are refused */
-} MemoryTable;
-
 typedef struct {
     GfCellEntry entry;
     GfCellEntrySettings settings;
@@ -46,164 +21,17 @@
     GfManualClock clock;
 } Fixture;
 
-static Call *
-add_call(MemoryTable *t, const char *table, const char *part,
-         GfTableCallback callback, void *arg)
-{
-    CU_ASSERT_FATAL(t->open < MAX_CALLS);
-    Call *call = &t->calls[t->open++];
-    *call = (Call){.callback = callback, .arg = arg};
-    snprintf(call->table, sizeof(call->table), "%s", table);
-    snprintf(call->part, sizeof(call->part), "%s", part);
-    return call;
-}
-
-static void
-memory_read(GfTable *table, const char *name, const char *part,
-            const char *key, GfTableCallback callback, void *arg)
-{
-    Call *call = add_call((MemoryTable *)table, name, part, callback, arg);
-    snprintf(call->key, sizeof(call->key), "%s", key == NULL ? "" : key);
-}
-
-/* A follow request is answered when the test is over. */
-static void
-memory_follow(GfTable *table, const char *name, int64_t after, int wait_ms,
-              GfTableCallback callback, void *arg)
-{
-    (void)name;
-    (void)after;
-    (void)wait_ms;
-    MemoryTable *t = (MemoryTable *)table;
-    CU_ASSERT_FATAL(t->follow_count < MAX_FOLLOWS);
-    t->follows[t->follow_count++] = (Call){.callback = callback, .arg = arg};
-}
-
-static void
-memory_transact(GfTable *table, const GfTableTransaction *transaction,
-                GfTableCallback callback, void *arg)
-{
-    Call *call = add_call((MemoryTable *)table, "", "", callback, arg);
-    call->changes = json_array();
-    for (size_t i = 0; i < transaction->change_count; i++) {
-        const GfTableChange *c = &transaction->changes[i];
-        json_t *value = c->value == NULL
-                            ? json_null()
-                            : json_stringn(c->value, c->value_len);
-        json_array_append_new(
-            call->changes,
-            json_pack("[s,s,s,o]", c->table, c->part, c->key, value));
-    }
-}
-
-static void
-memory_abandon_older(GfTable *table)
-{
-    (void)table;
-}
-
-static const GfTableOps TABLE_OPS = {.read = memory_read,
-                                     .follow = memory_follow,
-                                     .transact = memory_transact,
-                                     .abandon_older = memory_abandon_older};
-
 static void
 put(Fixture *f, const char *table, const char *part, const char *key,
     const char *value)
 {
-    char path[200];
-    snprintf(path, sizeof(path), "%s/%s/%s", table, part, key);
-    json_object_set_new(f->table.rows, path, json_string(value));
+    MemoryTable_Put(&f->table, table, part, key, value);
 }
 
 static bool
 has(const Fixture *f, const char *table, const char *part, const char *key)
 {
-    char path[200];
-    snprintf(path, sizeof(path), "%s/%s/%s", table, part, key);
-    return json_object_get(f->table.rows, path) != NULL;
-}
-
-/* Answers a read with all rows of the part. */
-static void
-answer_read(MemoryTable *t, const Call *call)
-{
-    char prefix[64];
-    snprintf(prefix, sizeof(prefix), "%s/%s/", call->table, call->part);
-    GfTableRow *rows =
-        calloc(json_object_size(t->rows) + 1, sizeof(GfTableRow));
-    size_t count = 0;
-    const char *path;
-    json_t *value;
-    json_object_foreach(t->rows, path, value)
-    {
-        if (strncmp(path, prefix, strlen(prefix)) == 0) {
-            rows[count++] =
-                (GfTableRow){.table = call->table,
-                             .part = call->part,
-                             .key = path + strlen(prefix),
-                             .version = t->version,
-                             .value = json_string_value(value),
-                             .value_len = json_string_length(value)};
-        }
-    }
-    GfTableRow owner = {.key = ENTRY_OWNER_KEY, .version = t->owner_version};
-    bool verifies = call->key[0] != '\0';
-    call->callback(call->arg, GF_TABLE_OK, t->version,
-                   verifies ? &owner : rows, verifies ? 1 : count);
-    free(rows);
-}
-
-/* Carries out a transaction and answers it. */
-static void
-answer_transaction(MemoryTable *t, const Call *call)
-{
-    size_t i;
-    json_t *c;
-    bool refused = false;
-    json_array_foreach(call->changes, i, c)
-    {
-        const char *table = json_string_value(json_array_get(c, 0));
-        refused = refused || (t->refused_table != NULL &&
-                              json_is_null(json_array_get(c, 3)) &&
-                              strcmp(table, t->refused_table) == 0);
-    }
-    json_array_foreach(call->changes, i, c)
-    {
-        char path[200];
-        snprintf(path, sizeof(path), "%s/%s/%s",
-                 json_string_value(json_array_get(c, 0)),
-                 json_string_value(json_array_get(c, 1)),
-                 json_string_value(json_array_get(c, 2)));
-        json_t *value = json_array_get(c, 3);
-        if (!refused && json_is_null(value)) {
-            json_object_del(t->rows, path);
-        }
-        else if (!refused) {
-            json_object_set(t->rows, path, value);
-        }
-    }
-    t->transactions++;
-    t->version++;
-    call->callback(call->arg, refused ? GF_TABLE_REFUSED : GF_TABLE_OK,
-                   t->version, NULL, 0);
-    json_decref(call->changes);
-}
-
-/* Answers the calls that are open, those that follow included. */
-static void
-answer_all(MemoryTable *t)
-{
-    while (t->open > 0) {
-        Call call = t->calls[0];
-        memmove(t->calls, t->calls + 1, --t->open * sizeof(Call));
-        if (call.changes == NULL) {
-            answer_read(t, &call);
-        }
-        else {
-            answer_transaction(t, &call);
-        }
-    }
+    return MemoryTable_Has(&f->table, table, part, key);
 }
 
 static void
@@ -238,9 +66,7 @@
     GfLog_SetLevel(GF_LOG_ERROR);
     memset(f, 0, sizeof(*f));
     GfManualClock_Init(&f->clock, 1000000);
-    f->table.base.ops = &TABLE_OPS;
-    f->table.rows = json_object();
-    f->table.version = 100;
+    MemoryTable_Init(&f->table);
     f->settings.keep_finished_s = SECONDS_KEPT;
     f->settings.longest_lease_ms = 6000;
     f->commands.ops = &COMMAND_OPS;
@@ -258,14 +84,11 @@
 tear_down(Fixture *f)
 {
     EntryTerm_End(&f->entry);
-    answer_all(&f->table);
-    for (size_t i = 0; i < f->table.follow_count; i++) {
-        const Call *call = &f->table.follows[i];
-        call->callback(call->arg, GF_TABLE_UNKNOWN, 0, NULL, 0);
-    }
+    MemoryTable_AnswerAll(&f->table);
+    MemoryTable_EndFollows(&f->table);
     EntryStore_End(&f->entry);
     event_base_free(f->entry.base);
-    json_decref(f->table.rows);
+    MemoryTable_Clear(&f->table);
 }
 
 static void
@@ -274,7 +97,7 @@
     OwnerView former = {0};
     f->table.owner_version = ++f->table.version;
     EntryTerm_Begin(&f->entry, f->table.owner_version, &former);
-    answer_all(&f->table);
+    MemoryTable_AnswerAll(&f->table);
 }
 
 static void
@@ -283,7 +106,7 @@
     for (int64_t t = 0; t < ms; t += 50) {
         GfManualClock_Advance(&f->clock, 50);
         EntryTerm_Tick(&f->entry, f->clock.time);
-        answer_all(&f->table);
+        MemoryTable_AnswerAll(&f->table);
     }
 }
 
