Place nothing on a restarted worker before its row is read

Cause: the new incarnation was taken from an inventory, and the size of the former one kept until the row came.

Change: a worker of which only an inventory has told gets no tasks until its row of this incarnation is read. The simulation's workers can restart without the owner reading their row, with another size, a clock of their own, and take orders that were meant for the incarnation before; cell_worker_lives uses that.

--- a/include/guavaflow/cell.h
+++ b/include/guavaflow/cell.h
@@ -243,6 +243,7 @@
     int64_t token;
     int64_t former_token;
     int64_t lease_ms;           /* length of the leases granted to workers */
+    int64_t longest_lease_ms;   /* that workers take; 0: as lease_ms */
     int64_t ownership_valid_ms; /* after this a former owner starts no runs */
     int64_t uncertainty_ms; /* after this no run of a former owner is left */
     int64_t clock_drift_percent; /* most that clocks may drift apart */
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -269,6 +269,7 @@
     GfWorkerInfo info;
     uint32_t serial;     /* unique in the process, never 0 */
     bool listed;         /* in the platform's table */
+    bool described;      /* info has the row of this incarnation */
     bool contacted;      /* has answered in this term */
     bool former_lease;   /* a former owner granted it a lease */
     bool in_lease_list;  /* belongs in the stored lease list */
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -115,8 +115,8 @@
 }
 
 /* Resets a worker's state for a new incarnation, which has none of the former
- * one's runs and completions. It gets no tasks before the stored lease list
- * names the new incarnation. */
+ * one's runs and completions, and perhaps another size. It gets no tasks
+ * before the stored lease list names it and its row is read. */
 void
 CellWorker_BeginIncarnation(GfCell *cell, Worker *w, int64_t incarnation)
 {
@@ -124,6 +124,7 @@
     CellSpeed_Restarted(cell, w, GfClock_Now(cell->clock));
     CellWorker_ReleaseTasks(w, "restarted");
     CellWorker_ClearOrphans(cell, w);
+    w->described = false;
     w->info.incarnation = incarnation;
     w->incarnation_began_at = GfClock_Now(cell->clock);
     w->hold_in_flight = false;
@@ -200,6 +201,7 @@
     }
     w->info = *info;
     w->listed = true;
+    w->described = true;
     cell->dirty = true;
     CellCrash_WorkerSeen(cell, w, false);
 }
--- a/tests/support/cell_sim.c
+++ b/tests/support/cell_sim.c
@@ -96,7 +96,8 @@
     StopRecord *stop_records;
     int64_t last_completion; /* number of the latest completion */
     int64_t fence;           /* highest token seen */
-    int64_t lease_until_ms;
+    int64_t clock_zero_ms;   /* when the worker's clock showed 0 */
+    int64_t lease_until_ms;  /* on the worker's clock */
     int64_t unlist_at_ms; /* when the table drops it after a crash; 0: never */
     int64_t back_at_ms;   /* when it starts again after a crash; 0: never */
     bool alive;
@@ -535,6 +536,27 @@
     return (double)(hash % 1000) < job->spec.long_share * 1000;
 }
 
+/* Returns the time that a worker's clock shows. */
+static int64_t
+worker_clock(const CellSim *w, const SimWorker *s)
+{
+    return CellSim_NowMs(w) - s->clock_zero_ms;
+}
+
+/* Extends a worker's lease to a time on its clock, but not beyond the longest
+ * one that it takes. */
+static void
+extend_lease(const CellSim *w, SimWorker *s, int64_t until_ms)
+{
+    int64_t longest = w->settings.longest_lease_ms;
+    int64_t most = worker_clock(w, s) + longest;
+    if (longest > 0 && until_ms > most) {
+        until_ms = most;
+    }
+    s->lease_until_ms =
+        until_ms > s->lease_until_ms ? until_ms : s->lease_until_ms;
+}
+
 /* Carries out a start order at a worker. A repeated order for the same run
  * succeeds; one for another run of a task that runs, or for a run that was
  * stopped before, is superseded; one whose lease end has passed is late. */
@@ -556,11 +578,10 @@
         }
     }
     int64_t now = CellSim_NowMs(w);
-    if (m->until_ms <= now) {
+    if (m->until_ms <= worker_clock(w, s)) {
         return GF_ORDER_LATE;
     }
-    s->lease_until_ms =
-        m->until_ms > s->lease_until_ms ? m->until_ms : s->lease_until_ms;
+    extend_lease(w, s, m->until_ms);
     SimJob *job = find_job(w, &m->task.job);
     Run *run = calloc(1, sizeof(*run));
     assert(run != NULL);
@@ -686,7 +707,7 @@
         calloc(COMPLETION_PAGE, sizeof(GfCompletionRow));
     assert(runs != NULL && completions != NULL);
     GfInventory inventory = {.incarnation = s->info.incarnation,
-                             .clock_ms = CellSim_NowMs(w),
+                             .clock_ms = worker_clock(w, s),
                              .runs = runs,
                              .completions = completions};
     DL_FOREACH(s->runs, r)
@@ -777,9 +798,15 @@
     if (!s->alive || s->isolated || s->isolated_from[m->owner]) {
         return make_reply(w, m, GF_ORDER_UNKNOWN);
     }
-    if (m->incarnation != s->info.incarnation) {
+    bool former = m->incarnation != s->info.incarnation;
+    if (former && !w->settings.takes_former_orders) {
         return make_reply(w, m, GF_ORDER_OTHER_INCARNATION);
     }
+    if (former && m->kind == HOLD) {
+        m->until_ms = 0;
+        m->acked = 0;
+        m->wait_until_ms = 0;
+    }
     if (m->token < s->fence && !w->settings.without_fence) {
         return make_reply(w, m, GF_ORDER_FENCED);
     }
@@ -793,9 +820,7 @@
     if (m->kind == PACE) {
         return make_reply(w, m, execute_pace(w, s, m));
     }
-    if (m->until_ms > s->lease_until_ms) {
-        s->lease_until_ms = m->until_ms;
-    }
+    extend_lease(w, s, m->until_ms);
     drop_acknowledged(w, s, m->acked);
     if (s->completions == NULL && CellSim_NowMs(w) < m->wait_until_ms &&
         !m->no_reply) {
@@ -1206,7 +1231,7 @@
         if (w->settings.factor == NULL) {
             slow_down(r, s->speed);
         }
-        if (s->lease_until_ms <= now) {
+        if (s->lease_until_ms <= worker_clock(w, s)) {
             complete_run(w, s, r, GF_COMPLETION_LAPSED);
         }
         else if (r->crash_at_ms <= now && r->crash_at_ms < r->complete_at_ms) {
@@ -1436,6 +1461,7 @@
         .token = o->token,
         .former_token = former_token,
         .lease_ms = LEASE_MS,
+        .longest_lease_ms = w->settings.longest_lease_ms,
         .ownership_valid_ms = w->settings.without_uncertainty ? 0 : PROOF_MS,
         .uncertainty_ms = w->settings.without_uncertainty ? 0 : UNCERTAIN_MS,
         .clock_drift_percent = 3,
@@ -1723,15 +1749,29 @@
     reset_worker(&w->workers[worker]);
 }
 
-/* Starts a new incarnation of a worker under the same id, without any state;
- * the latest owner reads its row. */
+/* Starts a new incarnation of a worker under the same id, without any state.
+ * The latest owner does not read its row yet; CellSim_SetListed changes that.
+ */
 void
-CellSim_RestartWorker(CellSim *w, int worker)
+CellSim_RestartUnseen(CellSim *w, int worker)
 {
     SimWorker *s = &w->workers[worker];
     reset_worker(s);
     s->alive = true;
     s->info.incarnation++;
+    if (w->settings.takes_former_orders) {
+        s->info.incarnation = GfTime_WallMs() + s->info.incarnation;
+        s->clock_zero_ms = CellSim_NowMs(w);
+    }
+}
+
+/* Starts a new incarnation of a worker under the same id, without any state;
+ * the latest owner reads its row. */
+void
+CellSim_RestartWorker(CellSim *w, int worker)
+{
+    SimWorker *s = &w->workers[worker];
+    CellSim_RestartUnseen(w, worker);
     if (w->settings.new_ids) {
         if (CellSim_Owner(w) != NULL) {
             GfCell_UnlistWorker(CellSim_Owner(w), &s->info.id);
@@ -1812,6 +1852,13 @@
     w->workers[worker].speed = speed;
 }
 
+/* Sets the processors of a worker, from its next incarnation on. */
+void
+CellSim_SetCapacity(CellSim *w, int worker, int64_t mcores)
+{
+    w->workers[worker].info.capacity.mcores = mcores;
+}
+
 /* Sets how long a worker says that it stays when it leaves; to be called
  * before CellSim_SetLeaving. */
 void
--- a/tests/support/cell_sim.h
+++ b/tests/support/cell_sim.h
@@ -58,6 +58,11 @@
     bool checkpoints;     /* stopped runs of checkpointed steps resume where
                              they were; else they start again */
     bool new_ids; /* each incarnation of a worker has an id of its own */
+    bool takes_former_orders; /* a worker that starts again under its id has a
+                                 clock of its own and carries out starts, stops
+                                 and paces that were meant for the incarnation
+                                 before; holds only tell what runs */
+    int64_t longest_lease_ms; /* that a worker takes; 0: as owners grant */
     int64_t worker_back_ms;   /* from a crash through a deadly task until the
                                  worker's next incarnation starts; 0: never */
     size_t single_row_bytes;  /* as in GfCellSettings */
@@ -133,6 +138,8 @@
 /* Workers. Listed: in the platform's worker table, which owners read. */
 void CellSim_CrashWorker(CellSim *sim, int worker);
 void CellSim_RestartWorker(CellSim *sim, int worker);
+void CellSim_RestartUnseen(CellSim *sim, int worker);
+void CellSim_SetCapacity(CellSim *sim, int worker, int64_t mcores);
 void CellSim_SetIsolated(CellSim *sim, int worker, bool isolated);
 void CellSim_SetOnlyHolds(CellSim *sim, int worker, bool only_holds);
 void CellSim_SetIsolatedFrom(CellSim *sim, int worker, const GfCell *cell,
