Keep starts in doubt that a worker's next life may carry out

Cause: what is on its way to a worker is taken by the life that listens. The owner released the tasks of the former life, also those whose start was on its way, as soon as it saw the new one; and it counted on a lease of its own length, while a time on the former clock makes the new life grant its longest one.

Ruled out: wrong inventories of the new life; both runs are listed by their workers.

Change: tasks that no inventory has listed stay in doubt on the worker until one lists them or a stop order has been answered. The lease of such a worker counts as the longest that workers take, from the last order on that it may have got. A next owner assumes that of workers that began shortly before.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -293,7 +293,7 @@
         break;
     case GF_ORDER_OTHER_INCARNATION:
         CellTask_Release(task); /* it did not run there */
-        CellCrash_WorkerRestarted(cell, w);
+        CellCrash_WorkerGone(cell, w, false);
         CellWorker_ReleaseTasks(w, "gone");
         w->listed = false;
         return;
@@ -385,12 +385,15 @@
     if (result == GF_ORDER_DONE && !task->stop_acked) {
         task->stop_acked = true;
         task->stop_acked_at = GfClock_Now(cell->clock);
+        if (task->former_start) {
+            CellWorker_AssumeForeignLease(cell, w);
+        }
         if (task->state == TASK_UNCONFIRMED) {
             CellWorker_Poll(cell, w);
         }
     }
     else if (result == GF_ORDER_OTHER_INCARNATION) {
-        CellCrash_WorkerRestarted(cell, w);
+        CellCrash_WorkerGone(cell, w, false);
         CellWorker_ReleaseTasks(w, "gone");
         w->listed = false;
     }
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -41,7 +41,8 @@
 /* State of a task on a worker. IDLE: on none. STARTING: the start order has no
  * outcome yet (a pending start). UNCONFIRMED: its outcome is unknown; if the
  * worker does not list the run, a stop order keeps the start from being
- * carried out late. */
+ * carried out late. A start that was sent to a worker's former incarnation is
+ * UNCONFIRMED too, as either may carry it out. */
 typedef enum {
     TASK_IDLE,
     TASK_STARTING,
@@ -83,14 +84,18 @@
     uint32_t uncertain_serial;    /* closed worker that may run it, or 0 */
     uint8_t state;                /* a TaskState */
     bool done;
-    bool moved_off_slow; /* was stopped once, as its worker was slow */
-    bool excused;        /* a crash was put down to another task */
-    bool accused;        /* to be judged by crash.c; does not start */
-    bool suspect;        /* counted in the cell's suspects */
-    bool stopping;       /* to be stopped; orders are repeated */
-    bool stop_in_flight; /* a stop order has no outcome yet */
-    bool stop_acked;     /* the worker carried out a stop order */
-    bool whole_run;      /* the run began here and without a checkpoint */
+    bool moved_off_slow;   /* was stopped once, as its worker was slow */
+    bool excused;          /* a crash was put down to another task */
+    bool accused;          /* to be judged by crash.c; does not start */
+    bool suspect;          /* counted in the cell's suspects */
+    bool stopping;         /* to be stopped; orders are repeated */
+    bool stop_in_flight;   /* a stop order has no outcome yet */
+    bool stop_acked;       /* the worker carried out a stop order */
+    bool listed;           /* the run was in an inventory */
+    bool former_start;     /* sent to a former incarnation of the worker */
+    int64_t pending_crash; /* key of the incarnation that crashed under it,
+                              unless the run is in the next one; 0: none */
+    bool whole_run;        /* the run began here and without a checkpoint */
 };
 
 /* Why the idle tasks of a step are not on a worker. */
@@ -270,6 +275,8 @@
     uint32_t serial;     /* unique in the process, never 0 */
     bool listed;         /* in the platform's table */
     bool described;      /* info has the row of this incarnation */
+    bool former_orders;  /* orders that were meant for the incarnation before
+                            may have reached this one before it answered */
     bool contacted;      /* has answered in this term */
     bool former_lease;   /* a former owner granted it a lease */
     bool in_lease_list;  /* belongs in the stored lease list */
@@ -589,7 +596,8 @@
                         const GfTaskId *task, bool confirmed);
 void CellCrash_Unseen(GfCell *cell);
 void CellCrash_WorkerSilent(Worker *w);
-void CellCrash_WorkerRestarted(GfCell *cell, Worker *w);
+void CellCrash_WorkerGone(GfCell *cell, Worker *w, bool restarted);
+void CellCrash_CountPending(Task *task);
 void CellCrash_WorkerSeen(GfCell *cell, const Worker *w, bool answered);
 void CellCrash_Forget(GfCell *cell, const struct timespec *now);
 void CellCrash_PresumeLost(GfCell *cell, struct timespec now);
@@ -656,6 +664,7 @@
 bool CellLeaseEnd_IsKnown(const GfCell *cell, const Worker *w);
 int64_t CellLeaseEnd_Shared(const GfCell *cell, const Worker *w);
 struct timespec CellLeaseEnd_Inherited(const GfCell *cell, const Worker *w);
+struct timespec CellLeaseEnd_Uncertain(const GfCell *cell, const Worker *w);
 
 /* attempts.c */
 Task *CellAttempts_CountedTask(Task *task);
@@ -688,6 +697,8 @@
 /* workers.c */
 void CellWorker_BeginIncarnation(GfCell *cell, Worker *w, int64_t incarnation);
 int64_t CellWorker_LongestLeaseMs(const GfCell *cell);
+int64_t CellWorker_ForeignLeaseMs(const GfCell *cell);
+void CellWorker_AssumeForeignLease(GfCell *cell, Worker *w);
 Worker *CellWorker_Find(const GfCell *cell, uint32_t serial);
 void CellWorker_ReleaseTasks(Worker *w, const char *cause);
 void CellWorker_Poll(GfCell *cell, Worker *w);
--- a/src/cell/crash.c
+++ b/src/cell/crash.c
@@ -219,10 +219,12 @@
     }
 }
 
-/* A task on a worker that crashed. confirmed: it ran there. */
+/* A task on a worker that crashed. confirmed: it ran there. pending: it may
+ * run in the worker's next incarnation instead, which is counted later. */
 typedef struct {
     GfTaskId task;
     bool confirmed;
+    bool pending;
 } CrashedTask;
 
 /* Counts a crash for one task and accuses it if there are too many. */
@@ -265,12 +267,27 @@
         if (t != NULL && suspects && !is_suspect(t) && !t->excused) {
             t->excused = true;
         }
+        else if (t != NULL && tasks[i].pending) {
+            t->pending_crash = key;
+        }
         else if (t != NULL) {
             count_crash(t, worker, key, tasks[i].confirmed);
         }
     }
 }
 
+/* Counts the crash of the former incarnation of a task's worker, if it was the
+ * one on which the task ran; to be called before the task is released. */
+void
+CellCrash_CountPending(Task *task)
+{
+    if (task->pending_crash != 0) {
+        int64_t key = task->pending_crash;
+        task->pending_crash = 0;
+        count_crash(task, &task->worker->info.id, key, true);
+    }
+}
+
 /* Returns whether a crash of the task's worker may be the task's fault. A
  * worker that leaves may be gone because of that. */
 static bool
@@ -367,11 +384,11 @@
     cell->unseen_crash_at = GfClock_Now(cell->clock);
 }
 
-/* Counts the crash of a worker of which a new incarnation is seen, or at whose
- * address another worker answers, for the tasks that it has; to be called
- * before they are released. */
+/* Counts the crash of a worker for the tasks that it has; to be called before
+ * they are released. restarted: a new incarnation is seen, which may have
+ * taken the latest starts; else another worker answers at its address. */
 void
-CellCrash_WorkerRestarted(GfCell *cell, Worker *w)
+CellCrash_WorkerGone(GfCell *cell, Worker *w, bool restarted)
 {
     size_t count = 0;
     const Task *t;
@@ -384,7 +401,8 @@
     DL_FOREACH(w->tasks, t)
     {
         if (t->state == TASK_RUNNING && may_be_cause(w, t)) {
-            tasks[count++] = (CrashedTask){CellTask_Id(t), true};
+            tasks[count++] =
+                (CrashedTask){CellTask_Id(t), true, restarted && !t->listed};
         }
     }
     if (w->former_lease && !w->contacted) {
@@ -425,7 +443,7 @@
         if (r->incarnation == incarnation &&
             GfName_Equal(&r->worker, worker)) {
             if (r->confirmed || r->inherited) {
-                tasks[count++] = (CrashedTask){r->task, r->confirmed};
+                tasks[count++] = (CrashedTask){r->task, r->confirmed, false};
             }
             forget_run(cell, r);
         }
--- a/src/cell/fit.c
+++ b/src/cell/fit.c
@@ -26,8 +26,7 @@
 bool
 CellFit_IsUncertain(const GfCell *cell, const Task *task, struct timespec now)
 {
-    if (task->uncertain_serial == 0 ||
-        !GfTime_Before(now, cell->uncertain_until)) {
+    if (task->uncertain_serial == 0) {
         return false;
     }
     /* A worker is removed only when none of its former runs can be left. */
--- a/src/cell/former.c
+++ b/src/cell/former.c
@@ -100,6 +100,20 @@
     return count;
 }
 
+/* Returns whether a former owner's run may go on on a worker that has not
+ * answered in this term. */
+static bool
+may_run_unseen(const GfCell *cell, struct timespec now)
+{
+    for (const Worker *w = cell->workers; w != NULL; w = w->hh.next) {
+        if (w->former_lease && !w->contacted &&
+            GfTime_Before(now, CellLeaseEnd_Uncertain(cell, w))) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Logs how many workers all jobs of a former owner wait for, and one of them,
  * once in UNHEARD_LOG_MS. */
 static void
@@ -146,8 +160,7 @@
     }
     size_t uncontacted = CellFormer_CountUnheard(cell);
     log_unheard(cell, uncontacted, now);
-    bool over = uncontacted == 0 || !GfTime_Before(now, cell->uncertain_until);
-    if (over && !has_unseen_ends(cell, now)) {
+    if (!may_run_unseen(cell, now) && !has_unseen_ends(cell, now)) {
         cell->in_uncertainty_period = false;
         if (uncontacted > 0) {
             CellCrash_Unseen(cell);
--- a/src/cell/inventory.c
+++ b/src/cell/inventory.c
@@ -115,6 +115,9 @@
     if (completion->kind != GF_COMPLETION_DONE) {
         CellTask_SetCheckpoint(task, completion->checkpoint);
     }
+    if (current && task->former_start) {
+        CellWorker_AssumeForeignLease(cell, w);
+    }
     if (current && completion->kind == GF_COMPLETION_DONE) {
         CellSpeed_Completed(cell, w, task);
     }
@@ -251,6 +254,12 @@
         return;
     }
     task->inventory_number = w->inventory_number;
+    task->listed = true;
+    if (task->former_start) {
+        task->former_start = false;
+        task->pending_crash = 0;
+        CellWorker_AssumeForeignLease(cell, w);
+    }
     CellNeighbours_Report(task, row);
     CellTask_SetCheckpoint(task, row->checkpoint);
     CellSpeed_Listed(cell, w, task, row->percent, now);
@@ -260,8 +269,9 @@
 }
 
 /* Returns whether an unconfirmed start that the latest inventory does not list
- * can no longer be carried out: its time limit had passed, or a stop order was
- * carried out before the inventory was requested at sent_at. */
+ * can no longer be carried out: its time limit had passed on the worker's
+ * clock, whatever incarnation it was meant for, or a stop order was carried
+ * out before the inventory was requested at sent_at. */
 static bool
 is_start_void(const Worker *w, const Task *task, struct timespec sent_at)
 {
@@ -288,6 +298,7 @@
         }
         if (t->state == TASK_UNCONFIRMED && !w->has_unseen_ends &&
             is_start_void(w, t, sent_at)) {
+            CellCrash_CountPending(t);
             CellTask_Release(t);
         }
         else if (t->state == TASK_UNCONFIRMED && !t->stopping) {
@@ -332,10 +343,11 @@
     w->has_clock = true;
     w->clock_offset_ms = inventory->clock_ms - GfTime_ToMs(now);
     if (!w->contacted) {
-        /* A former owner may have granted a lease just now. */
-        struct timespec end =
-            GfTime_AddMs(now, CellWorker_LongestLeaseMs(cell));
-        w->lease_until = end;
+        /* A former owner may have granted a lease just now, or an order that
+         * was meant for the incarnation before. */
+        int64_t ms = w->former_orders ? CellWorker_ForeignLeaseMs(cell)
+                                      : CellWorker_LongestLeaseMs(cell);
+        w->lease_until = GfTime_AddMs(now, ms);
     }
     size_t orphans_before = w->orphan_count + w->unidentified_runs;
     CellWorker_ClearOrphans(cell, w);
--- a/src/cell/lease_end.c
+++ b/src/cell/lease_end.c
@@ -57,18 +57,29 @@
     return c->ms + (ms > 0 ? with_drift(cell, ms) : 0);
 }
 
+/* Returns the time on the local clock after which no run of a former owner
+ * goes on on a worker that has not answered in this term. */
+struct timespec
+CellLeaseEnd_Uncertain(const GfCell *cell, const Worker *w)
+{
+    int64_t more_ms = w->former_orders ? CellWorker_ForeignLeaseMs(cell) -
+                                             CellWorker_LongestLeaseMs(cell)
+                                       : 0;
+    return GfTime_AddMs(cell->uncertain_until, more_ms);
+}
+
 /* Returns the time on the local clock after which none of the inherited tasks
  * of a worker still runs there. */
 struct timespec
 CellLeaseEnd_Inherited(const GfCell *cell, const Worker *w)
 {
     if (w->expires_ms == 0 || !cell->has_shared_clock) {
-        return cell->uncertain_until;
+        return CellLeaseEnd_Uncertain(cell, w);
     }
     const GfTableClock *c = &cell->shared_clock;
     int64_t ms = w->expires_ms - c->ms;
     struct timespec end =
         GfTime_AddMs(c->latest, ms > 0 ? with_drift(cell, ms) : 0);
-    return GfTime_Before(end, cell->uncertain_until) ? end
-                                                     : cell->uncertain_until;
+    struct timespec latest = CellLeaseEnd_Uncertain(cell, w);
+    return GfTime_Before(end, latest) ? end : latest;
 }
--- a/src/cell/tasks.c
+++ b/src/cell/tasks.c
@@ -123,6 +123,9 @@
     task->stopping = false;
     task->stop_acked = false;
     task->stop_in_flight = false;
+    task->listed = false;
+    task->former_start = false;
+    task->pending_crash = 0;
     task->started_at = GfClock_Now(cell->clock);
     task->progress = (GfRunProgress){0};
     w->probed_at = task->started_at;
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -40,6 +40,12 @@
 #define LEASE_MARGIN_MS 150
 /* How long a worker that leaves stays at least, if it does not report it. */
 #define LEAVE_NOTICE_MS 1800
+/* How long after it was sent an order without an answer may be carried out. */
+#define LATE_ORDER_MS 12000
+/* An incarnation that has begun within this time before a term may have got
+ * orders that were meant for the one before. Includes what wall clocks may
+ * differ by. */
+#define YOUNG_MS 20000
 #define PERCENT 100
 #define MS_PER_S 1000
 /* A new owner waits at most this long for all workers to answer before it
@@ -77,6 +83,31 @@
            LEASE_MARGIN_MS;
 }
 
+/* Returns how long in ms, on the local clock, a lease can last at most from
+ * the moment at which a worker takes an order that was meant for its former
+ * incarnation: the time in the order says nothing on the clock of this one. */
+int64_t
+CellWorker_ForeignLeaseMs(const GfCell *cell)
+{
+    int64_t own = CellWorker_LongestLeaseMs(cell);
+    int64_t lease = cell->settings.longest_lease_ms;
+    lease +=
+        lease * cell->settings.clock_drift_percent / PERCENT + LEASE_MARGIN_MS;
+    return lease > own ? lease : own;
+}
+
+/* Records that a worker may just have taken an order that was meant for its
+ * former incarnation. */
+void
+CellWorker_AssumeForeignLease(GfCell *cell, Worker *w)
+{
+    struct timespec end = GfTime_AddMs(GfClock_Now(cell->clock),
+                                       CellWorker_ForeignLeaseMs(cell));
+    if (GfTime_Before(w->lease_until, end)) {
+        w->lease_until = end;
+    }
+}
+
 /* Extends the lease of a worker. Returns its new end in ms on the worker's
  * clock and records the time, on the local clock, by which it has expired in
  * any case. Returns 0 if no lease may be granted. */
@@ -114,19 +145,65 @@
     }
 }
 
+/* Keeps a task whose start may be carried out by a new incarnation of its
+ * worker, as it was sent before that was known. The task is neither lost nor
+ * free to start elsewhere until an inventory lists it, or a stop order has
+ * kept it from being started. */
+static void
+keep_former_start(Task *task, struct timespec now)
+{
+    task->state = TASK_UNCONFIRMED;
+    task->former_start = true;
+    task->unconfirmed_since = now;
+    task->stop_acked = false;
+    task->stop_in_flight = false;
+    task->stop_sent_at = (struct timespec){0};
+    task->inventory_number = 0;
+}
+
+/* Releases the tasks of a worker that ran in its former incarnation, and keeps
+ * those that may run in the new one. Returns how many it has kept. */
+static size_t
+divide_tasks(Worker *w, struct timespec now)
+{
+    size_t released = 0;
+    size_t kept = 0;
+    Task *t;
+    Task *tmp;
+    DL_FOREACH_SAFE(w->tasks, t, tmp)
+    {
+        if (t->listed) {
+            CellTask_Release(t);
+            released++;
+        }
+        else {
+            keep_former_start(t, now);
+            kept++;
+        }
+    }
+    if (released + kept > 0) {
+        GfLog(GF_LOG_WARNING, CELL_PART,
+              "tasks lost worker=%s cause=restarted tasks=%zu in_doubt=%zu",
+              w->info.id.data, released, kept);
+    }
+    return kept;
+}
+
 /* Resets a worker's state for a new incarnation, which has none of the former
- * one's runs and completions, and perhaps another size. It gets no tasks
- * before the stored lease list names it and its row is read. */
+ * one's runs and completions, another clock, and perhaps another size. It gets
+ * no tasks before the stored lease list names it and its row is read. */
 void
 CellWorker_BeginIncarnation(GfCell *cell, Worker *w, int64_t incarnation)
 {
-    CellCrash_WorkerRestarted(cell, w);
-    CellSpeed_Restarted(cell, w, GfClock_Now(cell->clock));
-    CellWorker_ReleaseTasks(w, "restarted");
+    struct timespec now = GfClock_Now(cell->clock);
+    CellCrash_WorkerGone(cell, w, true);
+    CellSpeed_Restarted(cell, w, now);
+    size_t kept = divide_tasks(w, now);
     CellWorker_ClearOrphans(cell, w);
     w->described = false;
+    w->former_orders = true;
     w->info.incarnation = incarnation;
-    w->incarnation_began_at = GfClock_Now(cell->clock);
+    w->incarnation_began_at = now;
     w->hold_in_flight = false;
     w->hold_failures = 0;
     w->applied_completion = 0;
@@ -141,7 +218,11 @@
     w->consecutive_failures = 0;
     w->unanswered_orders = 0;
     w->has_success = false;
-    w->lease_until = (struct timespec){0};
+    w->lease_until = kept == 0
+                         ? (struct timespec){0}
+                         : GfTime_AddMs(now, CellWorker_ForeignLeaseMs(cell) +
+                                                 LATE_ORDER_MS);
+    w->poll_wanted = kept > 0;
     w->next_hold_at = (struct timespec){0};
     w->in_stored_list = false;
     w->in_commit = false;
@@ -150,6 +231,14 @@
     cell->dirty = true;
 }
 
+/* Returns whether an incarnation has begun so recently that orders of a former
+ * owner for the one before may have reached it. */
+static bool
+is_young(int64_t incarnation)
+{
+    return GfTime_WallMs() - incarnation < YOUNG_MS;
+}
+
 /* Adds a worker that has not answered yet. info is copied. */
 static Worker *
 add_worker(GfCell *cell, const GfWorkerInfo *info)
@@ -202,6 +291,8 @@
     w->info = *info;
     w->listed = true;
     w->described = true;
+    w->former_orders = w->former_orders || (!cell->placement_started &&
+                                            is_young(info->incarnation));
     cell->dirty = true;
     CellCrash_WorkerSeen(cell, w, false);
 }
@@ -224,6 +315,7 @@
         memcpy(w->info.address, info->address, sizeof(info->address));
         w->listed = false;
     }
+    w->former_orders = w->former_orders || is_young(w->info.incarnation);
     return w;
 }
 
@@ -413,7 +505,7 @@
     w->hold_in_flight = false;
     if (result == GF_ORDER_OTHER_INCARNATION) {
         /* Another worker answers at the address, so this one is gone. */
-        CellCrash_WorkerRestarted(cell, w);
+        CellCrash_WorkerGone(cell, w, false);
         CellWorker_ReleaseTasks(w, "gone");
         w->contacted = true;
         w->listed = false;
@@ -511,8 +603,7 @@
     Worker *tmp;
     HASH_ITER(hh, cell->workers, w, tmp)
     {
-        if (w->tasks != NULL && w->has_clock &&
-            GfTime_Before(w->lease_until, now)) {
+        if (w->tasks != NULL && GfTime_Before(w->lease_until, now)) {
             CellCrash_WorkerSilent(w);
             CellWorker_ReleaseTasks(w, "lease lapsed");
         }
--- a/src/cellentry/term.c
+++ b/src/cellentry/term.c
@@ -206,6 +206,7 @@
         .token = token,
         .former_token = former->token,
         .lease_ms = lease,
+        .longest_lease_ms = (int64_t)entry->settings->longest_lease_ms,
         .ownership_valid_ms = OWNERSHIP_VALID_MS + OWNERSHIP_MARGIN_MS,
         .uncertainty_ms = OWNERSHIP_VALID_MS + OWNERSHIP_MARGIN_MS + lease +
                           lease * CLOCK_DRIFT_PERCENT / 100,
