Give all queues a path in the test of cancels

The sanitizer build stopped the test: queues without a path prefix, which the decoder never makes, pass a null pointer to strncmp. The comment of the commands says that workers keep connections open.

--- a/include/guavaflow/commands.h
+++ b/include/guavaflow/commands.h
@@ -40,11 +40,12 @@
  * the worker answers after wait_ms milliseconds at the latest. The lease and
  * the acknowledgement reach the target's incarnation only: while it is not
  * certain that this one will get them, the hold just fetches the inventory, at
- * once. advise asks
- * which of the workers may run a step and gives up after timeout_ms
- * milliseconds; arg is passed to the callback. set_sink sets the receiver of
- * outcomes, which is borrowed; with NULL they are dropped. destroy frees the
- * client. */
+ * once. Workers must keep connections open between calls.
+ *
+ * advise asks which of the workers may run a step and gives up after
+ * timeout_ms milliseconds; arg is passed to the callback. set_sink sets the
+ * receiver of outcomes, which is borrowed; with NULL they are dropped. destroy
+ * frees the client. */
 typedef struct {
     void (*start)(GfCommands *commands, const GfStartOrder *order);
     void (*stop)(GfCommands *commands, const GfStopOrder *order);
--- a/tests/unit/cancel_before_accept.c
+++ b/tests/unit/cancel_before_accept.c
@@ -81,7 +81,10 @@
     f->entry.decoder = &DECODER;
     f->entry.clock = &f->clock.clock;
     f->entry.config = CellSim_MakeConfig(0);
-    f->entry.config->queues[0].path_prefix = GfStr_Copy("/q/", 3);
+    for (size_t i = 0; i < f->entry.config->queue_count; i++) {
+        f->entry.config->queues[i].path_prefix =
+            GfStr_Copy(i == 0 ? "/q/" : "/x/", 3);
+    }
     f->entry.config->queues[0].open = true;
     GfName_SetText(&f->entry.self, "e1");
     EntryStore_Begin(&f->entry);
