--- a/src/cell/crash.c
+++ b/src/cell/crash.c
@@ -19,9 +19,8 @@
  * worker on which a task of an earlier term or a suspect runs, as a placement,
  * and before a start that on which a suspect is to run, as intended. If an
  * intended worker crashes under the next owner, nobody knows whether the start
- * was sent. Such crashes are doubtful: they make the task a suspect, and count
- * only once there are more of them than starts that can have gone unnoticed.
- */
+ * was sent. Such a crash is doubtful: it makes the task a suspect, and one
+ * crash more is needed to give up a job with doubtful ones. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
--- a/src/cell/inventory.c
+++ b/src/cell/inventory.c
@@ -343,8 +343,8 @@
     w->has_clock = true;
     w->clock_offset_ms = inventory->clock_ms - GfTime_ToMs(now);
     if (!w->contacted) {
-        /* A former owner may have granted a lease just now, or an order that
-         * was meant for the incarnation before. */
+        /* A former owner may have granted a lease just now, or the worker may
+         * have taken an order that was meant for its former incarnation. */
         int64_t ms = w->former_orders ? CellWorker_ForeignLeaseMs(cell)
                                       : CellWorker_LongestLeaseMs(cell);
         w->lease_until = GfTime_AddMs(now, ms);
