Hold capacity for a suspect while its row is stored

What callers see: a long-running task whose worker crashed does not run again for up to 24 s in a full fleet, though capacity is freed for it again and again (LOST).

Cause: a task under which a worker crashed starts in two steps: the round that chooses its worker has the row stored, a later round starts it. In between nothing kept the capacity: in the same round it went to other tasks, also to those that come later in order. The next preemption frees another worker, and it begins anew.

Change: what such a task needs counts as taken on its worker until the next round, which reaches the task in its order again. Steps earlier in order go first as before.

Test: cell_crash, "other work takes the capacity for a suspect while its row is stored", 12 full workers, with and without overload_order.

Known limits: while the store is away, capacity stays held for suspects that wait for it. Between the ends of two tasks preempted together, the first one's capacity can still go to others.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -328,6 +328,8 @@
     uint64_t pending_seq;       /* latest change of a job that must be stored
                                    before the acknowledgement */
     GfResources used;           /* by tasks and orphan runs */
+    GfResources held;           /* until the next round, for tasks that start
+                                   here once their rows are stored */
     GfResources reserved;       /* for tasks that are being moved here */
     struct timespec reserved_until;
     OrphanRun *orphans; /* those that have not ended yet */
--- a/src/cell/fit.c
+++ b/src/cell/fit.c
@@ -87,9 +87,10 @@
            !is_evacuated(cell, &w->info.domain);
 }
 
-/* Returns whether one more task of the step fits beside the current runs.
- * Backfill tasks and tasks with a latency target exclude each other, unless
- * they bear each other. */
+/* Returns whether one more task of the step fits beside the current runs and
+ * what is held for tasks that were reached earlier in the round. Backfill
+ * tasks and tasks with a latency target exclude each other, unless they bear
+ * each other. */
 bool
 CellFit_HasCapacity(const Worker *w, const Step *step)
 {
@@ -105,7 +106,8 @@
         !CellNeighbours_MayShare(w, step)) {
         return false;
     }
-    return GfResources_Fit(w->info.capacity, w->used, need);
+    return GfResources_Fit(w->info.capacity, GfResources_Add(w->used, w->held),
+                           need);
 }
 
 /* Returns the number of the step's tasks on a worker. */
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -80,8 +80,10 @@
     cell->ops->start(cell->ctx, &order);
 }
 
-/* Places the idle tasks of a step one by one. Returns how many tasks stay
- * idle, or 0 if the team's limit was reached. */
+/* Places the idle tasks of a step one by one. For those that must not start
+ * before their rows are stored, capacity is held, or steps that come later in
+ * order would take it meanwhile. Returns how many tasks stay idle, or 0 if the
+ * team's limit was reached. */
 static uint32_t
 place_tasks(GfCell *cell, Step *step, bool needs_advice, struct timespec now)
 {
@@ -108,6 +110,8 @@
             return left;
         }
         if (!CellCrash_MayStart(cell, task, w)) {
+            w->held =
+                GfResources_Add(w->held, CellTask_CapacityTaken(step->spec));
             continue;
         }
         CellTask_Assign(task, w, next_run(cell, task), TASK_STARTING);
@@ -261,6 +265,9 @@
     cell->round_at = now;
     int64_t wall_ms = GfTime_WallMs();
     CellShare_Update(cell, now);
+    for (Worker *w = cell->workers; w != NULL; w = w->hh.next) {
+        w->held = (GfResources){0};
+    }
     size_t count = CellOrder_Sort(cell, now);
     for (size_t i = 0; i < count; i++) {
         Step *step = cell->order[i];
--- a/tests/unit/cell_crash.c
+++ b/tests/unit/cell_crash.c
@@ -20,7 +20,9 @@
 #define BACK_AFTER_LEASE_MS 8000
 /* Longest time until the job of a single deadly task is given up. */
 #define GIVE_UP_MS 40000
-/* The same for many such jobs, or with owners that are replaced. */
+/* The platform's bound for a long-running task to run again. */
+#define SERVING_BACK_MS 6000
+/* GIVE_UP_MS for many such jobs, or with owners that are replaced. */
 #define LONG_GIVE_UP_MS 120000
 
 static const CellSimSettings SETTINGS = {.workers = 12,
@@ -821,6 +823,67 @@
     return_under_new_ids = false;
 }
 
+/* Crashes the worker of a serving task once, while batch work waits for all
+ * processors. The worker returns, without processors if shrunk is set, so that
+ * the task needs preempted capacity. */
+static void
+restart_in_full_fleet(bool shrunk, bool overload_order)
+{
+    enum { JOBS = 20, TASKS = 4, BATCH_RUN_MS = 8000 };
+    CellSimSettings settings = SETTINGS;
+    settings.checkpoints = true;
+    settings.features.overload_order = overload_order;
+    Scene s = create_scene(&settings);
+    CellSimJob serving = {.queue = "watch",
+                          .team = "a",
+                          .step = {.task_count = 1,
+                                   .need = {16000, 100, 0},
+                                   .long_running = true}};
+    int j = CellSim_Submit(s.sim, &serving);
+    CellSim_Run(s.sim, 500);
+    CellSimJob batch = {.queue = "batch",
+                        .team = "b",
+                        .run_ms = BATCH_RUN_MS,
+                        .step = {.task_count = TASKS,
+                                 .need = {8000, 100, 0},
+                                 .checkpointed = true}};
+    int jobs[JOBS];
+    for (int i = 0; i < JOBS; i++) {
+        jobs[i] = CellSim_Submit(s.sim, &batch);
+    }
+    CellSim_Run(s.sim, 2000);
+    int w = CellSim_JobWorker(s.sim, j);
+    CU_ASSERT_TRUE_FATAL(w >= 0);
+    int64_t crashed_ms = CellSim_NowMs(s.sim);
+    CellSim_CrashWorker(s.sim, w);
+    CellSim_Run(s.sim, WORKER_BACK_MS);
+    if (shrunk) {
+        CellSim_SetCapacity(s.sim, w, 0);
+    }
+    CellSim_RestartWorker(s.sim, w);
+    while (CellSim_JobRunning(s.sim, j) == 0 &&
+           CellSim_NowMs(s.sim) - crashed_ms < LONG_GIVE_UP_MS) {
+        CellSim_Run(s.sim, CELL_SIM_STEP_MS);
+    }
+    int64_t away_ms = CellSim_NowMs(s.sim) - crashed_ms;
+    printf("\n  shrunk=%d overload_order=%d serving again after %lld ms\n",
+           shrunk, overload_order, (long long)away_ms);
+    CU_ASSERT_EQUAL(CellSim_JobRunning(s.sim, j), 1);
+    CU_ASSERT_TRUE(away_ms <= SERVING_BACK_MS);
+    CellSim_Run(s.sim, 60000);
+    check_completed(&s, jobs, JOBS, TASKS);
+    destroy_scene(&s);
+}
+
+static void
+test_serving_suspect_in_full_fleet(void)
+{
+    restart_in_full_fleet(false, false);
+    restart_in_full_fleet(true, false);
+    restart_in_full_fleet(false, true);
+    restart_in_full_fleet(true, true);
+}
+
 static const SuiteTest TESTS[] = {
     {"job given up for workers that it never ran on",
      test_workers_that_never_ran_the_job},
@@ -862,6 +925,8 @@
     {"batch is preempted for a suspect that may not start",
      test_preemption_for_a_held_suspect},
     {"crash count is not judged if the owner ends first",
-     test_owner_ends_before_judgement}};
+     test_owner_ends_before_judgement},
+    {"other work takes the capacity for a suspect while its row is stored",
+     test_serving_suspect_in_full_fleet}};
 
 SUITE_MAIN("cell crash", TESTS)
