--- a/tests/support/cell_sim.c
+++ b/tests/support/cell_sim.c
@@ -103,6 +103,7 @@
     bool alive;
     bool failing;
     bool starts_delayed;
+    bool holds_delayed;
     bool only_holds; /* no other orders get through */
     double speed;    /* work done in a ms, in ms at speed 1 */
     bool isolated_from[CELL_SIM_MAX_OWNERS]; /* by index of the owner */
@@ -291,7 +292,8 @@
         m->due_ms += ORDER_TIMEOUT_MS;
     }
     else if (fraction < w->settings.lose_order + w->settings.late_order ||
-             (kind == START && s->starts_delayed)) {
+             (kind == START && s->starts_delayed) ||
+             (kind == HOLD && s->holds_delayed)) {
         m->no_reply = true;
         int64_t least = w->settings.late_min_ms;
         m->due_ms +=
@@ -802,7 +804,7 @@
     if (former && !w->settings.takes_former_orders) {
         return make_reply(w, m, GF_ORDER_OTHER_INCARNATION);
     }
-    if (former && m->kind == HOLD) {
+    if (former && m->kind == HOLD && !m->no_reply) {
         m->until_ms = 0;
         m->acked = 0;
         m->wait_until_ms = 0;
@@ -1888,6 +1890,14 @@
     w->workers[worker].starts_delayed = delayed;
 }
 
+/* Makes a worker carry out later holds 2 to 12 s late and without a reply, or
+ * ends that. */
+void
+CellSim_SetHoldsDelayed(CellSim *w, int worker, bool delayed)
+{
+    w->workers[worker].holds_delayed = delayed;
+}
+
 /* Counts the backfill tasks that run on a worker. */
 int
 CellSim_BackfillOn(const CellSim *w, int worker)
--- a/tests/support/cell_sim.h
+++ b/tests/support/cell_sim.h
@@ -59,9 +59,10 @@
                              they were; else they start again */
     bool new_ids; /* each incarnation of a worker has an id of its own */
     bool takes_former_orders; /* a worker that starts again under its id has a
-                                 clock of its own and carries out starts, stops
-                                 and paces that were meant for the incarnation
-                                 before; holds only tell what runs */
+                                 clock of its own and carries out starts,
+                                 stops, paces and late holds that were meant
+                                 for the incarnation before; other holds only
+                                 tell what runs */
     int64_t longest_lease_ms; /* that a worker takes; 0: as owners grant */
     int64_t worker_back_ms;   /* from a crash through a deadly task until the
                                  worker's next incarnation starts; 0: never */
@@ -151,6 +152,7 @@
 void CellSim_SetRemainingMs(CellSim *sim, int worker, int64_t ms);
 int CellSim_RunsOn(const CellSim *sim, int worker);
 void CellSim_SetStartsDelayed(CellSim *sim, int worker, bool delayed);
+void CellSim_SetHoldsDelayed(CellSim *sim, int worker, bool delayed);
 int CellSim_BackfillOn(const CellSim *sim, int worker);
 int CellSim_ServingOn(const CellSim *sim, int worker);
 
