--- a/tests/unit/cell_fence.c
+++ b/tests/unit/cell_fence.c
@@ -180,8 +180,7 @@
     close_owner(&o);
 }
 
-/* The worker takes a start with the former token after a hold with the new
- * one. */
+/* The worker takes a start with the former token after a hold. */
 static void
 test_own_new_token_taken_for_another_owners(void)
 {
@@ -215,8 +214,7 @@
     close_owner(&o);
 }
 
-/* A worker is silent until the owner has forgotten it, and then back in the
- * same life. */
+/* It is silent until the owner has removed it, then back in the same life. */
 static void
 test_forgotten_worker_gets_a_lower_token(void)
 {
--- a/tests/unit/cell_late_hold.c
+++ b/tests/unit/cell_late_hold.c
@@ -56,8 +56,7 @@
     CU_ASSERT_EQUAL(broken, 0);
 }
 
-/* Many short tasks run, so that ends are on their way to the owner at any
- * time. */
+/* Short tasks run, so that some ends are always unread. */
 static void
 test_late_hold_drops_ends_of_the_next_life_unread(void)
 {
@@ -122,8 +121,7 @@
     expect_none(broken);
 }
 
-/* The worker restarts twice while the store is away, and is cut off as soon as
- * it has got tasks again. */
+/* It restarts twice then, and is cut off once it has got tasks again. */
 static void
 test_late_hold_extends_the_lease_while_the_store_is_away(void)
 {
--- a/tests/unit/cell_late_start.c
+++ b/tests/unit/cell_late_start.c
@@ -19,9 +19,7 @@
                                          .takes_former_orders = true,
                                          .longest_lease_ms = 10000};
 
-/* Starts are carried out 2 to 3 s late at one worker, which crashes 1.5 s
- * after they were sent and is back at once. Its holds get no answer from then
- * on until the starts have been carried out. */
+/* The worker crashes 1.5 s after the starts; its holds get no answer then. */
 static void
 test_late_start_runs_before_the_first_contact(void)
 {
