End the assumed lease of a restarted worker, and place nothing before its token

What callers see: jobs stay open for good after a worker has restarted and is then cut off or dies.

Cause: until a life has answered a hold with its own token, its lease counts as the longest that workers take, from each tick on. That had no end. A life that is noticed while no higher version is stored (the first commit of a new owner is pending, or the store is away) answers with the former token and counts as contacted. The next commit raises its token, and tasks are placed. If the worker is silent from then on, the lease moves on at every tick, and its tasks are never released. For the same reason a worker whose address another one has taken over was kept, and called, for good.

Change: - The longest lease is assumed only as long as orders from before the life was noticed may be carried out (CELL_LATE_ORDER_MS). - A life gets no tasks before it has answered with its token. A worker that has answered with the former one is polled when its token is raised, and a hold that shows the token does not wait for ends, so that this takes one round trip. The poll is sent after the state of the life before has been dropped, not from raise_token, as it would acknowledge by its numbers.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -324,8 +324,9 @@
     size_t unanswered_start_count;
     int64_t token;     /* of the orders to it; only rises */
     bool token_wanted; /* its incarnation has no token of its own yet */
-    bool token_unseen; /* nor answered with it: it may carry out orders that
-                          were meant for the one before */
+    bool token_unseen; /* its incarnation has not answered a hold with a token
+                          of its own: it may carry out orders that were meant
+                          for the one before */
     struct timespec token_raised_at;
     int64_t applied_completion;
     int64_t acked_completion;   /* stored; acknowledged by the next calls */
--- a/src/cell/fence.c
+++ b/src/cell/fence.c
@@ -8,8 +8,9 @@
  * latest stored transaction: once it has carried out an order with that token,
  * it refuses those that were meant for the former one.
  *
- * An incarnation gets no tasks before the stored lease list names it, so that
- * its token is known by then and the first start has it. */
+ * An incarnation gets no tasks before it has answered a hold with its token.
+ * Until then its lease may be extended by former holds, as long as these may
+ * arrive. */
 #include "cell_private.h"
 #include "guavaflow/log.h"
 
@@ -18,18 +19,20 @@
 #define SETTLE_MS 1000
 
 /* Gives a worker's incarnation its token, once a transaction has been stored
- * whose version no order to the worker has carried. */
-static void
+ * whose version no order to the worker has carried. Returns whether it has
+ * been given one. */
+static bool
 raise_token(GfCell *cell, Worker *w)
 {
     if (!w->token_wanted || cell->stored_version <= w->token) {
-        return;
+        return false;
     }
     w->token = cell->stored_version;
     w->token_wanted = false;
     w->token_raised_at = GfClock_Now(cell->clock);
     GfLog(GF_LOG_INFO, CELL_PART, "token raised worker=%s token=%lld",
           w->info.id.data, (long long)w->token);
+    return true;
 }
 
 /* Records that a worker begins a new incarnation, which may carry out orders
@@ -39,16 +42,20 @@
 {
     w->token_unseen = true;
     w->token_wanted = true;
-    raise_token(cell, w);
+    (void)raise_token(cell, w);
 }
 
-/* Records the version of a stored transaction of this owner. */
+/* Records the version of a stored transaction of this owner. Workers that have
+ * answered with their former token are asked for an inventory with the new
+ * one, as a hold call may stay without an answer for long. */
 void
 CellFence_Stored(GfCell *cell, int64_t version)
 {
     cell->stored_version = version;
     for (Worker *w = cell->workers; w != NULL; w = w->hh.next) {
-        raise_token(cell, w);
+        if (raise_token(cell, w) && w->contacted) {
+            CellWorker_Poll(cell, w);
+        }
     }
 }
 
@@ -63,6 +70,7 @@
     }
     CellWorker_AssumeForeignLease(cell, w);
     w->token_unseen = false;
+    cell->dirty = true;
 }
 
 /* Returns whether the outcome of a hold that was sent at sent_at shows that
--- a/src/cell/fit.c
+++ b/src/cell/fit.c
@@ -64,16 +64,17 @@
 
 /* Returns whether tasks of the step may be started on a worker, its current
  * load aside: the worker is listed, in contact, in the stored lease list and
- * not leaving, its size is known, it answers orders and has no unidentified
- * runs, and its service, labels, size and failure domain suit the step. */
+ * not leaving, its incarnation has answered with its own token, its size is
+ * known, it answers orders and has no unidentified runs, and its service,
+ * labels, size and failure domain suit the step. */
 bool
 CellFit_Eligible(const GfCell *cell, const Worker *w, const Step *step)
 {
     const GfQueue *queue = step->job->queue_in_force;
     if (queue == NULL || !w->listed || !w->described || !w->contacted ||
-        !w->in_stored_list || w->closed || w->info.leaving ||
-        w->hold_failures > 0 || !w->has_clock || w->unidentified_runs > 0 ||
-        !CellUnanswered_MayStart(cell, w)) {
+        !w->in_stored_list || w->token_unseen || w->closed ||
+        w->info.leaving || w->hold_failures > 0 || !w->has_clock ||
+        w->unidentified_runs > 0 || !CellUnanswered_MayStart(cell, w)) {
         return false;
     }
     GfResources none = {0};
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -572,7 +572,8 @@
     order.until_ms =
         w->hold_failures == 0 ? CellWorker_ExtendLease(cell, w, now) : 0;
     order.acked = reachable ? w->acked_completion : 0;
-    bool nothing_pending = !w->has_unseen_ends &&
+    bool shows_token = w->token_unseen && !w->token_wanted;
+    bool nothing_pending = !w->has_unseen_ends && !shows_token &&
                            w->applied_completion == w->acked_completion &&
                            w->orphan_count + w->unidentified_runs == 0;
     int wait_ms = runs_quick_tasks(w) ? quick_wait_ms(cell) : HOLD_WAIT_MS;
@@ -597,6 +598,15 @@
     free(w);
 }
 
+/* Returns whether the present incarnation of a worker may still carry out
+ * orders that were meant for the one before. */
+static bool
+may_obey_former_orders(const Worker *w, struct timespec now)
+{
+    return w->token_unseen &&
+           GfTime_DiffMs(now, w->incarnation_began_at) <= CELL_LATE_ORDER_MS;
+}
+
 /* Sends the hold calls and stop orders that are due, releases the tasks of
  * workers whose lease has expired, and removes workers that are gone. */
 void
@@ -606,7 +616,7 @@
     Worker *tmp;
     HASH_ITER(hh, cell->workers, w, tmp)
     {
-        if (w->contacted && w->token_unseen) {
+        if (w->contacted && may_obey_former_orders(w, now)) {
             CellWorker_AssumeForeignLease(cell, w);
         }
         if (w->tasks != NULL && GfTime_Before(w->lease_until, now)) {
--- a/tests/unit/cell_fence.c
+++ b/tests/unit/cell_fence.c
@@ -3,6 +3,7 @@
  * lower token again, or takes the refusal of its own former one as the sign of
  * another owner, loses its worker or its term. */
 #include <stdio.h>
+#include <stdlib.h>
 
 #include "cell_sim.h"
 #include "guavaflow/log.h"
@@ -19,7 +20,8 @@
     GfCellConfig *config;
     GfWorkerInfo worker;
     int64_t worker_clock_ms;
-    bool silent; /* holds fail */
+    bool silent;    /* holds fail */
+    bool hold_kept; /* holds get no answer */
     GfHoldOrder hold;
     bool hold_open;
     GfTaskId task; /* of the latest start */
@@ -27,8 +29,11 @@
     uint32_t serial;
     int64_t start_token;
     int starts;
+    GfStopOrder stop;
+    int stops;
     bool commit_open;
-    int64_t version; /* of the latest commit */
+    bool commit_kept; /* commits get no answer */
+    int64_t version;  /* of the latest commit */
     int fenced;
 } Owner;
 
@@ -46,8 +51,9 @@
 static void
 op_stop(void *ctx, const GfStopOrder *order)
 {
-    (void)ctx;
-    (void)order;
+    Owner *o = ctx;
+    o->stop = *order;
+    o->stops++;
 }
 
 static void
@@ -92,7 +98,7 @@
         GfCell_Tick(o->cell);
         GfManualClock_Advance(&o->clock, STEP_MS);
         o->worker_clock_ms += STEP_MS;
-        if (o->hold_open) {
+        if (o->hold_open && !o->hold_kept) {
             GfInventory inventory = {.incarnation = o->worker.incarnation,
                                      .clock_ms = o->worker_clock_ms};
             o->hold_open = false;
@@ -100,7 +106,7 @@
                             o->silent ? GF_ORDER_UNKNOWN : GF_ORDER_DONE,
                             o->silent ? NULL : &inventory);
         }
-        if (o->commit_open) {
+        if (o->commit_open && !o->commit_kept) {
             o->commit_open = false;
             GfCell_CommitDone(o->cell, ++o->version);
         }
@@ -149,7 +155,9 @@
 submit(Owner *o)
 {
     GfStepSpec *step = calloc(1, sizeof(*step));
-    CU_ASSERT_PTR_NOT_NULL_FATAL(step);
+    if (step == NULL) {
+        abort();
+    }
     *step = (GfStepSpec){
         .task_count = 1, .need = {1000, 100, 0}, .estimate_ms = 500};
     GfJobSpec spec = {.steps = step, .step_count = 1, .occurrences = 1};
@@ -191,8 +199,98 @@
     restart(&o);
     run(&o, 100);
     GfCell_StartDone(o.cell, o.serial, &o.task, o.run, GF_ORDER_FENCED);
+    CU_ASSERT_EQUAL(o.stops, 1);
     GfCell_StopDone(o.cell, o.serial, &o.task, o.run, GF_ORDER_FENCED);
     CU_ASSERT_EQUAL(o.fenced, 0);
+    run(&o, 1000);
+    CU_ASSERT(o.stops > 1);
+    CU_ASSERT_EQUAL(o.stop.target.token, o.hold.target.token);
+    GfCell_StopDone(o.cell, o.serial, &o.task, o.run, GF_ORDER_DONE);
+    run(&o, 1000);
+    GfCell_Place(o.cell);
+    CU_ASSERT_EQUAL(o.starts, 2);
+    CU_ASSERT_EQUAL(o.start_token, o.hold.target.token);
+    close_owner(&o);
+}
+
+/* The life gets its token while a hold has no answer. */
+static void
+test_task_starts_before_the_token_is_seen(void)
+{
+    Owner o;
+    open_owner(&o);
+    o.commit_kept = true;
+    restart(&o);
+    run(&o, 200);
+    int64_t former = o.hold.target.token;
+    restart(&o);
+    run(&o, 200);
+    CU_ASSERT_EQUAL(o.hold.target.token, former);
+    CU_ASSERT_TRUE(o.commit_open);
+    submit(&o);
+    o.hold_kept = true;
+    o.commit_kept = false;
+    run(&o, 400);
+    GfCell_Place(o.cell);
+    CU_ASSERT(o.hold.target.token > former);
+    CU_ASSERT_EQUAL(o.starts, 0);
+    o.hold_kept = false;
+    run(&o, 2 * STEP_MS);
+    GfCell_Place(o.cell);
+    CU_ASSERT_EQUAL(o.starts, 1);
+    CU_ASSERT_EQUAL(o.start_token, o.hold.target.token);
+    close_owner(&o);
+}
+
+/* The token comes while the first hold has no answer. */
+static void
+test_hold_with_the_token_waits_for_ends(void)
+{
+    Owner o;
+    open_owner(&o);
+    restart(&o);
+    run(&o, 200);
+    o.commit_kept = true;
+    restart(&o);
+    run(&o, 2 * STEP_MS);
+    CU_ASSERT_TRUE(o.commit_open);
+    restart(&o);
+    o.hold_kept = true;
+    GfCell_Tick(o.cell);
+    GfHoldOrder first = o.hold;
+    o.commit_kept = false;
+    run(&o, STEP_MS);
+    GfInventory inventory = {.incarnation = o.worker.incarnation,
+                             .clock_ms = o.worker_clock_ms};
+    GfCell_HoldDone(o.cell, first.target.serial, first.sent_at, GF_ORDER_DONE,
+                    &inventory);
+    run(&o, STEP_MS);
+    CU_ASSERT(o.hold.target.token > first.target.token);
+    CU_ASSERT_EQUAL(o.hold.wait_ms, 0);
+    close_owner(&o);
+}
+
+/* Another worker answers at its address before it has got its token. */
+static void
+test_replaced_worker_is_called_for_good(void)
+{
+    Owner o;
+    open_owner(&o);
+    restart(&o);
+    run(&o, 200);
+    restart(&o);
+    o.hold_kept = true;
+    int holds = 0;
+    for (int64_t ms = 0; ms < 60000; ms += STEP_MS) {
+        run(&o, STEP_MS);
+        if (o.hold_open) {
+            o.hold_open = false;
+            holds += ms >= 50000;
+            GfCell_HoldDone(o.cell, o.hold.target.serial, o.hold.sent_at,
+                            GF_ORDER_OTHER_INCARNATION, NULL);
+        }
+    }
+    CU_ASSERT_EQUAL(holds, 0);
     close_owner(&o);
 }
 
@@ -240,6 +338,12 @@
     {"order for a former life obeyed", test_order_for_a_former_life_obeyed},
     {"own new token taken for another owner's",
      test_own_new_token_taken_for_another_owners},
+    {"task starts before the token is seen",
+     test_task_starts_before_the_token_is_seen},
+    {"hold with the token waits for ends",
+     test_hold_with_the_token_waits_for_ends},
+    {"replaced worker is called for good",
+     test_replaced_worker_is_called_for_good},
     {"another owner's token ignored", test_another_owners_token_ignored},
     {"forgotten worker gets a lower token",
      test_forgotten_worker_gets_a_lower_token}};
