Treat a worker that is back under its id as restarted, also after its removal

What callers see: a task runs twice at the same time. A worker is removed from the cell, as its lease has lapsed or its row went away before a hold was answered, and is back under its id. It carries out a hold of before, gets tasks, and is cut off: they start elsewhere while they still run there.

Cause: what is known of a worker ends with its removal. One that is back counts as new, so that its lease is taken as that of the owner's own orders, and its orders may carry the token of before, if nothing has been stored since.

Change: the id and the token of a removed worker are remembered as long as orders to it may be carried out (CELL_LATE_ORDER_MS, cell/removed). If it is back within that time, it is treated as restarted: its lease counts as the longest that workers take, and it gets a token of its own before it gets tasks.

Weighed: to assume the longest lease of every young worker without a contact. That holds for each new worker too, whose tasks would wait 4 s longer when it is lost. An id that is not remembered is that of a new worker, and is treated as before.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -110,6 +110,7 @@
     }
     free(cell->commit_jobs);
     CellCrash_Forget(cell, NULL);
+    CellRemoved_Forget(cell, NULL);
     Job *job;
     Job *jtmp;
     HASH_ITER(hh, cell->jobs, job, jtmp)
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -427,6 +427,14 @@
 /* How much of a job's changes was added to a transaction. */
 typedef enum { ROWS_NONE, ROWS_PART, ROWS_ALL } RowsAdded;
 
+/* A worker that was removed, to which orders may still arrive. */
+typedef struct {
+    GfName id;
+    int64_t token; /* of the latest orders to it */
+    struct timespec removed_at;
+    UT_hash_handle hh;
+} RemovedWorker;
+
 struct GfCell {
     const GfCellOps *ops;
     void *ctx;
@@ -437,6 +445,7 @@
     Lookup *lookups;
     Worker *workers;
     Worker *workers_by_serial;
+    RemovedWorker *removed; /* the oldest first */
     size_t worker_count;
     uint32_t next_serial;
     Step *waiting; /* steps with idle tasks and no unfinished prerequisites */
@@ -676,6 +685,11 @@
                          const GfInventory *inventory);
 void CellWorker_ClearOrphans(GfCell *cell, Worker *w);
 
+/* removed.c */
+void CellRemoved_Add(GfCell *cell, const Worker *w);
+void CellRemoved_Restore(GfCell *cell, Worker *w);
+void CellRemoved_Forget(GfCell *cell, const struct timespec *now);
+
 /* fence.c */
 void CellFence_Restarted(GfCell *cell, Worker *w);
 void CellFence_Stored(GfCell *cell, int64_t version);
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -253,6 +253,7 @@
     HASH_ADD(hh, cell->workers, info.id.data, w->info.id.len, w);
     HASH_ADD(by_serial, cell->workers_by_serial, serial, sizeof(w->serial), w);
     cell->worker_count++;
+    CellRemoved_Restore(cell, w);
     return w;
 }
 
@@ -584,7 +585,8 @@
     cell->ops->hold(cell->ctx, &order);
 }
 
-/* Removes a worker without tasks from the cell and frees it. */
+/* Removes a worker without tasks from the cell and frees it. Its id is
+ * remembered for a while. */
 static void
 remove_worker(GfCell *cell, Worker *w)
 {
@@ -593,6 +595,7 @@
     cell->worker_count--;
     cell->lease_list_dirty = cell->lease_list_dirty || w->in_lease_list;
     CellWorker_ClearOrphans(cell, w);
+    CellRemoved_Add(cell, w);
     free(w->inherited);
     free(w->unanswered_starts);
     free(w);
@@ -642,6 +645,7 @@
             CellWorker_Poll(cell, w);
         }
     }
+    CellRemoved_Forget(cell, &now);
     CellFormer_Tick(cell, now);
     CellCrash_PresumeLost(cell, now);
     CellCrash_Judge(cell, now);
--- a/tests/unit/cell_fence.c
+++ b/tests/unit/cell_fence.c
@@ -334,6 +334,36 @@
     close_owner(&o);
 }
 
+/* It is back in its next life, and nothing has been stored since. */
+static void
+test_forgotten_worker_gets_the_token_of_before(void)
+{
+    Owner o;
+    open_owner(&o);
+    o.commit_kept = true;
+    restart(&o);
+    run(&o, 200);
+    int64_t former = o.hold.target.token;
+    uint32_t serial = o.hold.target.serial;
+    CU_ASSERT_EQUAL(former, o.version);
+    o.silent = true;
+    GfCell_UnlistWorker(o.cell, &o.worker.id);
+    run(&o, 15000);
+    CU_ASSERT_EQUAL(o.hold.target.token, former);
+    o.silent = false;
+    restart(&o);
+    run(&o, 200);
+    CU_ASSERT_NOT_EQUAL(o.hold.target.serial, serial);
+    submit(&o);
+    o.commit_kept = false;
+    run(&o, 400);
+    GfCell_Place(o.cell);
+    CU_ASSERT(o.hold.target.token > former);
+    CU_ASSERT_EQUAL(o.starts, 1);
+    CU_ASSERT_EQUAL(o.start_token, o.hold.target.token);
+    close_owner(&o);
+}
+
 static const SuiteTest TESTS[] = {
     {"order for a former life obeyed", test_order_for_a_former_life_obeyed},
     {"own new token taken for another owner's",
@@ -346,6 +376,8 @@
      test_replaced_worker_is_called_for_good},
     {"another owner's token ignored", test_another_owners_token_ignored},
     {"forgotten worker gets a lower token",
-     test_forgotten_worker_gets_a_lower_token}};
+     test_forgotten_worker_gets_a_lower_token},
+    {"forgotten worker gets the token of before",
+     test_forgotten_worker_gets_the_token_of_before}};
 
 SUITE_MAIN("cell fence", TESTS)
