--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -197,6 +197,7 @@
     CellCrash_WorkerGone(cell, w, true);
     CellSpeed_Restarted(cell, w, now);
     CellUnanswered_Restarted(w);
+    CellFence_Restarted(cell, w);
     size_t kept = divide_tasks(w, now);
     CellWorker_ClearOrphans(cell, w);
     w->described = false;
@@ -248,9 +249,11 @@
     }
     w->info = *info;
     w->serial = ++cell->next_serial;
+    w->token = cell->stored_version;
     HASH_ADD(hh, cell->workers, info.id.data, w->info.id.len, w);
     HASH_ADD(by_serial, cell->workers_by_serial, serial, sizeof(w->serial), w);
     cell->worker_count++;
+    CellRemoved_Restore(cell, w);
     return w;
 }
 
@@ -483,13 +486,16 @@
         return;
     }
     struct timespec now = GfClock_Now(cell->clock);
-    if (result == GF_ORDER_FENCED) {
-        cell->ops->fenced(cell->ctx, &w->info.id);
+    if (CellFence_HoldEndsTerm(cell, w, result, sent_at)) {
         return;
     }
     if (GfTime_Before(sent_at, w->incarnation_began_at)) {
         return; /* meant for a former incarnation */
     }
+    if (result == GF_ORDER_DONE &&
+        inventory->incarnation == w->info.incarnation) {
+        CellFence_HoldAnswered(cell, w, sent_at);
+    }
     if (!w->hold_in_flight || !same_time(sent_at, w->hold_sent_at)) {
         /* The outcome of an inventory request by CellWorker_Poll. */
         w->poll_in_flight = false;
@@ -547,7 +553,6 @@
                          .acked =
                              w->hold_failures == 0 ? w->acked_completion : 0,
                          .sent_at = GfClock_Now(cell->clock)};
-    order.target.token = cell->settings.token;
     cell->ops->hold(cell->ctx, &order);
 }
 
@@ -562,14 +567,14 @@
      * after the first ones are acknowledged. */
     bool reachable = w->has_clock && w->hold_failures == 0;
     GfHoldOrder order = {.target = CellTask_Target(w)};
-    order.target.token = cell->settings.token;
     /* A call without an answer may extend the lease all the same; after a
      * failed one no extension is requested, so that the lease expires if the
      * worker is gone. */
     order.until_ms =
         w->hold_failures == 0 ? CellWorker_ExtendLease(cell, w, now) : 0;
     order.acked = reachable ? w->acked_completion : 0;
-    bool nothing_pending = !w->has_unseen_ends &&
+    bool shows_token = w->token_unseen && !w->token_wanted;
+    bool nothing_pending = !w->has_unseen_ends && !shows_token &&
                            w->applied_completion == w->acked_completion &&
                            w->orphan_count + w->unidentified_runs == 0;
     int wait_ms = runs_quick_tasks(w) ? quick_wait_ms(cell) : HOLD_WAIT_MS;
@@ -580,7 +585,8 @@
     cell->ops->hold(cell->ctx, &order);
 }
 
-/* Removes a worker without tasks from the cell and frees it. */
+/* Removes a worker without tasks from the cell and frees it. Its id is
+ * remembered for a while. */
 static void
 remove_worker(GfCell *cell, Worker *w)
 {
@@ -589,11 +595,21 @@
     cell->worker_count--;
     cell->lease_list_dirty = cell->lease_list_dirty || w->in_lease_list;
     CellWorker_ClearOrphans(cell, w);
+    CellRemoved_Add(cell, w);
     free(w->inherited);
     free(w->unanswered_starts);
     free(w);
 }
 
+/* Returns whether the present incarnation of a worker may still carry out
+ * orders that were meant for the one before. */
+static bool
+may_obey_former_orders(const Worker *w, struct timespec now)
+{
+    return w->token_unseen &&
+           GfTime_DiffMs(now, w->incarnation_began_at) <= CELL_LATE_ORDER_MS;
+}
+
 /* Sends the hold calls and stop orders that are due, releases the tasks of
  * workers whose lease has expired, and removes workers that are gone. */
 void
@@ -603,6 +619,9 @@
     Worker *tmp;
     HASH_ITER(hh, cell->workers, w, tmp)
     {
+        if (w->contacted && may_obey_former_orders(w, now)) {
+            CellWorker_AssumeForeignLease(cell, w);
+        }
         if (w->tasks != NULL && GfTime_Before(w->lease_until, now)) {
             CellCrash_WorkerSilent(w);
             CellWorker_ReleaseTasks(w, "lease lapsed");
@@ -626,6 +645,7 @@
             CellWorker_Poll(cell, w);
         }
     }
+    CellRemoved_Forget(cell, &now);
     CellFormer_Tick(cell, now);
     CellCrash_PresumeLost(cell, now);
     CellCrash_Judge(cell, now);
--- a/tests/support/cell_sim.c
+++ b/tests/support/cell_sim.c
@@ -103,6 +103,7 @@
     bool alive;
     bool failing;
     bool starts_delayed;
+    bool holds_delayed;
     bool only_holds; /* no other orders get through */
     double speed;    /* work done in a ms, in ms at speed 1 */
     bool isolated_from[CELL_SIM_MAX_OWNERS]; /* by index of the owner */
@@ -193,6 +194,7 @@
     int owner_count;
     int current_owner;      /* index of the latest owner; -1: none */
     int64_t token;          /* the latest owner's, as the store has it */
+    int64_t version;        /* of the latest transaction */
     json_t *leased_workers; /* the stored parts of the list, by key */
     int64_t settled_token;  /* as stored */
     bool store_available;
@@ -291,7 +293,8 @@
         m->due_ms += ORDER_TIMEOUT_MS;
     }
     else if (fraction < w->settings.lose_order + w->settings.late_order ||
-             (kind == START && s->starts_delayed)) {
+             (kind == START && s->starts_delayed) ||
+             (kind == HOLD && s->holds_delayed)) {
         m->no_reply = true;
         int64_t least = w->settings.late_min_ms;
         m->due_ms +=
@@ -802,7 +805,7 @@
     if (former && !w->settings.takes_former_orders) {
         return make_reply(w, m, GF_ORDER_OTHER_INCARNATION);
     }
-    if (former && m->kind == HOLD) {
+    if (former && m->kind == HOLD && !m->no_reply) {
         m->until_ms = 0;
         m->acked = 0;
         m->wait_until_ms = 0;
@@ -875,7 +878,8 @@
     bool holds = m->token == w->token || w->settings.without_condition;
     if (!w->store_available) {
         if (o->cell != NULL && o->token != 0) {
-            GfCell_CommitDone(o->cell, w->settings.without_durability);
+            GfCell_CommitDone(o->cell,
+                              w->settings.without_durability ? w->version : 0);
         }
         return;
     }
@@ -893,6 +897,7 @@
         }
         return;
     }
+    int64_t version = ++w->version;
     if (m->settled_token != 0) {
         w->settled_token = m->settled_token;
     }
@@ -930,7 +935,7 @@
         }
     }
     if (o->cell != NULL && o->token != 0) {
-        GfCell_CommitDone(o->cell, true);
+        GfCell_CommitDone(o->cell, version);
     }
 }
 
@@ -1455,7 +1460,8 @@
     o->sim = w;
     o->index = w->owner_count;
     int64_t former_token = w->token;
-    w->token += 10;
+    w->version += 10;
+    w->token = w->version;
     o->token = w->token;
     GfCellSettings settings = {
         .token = o->token,
@@ -1888,6 +1894,14 @@
     w->workers[worker].starts_delayed = delayed;
 }
 
+/* Makes a worker carry out later holds 2 to 12 s late and without a reply, or
+ * ends that. */
+void
+CellSim_SetHoldsDelayed(CellSim *w, int worker, bool delayed)
+{
+    w->workers[worker].holds_delayed = delayed;
+}
+
 /* Counts the backfill tasks that run on a worker. */
 int
 CellSim_BackfillOn(const CellSim *w, int worker)
