--- a/tests/fault/cluster.c
+++ b/tests/fault/cluster.c
@@ -357,6 +357,13 @@
         start_entry(c, "twin", entry, caller, peer, peer);
 }
 
+/* Returns the process id of an entry; 0 if it does not run. */
+pid_t
+Cluster_EntryPid(const Cluster *c, int entry)
+{
+    return c->entries[entry];
+}
+
 /* Sends a signal to an entry; after SIGKILL waits for its end. */
 void
 Cluster_SignalEntry(Cluster *c, int entry, int sig)
--- a/tests/fault/cluster.h
+++ b/tests/fault/cluster.h
@@ -13,6 +13,7 @@
 #include <jansson.h>
 #include <stdbool.h>
 #include <stdint.h>
+#include <sys/types.h>
 
 #define CLUSTER_MAX_ENTRIES 6
 #define CLUSTER_DESK_KEY "gfk_desk_0123456789abcdef"
@@ -53,6 +54,7 @@
 void Cluster_StartEntry(Cluster *cluster, int entry);
 void Cluster_StartDuplicate(Cluster *cluster, int entry);
 void Cluster_SignalEntry(Cluster *cluster, int entry, int sig);
+pid_t Cluster_EntryPid(const Cluster *cluster, int entry);
 bool Cluster_EntryHasExited(Cluster *cluster, int entry);
 int64_t Cluster_NowMs(void);
 
