Read requests one at a time, with bounded buffers

What callers saw: a client that sends requests ahead and reads no answers, at a path without a route or at the readiness path, ends the entry: it runs out of memory, and the calls of all others there are cut.

Cause: the server of libevent reads on while an answer waits to be written, since it wants to see the close, and keeps all that it reads; nothing bounds it. A chunk of a body waits there until it has arrived whole. It tells its user nothing of connections that open and close either, so that no limit can be put beside it.

Change: connections are bufferevents of our own with a read-ahead of 8 KiB, and requests are parsed by http_parser, a Debian package, as they arrive. The next request is read when the answer before it is written. The kernel's receive buffer of a connection, which counts as memory of the process on the users' machines, is 16 KiB. A request that is too long or malformed is refused (413, 431, 400) before the handler sees it, so that it has not run; its connection ends with a FIN, and what still arrives is discarded for a second, so that the client gets the answer. The exchange owns the request until it is answered: handlers take the body, and a request can be read when its client has left, as the stand-ins do.

Weighed: a read watermark on the server of libevent stops a chunk above it for good, and a filter in front of its connections, to learn of their end, loses the second request of a connection (both tried).

New cases in the test server: requests sent ahead, refused requests, usual forms, a client that has left.

--- /dev/null
+++ b/include/guavaflow/listener.h
@@ -0,0 +1,28 @@
+/* A listening TCP socket on the event loop. */
+#ifndef GUAVAFLOW_LISTENER_H
+#define GUAVAFLOW_LISTENER_H
+
+#include <event2/event.h>
+
+#include "guavaflow/error.h"
+
+typedef struct GfListener GfListener;
+
+/* Receives a connection, whose non-blocking socket the callback owns. */
+typedef void (*GfListenerCallback)(void *ctx, evutil_socket_t fd);
+
+/* The address and what is set on the sockets of connections. */
+typedef struct {
+    const char *address; /* IPv4 */
+    uint16_t port;
+    int receive_buffer_bytes; /* of the kernel for a connection; 0: default */
+    int send_buffer_bytes;    /* the same for what is sent */
+} GfListenerConfig;
+
+GfListener *GfListener_Create(struct event_base *base,
+                              const GfListenerConfig *config,
+                              GfListenerCallback callback, void *ctx,
+                              GfError *error);
+void GfListener_Destroy(GfListener *listener);
+
+#endif
--- a/include/guavaflow/server.h
+++ b/include/guavaflow/server.h
@@ -1,6 +1,10 @@
 /* HTTP server on the event loop. Each request becomes an exchange, which is
  * answered exactly once, within the handler or later. That holds also if the
- * client has disconnected meanwhile; the answer is then dropped. */
+ * client has disconnected meanwhile; the answer is then dropped.
+ *
+ * A connection has one request at a time; the next one is read when the answer
+ * is written. A request that is too long or malformed is answered with a 4xx
+ * status before the handler sees it, and its connection is closed. */
 #ifndef GUAVAFLOW_SERVER_H
 #define GUAVAFLOW_SERVER_H
 
@@ -13,9 +17,8 @@
 typedef struct GfServer GfServer;
 typedef struct GfExchange GfExchange;
 
-/* Handles a request. Answering or dropping the exchange frees it. The
- * functions that read the request may be used only within the handler: later
- * the client may have disconnected. */
+/* Handles a request. Answering or dropping the exchange frees it. Until then
+ * the request can be read, also when the client has disconnected. */
 typedef void (*GfServerHandler)(void *ctx, GfExchange *exchange);
 
 GfServer *GfServer_Create(struct event_base *base, const char *address,
@@ -31,6 +34,7 @@
 const char *GfExchange_Query(const GfExchange *exchange, const char *name);
 const char *GfExchange_Header(const GfExchange *exchange, const char *name);
 GfStr GfExchange_Body(const GfExchange *exchange);
+GfStr GfExchange_TakeBody(GfExchange *exchange);
 void GfExchange_AddHeader(GfExchange *exchange, const char *name,
                           const char *value);
 void GfExchange_Reply(GfExchange *exchange, int status, const char *type,
--- a/src/admin/admin.c
+++ b/src/admin/admin.c
@@ -253,7 +253,7 @@
 {
     const char *path = GfExchange_Path(exchange) + strlen("/v1/admin/");
     bool post = strcmp(GfExchange_Method(exchange), "POST") == 0;
-    GfStr text = GfExchange_Body(exchange);
+    GfStr text = GfExchange_TakeBody(exchange);
     json_t *body =
         json_loadb(text.data, text.len, JSON_REJECT_DUPLICATES, NULL);
     GfStr_Clear(&text);
--- a/src/common/metrics.c
+++ b/src/common/metrics.c
@@ -73,6 +73,7 @@
     {"backfill_paced_total", COUNTER, "Backfill tasks slowed for others."},
     {"backfill_moved_total", COUNTER, "Backfill tasks stopped for others."},
     {"rows_set_apart_total", COUNTER, "Jobs whose row the store refuses."},
+    {"requests_unread_total", COUNTER, "Requests refused before their end."},
 };
 
 /* Inclusive upper bounds of the histogram buckets in milliseconds; one more
--- a/src/front/filters.c
+++ b/src/front/filters.c
@@ -240,7 +240,7 @@
 FilterResult
 FrontFilter_ReadBody(FrontCall *call)
 {
-    call->body = GfExchange_Body(call->exchange);
+    call->body = GfExchange_TakeBody(call->exchange);
     if (call->route != ROUTE_JOB_SUBMIT) {
         return FILTER_PASS;
     }
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -5,54 +5,34 @@
 #include <string.h>
 
 #include <sys/queue.h>
-#include <sys/socket.h>
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/http.h>
-#include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
 #include <utlist.h>
 
+#include "guavaflow/clock.h"
 #include "guavaflow/log.h"
+#include "guavaflow/metrics.h"
+#include "server_private.h"
 
 #define PART "http"
-#define IDLE_TIMEOUT_S 75
-#define MAX_HEADER_BYTES 16384
-
-struct GfServer {
-    struct evhttp *http;
-    struct evhttp_bound_socket *socket;
-    GfServerHandler handler;
-    void *ctx;
-    GfExchange *exchanges;
-    int open; /* number of exchanges */
-    bool stopping;
-    bool draining;
-};
-
-struct GfExchange {
-    GfServer *server;
-    struct evhttp_request *request; /* NULL once the client disconnected */
-    struct evkeyvalq query;
-    bool query_parsed;
-    bool answered;
-    GfExchange *next;
-    GfExchange *prev;
-};
+/* Of the kernel, for a connection. What is received and not read counts as
+ * memory of this process. */
+#define RECEIVE_BUFFER_BYTES (16 * 1024)
+#define SEND_BUFFER_BYTES (64 * 1024)
+/* Shortest time between two log lines on refused clients. */
+#define LOG_INTERVAL_MS 10000
 
 /* Returns the HTTP method, or "OTHER" for one that no handler supports. */
 const char *
 GfExchange_Method(const GfExchange *exchange)
 {
-    switch (evhttp_request_get_command(exchange->request)) {
-    case EVHTTP_REQ_GET:
+    switch (exchange->request.method) {
+    case HTTP_GET:
         return "GET";
-    case EVHTTP_REQ_POST:
+    case HTTP_POST:
         return "POST";
-    case EVHTTP_REQ_PUT:
+    case HTTP_PUT:
         return "PUT";
-    case EVHTTP_REQ_DELETE:
+    case HTTP_DELETE:
         return "DELETE";
     default:
         return "OTHER";
@@ -60,12 +40,11 @@
 }
 
 /* Returns the path without the query, "/" if it is empty. It is valid until
- * the handler returns or the exchange is answered. */
+ * the exchange is answered. */
 const char *
 GfExchange_Path(const GfExchange *exchange)
 {
-    const struct evhttp_uri *uri =
-        evhttp_request_get_evhttp_uri(exchange->request);
+    const struct evhttp_uri *uri = exchange->uri;
     const char *path = uri == NULL ? NULL : evhttp_uri_get_path(uri);
     return path == NULL || path[0] == '\0' ? "/" : path;
 }
@@ -77,10 +56,8 @@
 {
     GfExchange *e = (GfExchange *)exchange;
     if (!e->query_parsed) {
-        const struct evhttp_uri *uri =
-            evhttp_request_get_evhttp_uri(e->request);
-        const char *text = uri == NULL ? NULL : evhttp_uri_get_query(uri);
-        TAILQ_INIT(&e->query);
+        const char *text =
+            e->uri == NULL ? NULL : evhttp_uri_get_query(e->uri);
         e->query_parsed = true;
         if (text != NULL && evhttp_parse_query_str(text, &e->query) != 0) {
             GfLog(GF_LOG_INFO, PART,
@@ -95,27 +72,30 @@
 const char *
 GfExchange_Header(const GfExchange *exchange, const char *name)
 {
-    return evhttp_find_header(
-        evhttp_request_get_input_headers(exchange->request), name);
+    return evhttp_find_header(&exchange->request.headers, name);
 }
 
 /* Returns a copy of the body, which the caller of this function clears. */
 GfStr
 GfExchange_Body(const GfExchange *exchange)
 {
-    struct evbuffer *in = evhttp_request_get_input_buffer(exchange->request);
-    size_t len = evbuffer_get_length(in);
-    const char *data = (const char *)evbuffer_pullup(in, -1);
-    return GfStr_Copy(data, len);
+    return GfStr_Copy(exchange->request.body.data, exchange->request.body.len);
+}
+
+/* Takes the body out of the exchange; the caller of this function clears it.
+ * There is none the next time. */
+GfStr
+GfExchange_TakeBody(GfExchange *exchange)
+{
+    return Request_TakeBody(exchange->server, &exchange->request);
 }
 
 /* Adds a header to the answer; does nothing if the client has disconnected. */
 void
 GfExchange_AddHeader(GfExchange *exchange, const char *name, const char *value)
 {
-    if (exchange->request != NULL) {
-        evhttp_add_header(evhttp_request_get_output_headers(exchange->request),
-                          name, value);
+    if (exchange->connection != NULL) {
+        evhttp_add_header(&exchange->answer_headers, name, value);
     }
 }
 
@@ -126,27 +106,24 @@
     GfServer *server = exchange->server;
     DL_DELETE(server->exchanges, exchange);
     server->open--;
-    if (exchange->query_parsed) {
-        evhttp_clear_headers(&exchange->query);
+    if (exchange->connection != NULL) {
+        exchange->connection->exchange = NULL;
+    }
+    evhttp_clear_headers(&exchange->query);
+    if (exchange->uri != NULL) {
+        evhttp_uri_free(exchange->uri);
     }
+    Request_Clear(server, &exchange->request);
+    evhttp_clear_headers(&exchange->answer_headers);
     free(exchange);
 }
 
-/* Callback of libevent for a closed connection. Sets the request of its
- * exchanges to NULL, so that a later answer is dropped instead of being
- * written to a freed request. */
-static void
-on_close(struct evhttp_connection *connection, void *arg)
+/* Records that the client of an exchange has disconnected: its answer will be
+ * dropped. */
+void
+Server_Detach(GfExchange *exchange)
 {
-    GfServer *server = arg;
-    GfExchange *e;
-    DL_FOREACH(server->exchanges, e)
-    {
-        if (e->request != NULL &&
-            evhttp_request_get_connection(e->request) == connection) {
-            e->request = NULL;
-        }
-    }
+    exchange->connection = NULL;
 }
 
 /* Answers the exchange with len bytes of the given content type, which are
@@ -159,27 +136,16 @@
     assert(exchange != NULL);
     assert(!exchange->answered);
     exchange->answered = true;
-    struct evhttp_request *request = exchange->request;
-    if (request == NULL) {
-        remove_exchange(exchange);
-        return;
+    const GfServer *server = exchange->server;
+    Connection *c = exchange->connection;
+    if (c != NULL) {
+        GfExchange_AddHeader(exchange, "Content-Type", type);
+        c->exchange = NULL;
+        c->close_after_answer = !exchange->request.keep_alive ||
+                                server->stopping || server->draining;
+        Connection_Answer(c, status, &exchange->answer_headers, data, len);
     }
-    GfExchange_AddHeader(exchange, "Content-Type", type);
-    if (exchange->server->stopping || exchange->server->draining) {
-        GfExchange_AddHeader(exchange, "Connection", "close");
-    }
-    struct evbuffer *out = evbuffer_new();
-    if (out == NULL) {
-        abort();
-    }
-    if (len > 0) {
-        evbuffer_add(out, data, len);
-    }
-    /* Sending may free the request. */
-    exchange->request = NULL;
     remove_exchange(exchange);
-    evhttp_send_reply(request, status, NULL, out);
-    evbuffer_free(out);
 }
 
 /* Answers the exchange with a JSON document and frees it. Takes the reference
@@ -199,39 +165,83 @@
 void
 GfExchange_Drop(GfExchange *exchange)
 {
-    struct evhttp_request *request = exchange->request;
+    Connection *c = exchange->connection;
     exchange->answered = true;
-    if (request != NULL) {
-        struct evhttp_connection *connection =
-            evhttp_request_get_connection(request);
-        evutil_socket_t fd =
-            bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
-        if (fd >= 0) {
-            shutdown(fd, SHUT_RDWR);
-        }
-    }
     remove_exchange(exchange);
+    if (c != NULL) {
+        Connection_Close(c);
+    }
 }
 
-/* Callback of libevent for a complete request: passes it to the handler as an
- * exchange. */
-static void
-on_request(struct evhttp_request *request, void *arg)
+/* Passes the request that a connection has read to the handler, as an
+ * exchange. The handler may answer it or drop it at once. */
+void
+Server_Dispatch(Connection *c)
 {
-    GfServer *server = arg;
+    GfServer *server = c->server;
     GfExchange *exchange = calloc(1, sizeof(*exchange));
     if (exchange == NULL) {
         abort();
     }
     exchange->server = server;
-    exchange->request = request;
+    exchange->connection = c;
+    exchange->request = c->request;
+    TAILQ_INIT(&exchange->request.headers);
+    TAILQ_CONCAT(&exchange->request.headers, &c->request.headers, next);
+    Request_Init(&c->request);
+    exchange->uri = evhttp_uri_parse_with_flags(exchange->request.url.data,
+                                                EVHTTP_URI_NONCONFORMANT);
+    TAILQ_INIT(&exchange->query);
+    TAILQ_INIT(&exchange->answer_headers);
+    c->exchange = exchange;
     server->open++;
     DL_APPEND(server->exchanges, exchange);
-    evhttp_connection_set_closecb(evhttp_request_get_connection(request),
-                                  on_close, server);
     server->handler(server->ctx, exchange);
 }
 
+/* Logs how many clients were refused since the last such line, unless one was
+ * written less than LOG_INTERVAL_MS ago. */
+static void
+log_refusals(GfServer *server)
+{
+    if (evtimer_pending(server->log_timer, NULL)) {
+        return;
+    }
+    GfLog(GF_LOG_INFO, PART, "clients refused port=%u requests=%u open=%u",
+          server->port, server->refused, server->connection_count);
+    server->refused = 0;
+    struct timeval interval = GfTime_ToTimeval(LOG_INTERVAL_MS);
+    evtimer_add(server->log_timer, &interval);
+}
+
+/* Timer callback: logs what was counted since the last line. */
+static void
+on_log_interval(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    GfServer *server = arg;
+    if (server->refused > 0) {
+        log_refusals(server);
+    }
+}
+
+/* Counts a request that was refused before the handler saw it. */
+void
+Server_CountRefusal(GfServer *server)
+{
+    GfMetrics_Add(GF_METRIC_REQUESTS_UNREAD, 1);
+    server->refused++;
+    log_refusals(server);
+}
+
+/* Callback of the listener for a new connection. */
+static void
+on_accept(void *ctx, evutil_socket_t fd)
+{
+    Connection_Open(ctx, fd);
+}
+
 /* Creates a server that listens on an address and a port. Requests with a body
  * over max_body_bytes are refused. Returns NULL and sets error to
  * GF_BAD_CONFIG if the address cannot be bound. Borrows base;
@@ -246,25 +256,22 @@
     if (server == NULL) {
         abort();
     }
+    server->base = base;
     server->handler = handler;
     server->ctx = ctx;
-    server->http = evhttp_new(base);
-    if (server->http == NULL) {
-        abort();
-    }
-    evhttp_set_gencb(server->http, on_request, server);
-    evhttp_set_max_body_size(server->http, (ev_ssize_t)max_body_bytes);
-    evhttp_set_max_headers_size(server->http, MAX_HEADER_BYTES);
-    evhttp_set_timeout(server->http, IDLE_TIMEOUT_S);
-    server->socket =
-        evhttp_bind_socket_with_handle(server->http, address, port);
-    if (server->socket == NULL) {
-        GfError_Set(error, GF_BAD_CONFIG, "cannot listen on %s port %u",
-                    address, port);
-        evhttp_free(server->http);
+    server->port = port;
+    server->max_body_bytes = max_body_bytes;
+    GfListenerConfig config = {.address = address,
+                               .port = port,
+                               .receive_buffer_bytes = RECEIVE_BUFFER_BYTES,
+                               .send_buffer_bytes = SEND_BUFFER_BYTES};
+    server->listener =
+        GfListener_Create(base, &config, on_accept, server, error);
+    if (server->listener == NULL) {
         free(server);
         return NULL;
     }
+    server->log_timer = evtimer_new(base, on_log_interval, server);
     return server;
 }
 
@@ -280,10 +287,9 @@
 void
 GfServer_StopAccepting(GfServer *server)
 {
-    if (!server->stopping) {
-        server->stopping = true;
-        evhttp_del_accept_socket(server->http, server->socket);
-    }
+    server->stopping = true;
+    GfListener_Destroy(server->listener);
+    server->listener = NULL;
 }
 
 /* Returns the number of requests not answered yet. */
@@ -301,6 +307,17 @@
     if (server == NULL) {
         return;
     }
-    evhttp_free(server->http);
+    GfListener_Destroy(server->listener);
+    server->listener = NULL;
+    event_free(server->log_timer);
+    while (server->handled != NULL) {
+        Connection_Close(server->handled);
+    }
+    while (server->waiting != NULL) {
+        Connection_Close(server->waiting);
+    }
+    while (server->exchanges != NULL) {
+        remove_exchange(server->exchanges);
+    }
     free(server);
 }
--- a/tests/unit/server.c
+++ b/tests/unit/server.c
@@ -1,6 +1,7 @@
 /* The HTTP server. The tests guard against requests that are misread when they
- * arrive in several segments, and against leaks or crashes when a client
- * disconnects before it is answered or a connection is dropped. */
+ * arrive in several segments, against leaks or crashes when a client
+ * disconnects before it is answered or a connection is dropped, and against
+ * clients that use up memory or connections at the cost of others. */
 #include "guavaflow/server.h"
 
 #include <stdio.h>
@@ -213,9 +214,164 @@
     destroy_fixture(&f);
 }
 
-static const SuiteTest TESTS[] = {{"pieces", test_pieces},
-                                  {"caller leaves", test_caller_leaves},
-                                  {"drain", test_drain},
-                                  {"drop", test_drop}};
+/* The request of a client that has disconnected can still be read. */
+static void
+test_request_outlives_client(void)
+{
+    ServerFixture f;
+    create_fixture(&f);
+    f.hold = true;
+    struct bufferevent *bev = open_connection(&f);
+    bufferevent_write(bev, REQUEST, strlen(REQUEST));
+    run(&f, 10);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(f.held);
+    bufferevent_free(bev);
+    run(&f, 10);
+    CU_ASSERT_STRING_EQUAL(GfExchange_Path(f.held), "/jobs/0123456789abcdef");
+    CU_ASSERT_STRING_EQUAL(GfExchange_Header(f.held, "Host"), "a.example");
+    GfStr body = GfExchange_TakeBody(f.held);
+    CU_ASSERT_STRING_EQUAL(body.data, "hello");
+    GfStr_Clear(&body);
+    GfExchange_Drop(f.held);
+    CU_ASSERT_EQUAL(GfServer_OpenExchanges(f.server), 0);
+    destroy_fixture(&f);
+}
+
+/* Counts the occurrences of a text in the input, which is discarded. */
+static int
+count_text(struct bufferevent *bev, const char *text)
+{
+    struct evbuffer *in = bufferevent_get_input(bev);
+    int count = 0;
+    struct evbuffer_ptr at = evbuffer_search(in, text, strlen(text), NULL);
+    while (at.pos >= 0) {
+        count++;
+        evbuffer_ptr_set(in, &at, 1, EVBUFFER_PTR_ADD);
+        at = evbuffer_search(in, text, strlen(text), &at);
+    }
+    evbuffer_drain(in, evbuffer_get_length(in));
+    return count;
+}
+
+/* Requests that are sent ahead are answered one by one, and not read while one
+ * waits for its answer. */
+static void
+test_sent_ahead(void)
+{
+    ServerFixture f;
+    create_fixture(&f);
+    f.hold = true;
+    struct bufferevent *bev = open_connection(&f);
+    for (int i = 0; i < 200; i++) {
+        bufferevent_write(bev, REQUEST, strlen(REQUEST));
+    }
+    run(&f, 20);
+    CU_ASSERT_EQUAL(f.handled, 1);
+    f.hold = false;
+    GfExchange_Reply(f.held, 200, "text/plain", "good", 4);
+    int answers = 0;
+    for (int i = 0; i < 200 && answers < 200; i++) {
+        run(&f, 5);
+        answers += count_text(bev, "good");
+    }
+    CU_ASSERT_EQUAL(answers, 200);
+    CU_ASSERT_EQUAL(f.handled, 200);
+    bufferevent_free(bev);
+    run(&f, 5);
+    destroy_fixture(&f);
+}
+
+/* Sends a text on a connection of its own and returns whether the answer
+ * contains the expected text, and what is passed to the handler. */
+static bool
+answers(ServerFixture *f, const char *text, const char *expected)
+{
+    struct bufferevent *bev = open_connection(f);
+    bufferevent_write(bev, text, strlen(text));
+    bool found = wait_for_text(f, bev, expected);
+    bufferevent_free(bev);
+    run(f, 5);
+    return found;
+}
+
+/* A request that is too long or malformed is refused before the handler sees
+ * it, with the status that says why. */
+static void
+test_refused_requests(void)
+{
+    ServerFixture f;
+    create_fixture(&f);
+    static char long_header[20000];
+    snprintf(long_header, sizeof(long_header), "GET / HTTP/1.1\r\nA: ");
+    size_t len = strlen(long_header);
+    memset(long_header + len, 'x', sizeof(long_header) - len - 1);
+    static char many_headers[2000] = "GET / HTTP/1.1\r\n";
+    for (int i = 0; i < 200; i++) {
+        strcat(many_headers, "A: b\r\n");
+    }
+    CU_ASSERT_TRUE(answers(
+        &f, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1025\r\n\r\n",
+        " 413 "));
+    CU_ASSERT_TRUE(answers(&f,
+                           "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: "
+                           "99999999999\r\n\r\n",
+                           " 413 "));
+    static char chunk[2000] = "POST / HTTP/1.1\r\nHost: a\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n500\r\n";
+    len = strlen(chunk);
+    memset(chunk + len, 'x', 1100);
+    CU_ASSERT_TRUE(answers(&f, chunk, " 413 "));
+    CU_ASSERT_TRUE(answers(&f, long_header, " 431 "));
+    CU_ASSERT_TRUE(answers(&f, many_headers, " 431 "));
+    CU_ASSERT_TRUE(answers(&f, "nonsense\r\n\r\n", " 400 "));
+    CU_ASSERT_TRUE(
+        answers(&f, "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", " 400 "));
+    CU_ASSERT_EQUAL(f.handled, 0);
+    CU_ASSERT_TRUE(answers(&f, REQUEST, "good"));
+    destroy_fixture(&f);
+}
+
+/* Usual forms of requests are served: a chunked body, one that waits for 100
+ * Continue, HTTP/1.0, HEAD, and one that ends its connection. */
+static void
+test_forms(void)
+{
+    ServerFixture f;
+    create_fixture(&f);
+    CU_ASSERT_TRUE(answers(&f,
+                           "POST /c HTTP/1.1\r\nHost: a\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n"
+                           "3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n",
+                           "good"));
+    CU_ASSERT_STRING_EQUAL(f.body, "hello");
+    CU_ASSERT_TRUE(answers(&f,
+                           "POST / HTTP/1.1\r\nHost: a\r\nExpect: "
+                           "100-continue\r\nContent-Length: 5\r\n\r\n",
+                           "HTTP/1.1 100 Continue\r\n\r\n"));
+    CU_ASSERT_TRUE(answers(&f, "GET / HTTP/1.0\r\n\r\n", "good"));
+    CU_ASSERT_STRING_EQUAL(f.host, "-");
+    CU_ASSERT_TRUE(answers(&f, "HEAD / HTTP/1.1\r\nHost: a\r\n\r\n",
+                           "Length: 4\r\n\r\n"));
+    CU_ASSERT_STRING_EQUAL(f.method, "OTHER");
+    CU_ASSERT_TRUE(
+        answers(&f, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+                "Connection: close"));
+    CU_ASSERT_TRUE(
+        answers(&f, "GET /a?x=2&y=3 HTTP/1.1\r\nHost:\r\n\r\n", "good"));
+    CU_ASSERT_STRING_EQUAL(f.path, "/a");
+    CU_ASSERT_STRING_EQUAL(f.query, "2");
+    CU_ASSERT_STRING_EQUAL(f.host, "");
+    destroy_fixture(&f);
+}
+
+static const SuiteTest TESTS[] = {
+    {"pieces", test_pieces},
+    {"caller leaves", test_caller_leaves},
+    {"drain", test_drain},
+    {"drop", test_drop},
+    {"request outlives client", test_request_outlives_client},
+    {"sent ahead", test_sent_ahead},
+    {"refused requests", test_refused_requests},
+    {"forms", test_forms}};
 
 SUITE_MAIN("server", TESTS)
