Bound the memory for requests that are being read

What callers saw: bodies within the limit of 1 MiB, of which the last bytes do not come, or chunked ones that grow over it, end an entry by their number: 300 of them take 300 MB, and the machines have 160.

Cause: the limit of a body holds for each connection; nothing bounds their sum.

Change: the server counts what the requests hold that are being read. Above max_held_bytes, 16 MiB by default, the largest of them are refused with 503 until the rest fits: they have not reached the handler, so that they have not run. Ordinary requests hold a few KB and are the last to be refused.

The test "held limit" of the server fails without it.

--- a/include/guavaflow/cell_settings.h
+++ b/include/guavaflow/cell_settings.h
@@ -43,6 +43,10 @@
                              * kills the process */
     double longest_lease_ms; /* longest lease in ms that workers accept */
     double keep_finished_s;  /* seconds that finished jobs are kept */
+    uint32_t max_body_bytes; /* longest body of a request of a client; 0: 1
+                                MiB */
+    uint32_t max_held_bytes; /* for requests of clients that are being read;
+                                0: default of server.h */
     GfFeatures features;     /* keys overload_order to neighbour_separation;
                               * optional, false if missing */
     GfEndpoint front_endpoint;
--- a/include/guavaflow/server.h
+++ b/include/guavaflow/server.h
@@ -14,9 +14,17 @@
 #include "guavaflow/error.h"
 #include "guavaflow/name.h"
 
+#define GF_SERVER_MAX_HELD_BYTES (16 * 1024 * 1024)
+
 typedef struct GfServer GfServer;
 typedef struct GfExchange GfExchange;
 
+/* Limits for all connections of a server together. */
+typedef struct {
+    size_t max_held_bytes; /* memory for requests that are being read; above
+                              it, the largest are answered with 503 */
+} GfServerLimits;
+
 /* Handles a request. Answering or dropping the exchange frees it. Until then
  * the request can be read, also when the client has disconnected. */
 typedef void (*GfServerHandler)(void *ctx, GfExchange *exchange);
@@ -24,6 +32,7 @@
 GfServer *GfServer_Create(struct event_base *base, const char *address,
                           uint16_t port, size_t max_body_bytes,
                           GfServerHandler handler, void *ctx, GfError *error);
+void GfServer_SetLimits(GfServer *server, const GfServerLimits *limits);
 void GfServer_BeginDrain(GfServer *server);
 void GfServer_StopAccepting(GfServer *server);
 int GfServer_OpenExchanges(const GfServer *server);
--- a/src/cli/cell_entry.c
+++ b/src/cli/cell_entry.c
@@ -150,9 +150,8 @@
 static bool
 open_servers(EntryProcess *process, GfError *error)
 {
-    process->front = PlatformFront_Create(
-        process->base, process->entry, &process->settings->front_endpoint,
-        &process->settings->ready_endpoint, error);
+    process->front = PlatformFront_Create(process->base, process->entry,
+                                          process->settings, error);
     if (process->front == NULL) {
         return false;
     }
--- a/src/config/cell_settings.c
+++ b/src/config/cell_settings.c
@@ -7,6 +7,7 @@
 
 #include "guavaflow/log.h"
 #include "guavaflow/name.h"
+#include "guavaflow/server.h"
 #include "guavaflow/yaml.h"
 
 #define MAX_PORT 65535
@@ -15,6 +16,7 @@
 #define MAX_TEXT_BYTES 512
 #define MIN_LONGEST_LEASE_MS 1000
 #define MS_PER_S 1000
+#define DEFAULT_BODY_BYTES (1024 * 1024)
 
 #define STRING_FIELD(name, flags)                                             \
     CYAML_FIELD_STRING_PTR(#name, CYAML_FLAG_POINTER | (flags),               \
@@ -24,6 +26,9 @@
     CYAML_FIELD_BOOL(#name, CYAML_FLAG_OPTIONAL, GfCellEntrySettings,         \
                      features.name)
 
+#define COUNT_FIELD(name)                                                     \
+    CYAML_FIELD_UINT(#name, CYAML_FLAG_OPTIONAL, GfCellEntrySettings, name)
+
 static const cyaml_schema_field_t FIELDS[] = {
     STRING_FIELD(ownership, CYAML_FLAG_DEFAULT),
     STRING_FIELD(member, CYAML_FLAG_DEFAULT),
@@ -48,6 +53,8 @@
                       GfCellEntrySettings, longest_lease_ms),
     CYAML_FIELD_FLOAT("keep_finished_s", CYAML_FLAG_DEFAULT,
                       GfCellEntrySettings, keep_finished_s),
+    COUNT_FIELD(max_body_bytes),
+    COUNT_FIELD(max_held_bytes),
     FEATURE_FIELD(overload_order),
     FEATURE_FIELD(overload_refusal),
     FEATURE_FIELD(worker_speeds),
@@ -134,6 +141,18 @@
     return true;
 }
 
+/* Sets the defaults of the limits on clients. */
+static void
+set_defaults(GfCellEntrySettings *s)
+{
+    if (s->max_body_bytes == 0) {
+        s->max_body_bytes = DEFAULT_BODY_BYTES;
+    }
+    if (s->max_held_bytes == 0) {
+        s->max_held_bytes = GF_SERVER_MAX_HELD_BYTES;
+    }
+}
+
 /* Checks all values and parses the endpoints. Sets the process's log level if
  * the settings have one. */
 static bool
@@ -154,6 +173,10 @@
                            "link_mbps from 0",
                            path, MIN_LONGEST_LEASE_MS, MAX_PORT);
     }
+    if (!GfSettings_CheckClientLimits(path, "", s->max_body_bytes,
+                                      s->max_held_bytes, error)) {
+        return false;
+    }
     if (s->log_level != NULL && s->log_level[0] != '\0' &&
         !GfLog_SetLevelByName(s->log_level)) {
         return GfError_Set(error, GF_BAD_CONFIG,
@@ -195,7 +218,11 @@
 {
     assert(text != NULL && path != NULL);
     GfCellEntrySettings *s = GfYaml_Load(text, len, path, &SCHEMA, error);
-    if (s != NULL && !check_settings(path, s, error)) {
+    if (s == NULL) {
+        return NULL;
+    }
+    set_defaults(s);
+    if (!check_settings(path, s, error)) {
         GfCellEntrySettings_Destroy(s);
         return NULL;
     }
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -8,6 +8,7 @@
 
 #include "guavaflow/log.h"
 #include "guavaflow/name.h"
+#include "guavaflow/server.h"
 #include "guavaflow/yaml.h"
 
 #define MAX_PORT 65535
@@ -15,6 +16,10 @@
 #define MIN_TTL_MS 500
 #define MAX_TTL_MS 60000
 #define MAX_BODY_LIMIT_BYTES (1024 * 1024)
+/* A body takes up to twice its length in memory. */
+#define MIN_HELD_BODIES 4
+#define MIN_HELD_BYTES (256 * 1024)
+#define MAX_HELD_LIMIT_BYTES (1024 * 1024 * 1024)
 #define MIN_RENEW_MS 50
 #define MIN_COMMAND_TIMEOUT_MS 50
 #define MAX_ATTEMPTS 16
@@ -46,6 +51,8 @@
                      rack_queue),
     CYAML_FIELD_UINT("attempts", CYAML_FLAG_OPTIONAL, GfFrontSettings,
                      attempts),
+    CYAML_FIELD_UINT("max_held_bytes", CYAML_FLAG_OPTIONAL, GfFrontSettings,
+                     max_held_bytes),
     CYAML_FIELD_UINT("drain_ms", CYAML_FLAG_OPTIONAL, GfFrontSettings,
                      drain_ms),
     CYAML_FIELD_END};
@@ -104,6 +111,7 @@
     set_default(&s->lease.command_timeout_ms, 1000);
     set_default(&s->front.max_body_bytes, 65536);
     set_default(&s->front.max_open_requests, 4096);
+    set_default(&s->front.max_held_bytes, GF_SERVER_MAX_HELD_BYTES);
     set_default(&s->front.rack_queue, 64);
     set_default(&s->front.attempts, 3);
     set_default(&s->front.drain_ms, 1000);
@@ -122,6 +130,24 @@
                        low, high);
 }
 
+/* Checks the limits on clients: their ranges, and that several bodies of the
+ * longest kind can be read at a time. prefix is that of the keys. */
+bool
+GfSettings_CheckClientLimits(const char *path, const char *prefix,
+                             uint32_t max_body_bytes, uint32_t max_held_bytes,
+                             GfError *error)
+{
+    char body_key[64];
+    char held_key[64];
+    snprintf(body_key, sizeof(body_key), "%smax_body_bytes", prefix);
+    snprintf(held_key, sizeof(held_key), "%smax_held_bytes", prefix);
+    return check_range(path, body_key, max_body_bytes, 1, MAX_BODY_LIMIT_BYTES,
+                       error) &&
+           check_range(path, held_key, max_held_bytes,
+                       max_body_bytes * MIN_HELD_BODIES + MIN_HELD_BYTES,
+                       MAX_HELD_LIMIT_BYTES, error);
+}
+
 /* Checks that an endpoint has an IPv4 address and a port from 1 to 65535. */
 static bool
 check_endpoint(const char *path, const char *key, const GfEndpoint *endpoint,
@@ -200,8 +226,8 @@
         !check_endpoint(path, "platform", &s->platform, error) ||
         !check_range(path, "partitions", s->partitions, 1, MAX_PARTITIONS,
                      error) ||
-        !check_range(path, "front.max_body_bytes", s->front.max_body_bytes, 1,
-                     MAX_BODY_LIMIT_BYTES, error) ||
+        !GfSettings_CheckClientLimits(path, "front.", s->front.max_body_bytes,
+                                      s->front.max_held_bytes, error) ||
         !check_range(path, "front.attempts", s->front.attempts, 1,
                      MAX_ATTEMPTS, error) ||
         !check_lease(path, &s->lease, error)) {
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -452,6 +452,9 @@
     if (entry->server == NULL) {
         return false;
     }
+    GfServer_SetLimits(
+        entry->server,
+        &(GfServerLimits){.max_held_bytes = s->front.max_held_bytes});
     entry->rpc = GfRpcServer_Create(entry->base, s->peer.address,
                                     (uint16_t)s->peer.port,
                                     &ENTRY_PEER_PROGRAM, entry, error);
--- a/src/net/connection.c
+++ b/src/net/connection.c
@@ -88,12 +88,14 @@
     return body;
 }
 
-/* Counts bytes that the request holds. */
+/* Counts bytes that the request holds. Other requests, or this one, may be
+ * refused for them. */
 static void
 hold(Connection *c, size_t bytes)
 {
     c->request.held_bytes += bytes;
     c->server->held_bytes += bytes;
+    Server_Held(c->server, c);
 }
 
 /* Stops the parser with an answer of this status. Returns what a callback of
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -18,6 +18,7 @@
  * memory of this process. */
 #define RECEIVE_BUFFER_BYTES (16 * 1024)
 #define SEND_BUFFER_BYTES (64 * 1024)
+#define STATUS_UNAVAILABLE 503
 /* Shortest time between two log lines on refused clients. */
 #define LOG_INTERVAL_MS 10000
 
@@ -199,6 +200,37 @@
     server->handler(server->ctx, exchange);
 }
 
+/* Returns the connection that holds most of the requests that are being
+ * read. */
+static Connection *
+find_largest(const GfServer *server)
+{
+    Connection *largest = NULL;
+    Connection *c;
+    DL_FOREACH(server->waiting, c)
+    {
+        if (largest == NULL ||
+            c->request.held_bytes > largest->request.held_bytes) {
+            largest = c;
+        }
+    }
+    return largest;
+}
+
+/* Refuses requests that are being read while they hold more than allowed, the
+ * largest first. c is the connection that reads now. */
+void
+Server_Held(GfServer *server, Connection *c)
+{
+    while (server->held_bytes > server->max_held_bytes && c->refusal == 0) {
+        Connection *largest = find_largest(server);
+        if (largest == NULL || largest->request.held_bytes == 0) {
+            return;
+        }
+        Connection_Refuse(largest, STATUS_UNAVAILABLE);
+    }
+}
+
 /* Logs how many clients were refused since the last such line, unless one was
  * written less than LOG_INTERVAL_MS ago. */
 static void
@@ -261,6 +293,7 @@
     server->ctx = ctx;
     server->port = port;
     server->max_body_bytes = max_body_bytes;
+    GfServer_SetLimits(server, &(GfServerLimits){0});
     GfListenerConfig config = {.address = address,
                                .port = port,
                                .receive_buffer_bytes = RECEIVE_BUFFER_BYTES,
@@ -275,6 +308,16 @@
     return server;
 }
 
+/* Sets the limits for all connections together; a limit of 0 is the default.
+ */
+void
+GfServer_SetLimits(GfServer *server, const GfServerLimits *limits)
+{
+    server->max_held_bytes = limits->max_held_bytes > 0
+                                 ? limits->max_held_bytes
+                                 : GF_SERVER_MAX_HELD_BYTES;
+}
+
 /* Closes each connection after its next answer; new connections are still
  * accepted. */
 void
--- a/src/net/server_private.h
+++ b/src/net/server_private.h
@@ -2,7 +2,9 @@
  * http_parser, hands it to the handler as an exchange, and reads on only once
  * its answer is written: what a client sends ahead stays in the read-ahead and
  * in the kernel's receive buffer, which are small.
- */
+ *
+ * When the requests that are being read hold more than max_held_bytes, the
+ * largest of them is refused. */
 #ifndef GUAVAFLOW_NET_SERVER_PRIVATE_H
 #define GUAVAFLOW_NET_SERVER_PRIVATE_H
 
@@ -66,6 +68,7 @@
     GfServerHandler handler;
     void *ctx;
     size_t max_body_bytes;
+    size_t max_held_bytes;
     uint32_t connection_count;
     size_t held_bytes;
     Connection *waiting; /* by last activity, the oldest first */
@@ -105,6 +108,7 @@
 
 void Server_Dispatch(Connection *connection);
 void Server_Detach(GfExchange *exchange);
+void Server_Held(GfServer *server, Connection *connection);
 void Server_CountRefusal(GfServer *server);
 
 #endif
--- a/tests/unit/cell_settings.c
+++ b/tests/unit/cell_settings.c
@@ -57,9 +57,29 @@
     CU_ASSERT_PTR_NULL(parse("overload_refusal: [1]\n"));
 }
 
+/* The limits on clients have defaults, and values that would refuse ordinary
+ * requests are refused. */
+static void
+test_client_limits(void)
+{
+    GfCellEntrySettings *s = parse("");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(s);
+    CU_ASSERT_EQUAL(s->max_body_bytes, 1024 * 1024);
+    CU_ASSERT_EQUAL(s->max_held_bytes, 16 * 1024 * 1024);
+    GfCellEntrySettings_Destroy(s);
+    s = parse("max_body_bytes: 65536\nmax_held_bytes: 1000000\n");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(s);
+    CU_ASSERT_EQUAL(s->max_body_bytes, 65536);
+    CU_ASSERT_EQUAL(s->max_held_bytes, 1000000);
+    GfCellEntrySettings_Destroy(s);
+    CU_ASSERT_PTR_NULL(parse("max_body_bytes: 2000000\n"));
+    CU_ASSERT_PTR_NULL(parse("max_held_bytes: 1000000\n"));
+}
+
 static const SuiteTest TESTS[] = {
     {"parts off by default", test_parts_off_by_default},
     {"each part has its key", test_each_part_has_its_key},
-    {"bad values are refused", test_bad_values_are_refused}};
+    {"bad values are refused", test_bad_values_are_refused},
+    {"client limits", test_client_limits}};
 
 SUITE_MAIN("cell_settings", TESTS)
--- a/tests/unit/server.c
+++ b/tests/unit/server.c
@@ -364,6 +364,53 @@
     destroy_fixture(&f);
 }
 
+#define SILENT_CLIENTS 40
+
+/* Opens connections that send a part of a request. */
+static void
+open_silent(ServerFixture *f, struct bufferevent **clients, const char *text)
+{
+    for (int i = 0; i < SILENT_CLIENTS; i++) {
+        clients[i] = open_connection(f);
+        bufferevent_write(clients[i], text, strlen(text));
+    }
+    run(f, 50);
+}
+
+/* Closes the connections. */
+static void
+close_silent(struct bufferevent **clients)
+{
+    for (int i = 0; i < SILENT_CLIENTS; i++) {
+        bufferevent_free(clients[i]);
+    }
+}
+
+/* When requests that are being read hold more memory than allowed, the largest
+ * of them are answered with 503, and small ones are served. */
+static void
+test_held_limit(void)
+{
+    ServerFixture f;
+    create_fixture(&f);
+    GfServer_SetLimits(f.server, &(GfServerLimits){.max_held_bytes = 20000});
+    static char text[1100] =
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1024\r\n\r\n";
+    size_t len = strlen(text);
+    memset(text + len, 'x', 1000);
+    struct bufferevent *clients[SILENT_CLIENTS];
+    open_silent(&f, clients, text);
+    int refused = 0;
+    for (int i = 0; i < SILENT_CLIENTS; i++) {
+        refused += has_text(clients[i], " 503 ") ? 1 : 0;
+    }
+    CU_ASSERT_TRUE(refused > 0 && refused < SILENT_CLIENTS);
+    CU_ASSERT_TRUE(answers(&f, REQUEST, "good"));
+    close_silent(clients);
+    run(&f, 10);
+    destroy_fixture(&f);
+}
+
 static const SuiteTest TESTS[] = {
     {"pieces", test_pieces},
     {"caller leaves", test_caller_leaves},
@@ -372,6 +419,7 @@
     {"request outlives client", test_request_outlives_client},
     {"sent ahead", test_sent_ahead},
     {"refused requests", test_refused_requests},
-    {"forms", test_forms}};
+    {"forms", test_forms},
+    {"held limit", test_held_limit}};
 
 SUITE_MAIN("server", TESTS)
