Keep descriptors for the entry's own calls, and close idle connections for new ones

What callers saw: clients that open connections and send half a request use up all descriptors of an entry. No caller, readiness check or request for metrics gets an answer then; the process uses a whole processor and writes millions of log lines, one for each attempt to accept, and the entry's own calls to store and workers find no descriptor either.

Cause: nothing limits the connections of clients. One that could not be accepted stays at the listening socket, which is readable, so that the event loop tries again at once.

Change: a server has max_connections, 1,000 by default and at most half of the descriptors. With so many open, the one that has been inactive for longest is closed for a new one; one that waits for its answer is not, and while all do, new ones wait in the backlog. Ordinary clients meet the limit at 1,000 connections at one entry, where an idle one is opened anew.

--- a/include/guavaflow/cell_settings.h
+++ b/include/guavaflow/cell_settings.h
@@ -41,14 +41,15 @@
                              * 0: unknown */
     double stop_grace_s;    /* seconds from the stop signal until the platform
                              * kills the process */
-    double longest_lease_ms; /* longest lease in ms that workers accept */
-    double keep_finished_s;  /* seconds that finished jobs are kept */
-    uint32_t max_body_bytes; /* longest body of a request of a client; 0: 1
-                                MiB */
-    uint32_t max_held_bytes; /* for requests of clients that are being read;
-                                0: default of server.h */
-    GfFeatures features;     /* keys overload_order to neighbour_separation;
-                              * optional, false if missing */
+    double longest_lease_ms;  /* longest lease in ms that workers accept */
+    double keep_finished_s;   /* seconds that finished jobs are kept */
+    uint32_t max_body_bytes;  /* longest body of a request of a client; 0: 1
+                                 MiB */
+    uint32_t max_connections; /* of clients; 0: default of server.h */
+    uint32_t max_held_bytes;  /* for requests of clients that are being read;
+                                 0: default of server.h */
+    GfFeatures features;      /* keys overload_order to neighbour_separation;
+                               * optional, false if missing */
     GfEndpoint front_endpoint;
     GfEndpoint ready_endpoint;
     GfEndpoint peer_endpoint;
--- a/include/guavaflow/listener.h
+++ b/include/guavaflow/listener.h
@@ -1,4 +1,6 @@
-/* A listening TCP socket on the event loop. */
+/* A listening TCP socket on the event loop. While no descriptor is left for
+ * another connection, and while its owner has paused it, connections wait in
+ * the backlog of the socket. */
 #ifndef GUAVAFLOW_LISTENER_H
 #define GUAVAFLOW_LISTENER_H
 
@@ -23,6 +25,9 @@
                               const GfListenerConfig *config,
                               GfListenerCallback callback, void *ctx,
                               GfError *error);
+void GfListener_Pause(GfListener *listener);
+void GfListener_Resume(GfListener *listener);
 void GfListener_Destroy(GfListener *listener);
+uint32_t GfListener_MaxConnections(uint32_t wanted);
 
 #endif
--- a/include/guavaflow/server.h
+++ b/include/guavaflow/server.h
@@ -14,15 +14,20 @@
 #include "guavaflow/error.h"
 #include "guavaflow/name.h"
 
+#define GF_SERVER_MAX_CONNECTIONS 1000
 #define GF_SERVER_MAX_HELD_BYTES (16 * 1024 * 1024)
 
 typedef struct GfServer GfServer;
 typedef struct GfExchange GfExchange;
 
-/* Limits for all connections of a server together. */
+/* Limits for all connections of a server together. A connection that waits
+ * for its answer counts, and is not closed for others. */
 typedef struct {
-    size_t max_held_bytes; /* memory for requests that are being read; above
-                              it, the largest are answered with 503 */
+    uint32_t max_connections; /* with so many open, the one inactive for
+                                 longest is closed for a new one; at most half
+                                 of the descriptors of the process */
+    size_t max_held_bytes;    /* memory for requests that are being read; above
+                                 it, the largest are answered with 503 */
 } GfServerLimits;
 
 /* Handles a request. Answering or dropping the exchange frees it. Until then
--- a/include/guavaflow/settings.h
+++ b/include/guavaflow/settings.h
@@ -34,6 +34,8 @@
     uint32_t max_open_requests; /* more open calls are refused as busy */
     uint32_t rack_queue;        /* requests that may wait for one rack */
     uint32_t attempts;          /* attempts for one request in all */
+    uint32_t max_connections;   /* open at a time; with so many, the one that
+                                 * is inactive for longest gives way */
     uint32_t max_held_bytes;    /* memory for calls that are being read; above
                                  * it, the largest are refused */
     uint32_t drain_ms;          /* time from a stop until new connections are
@@ -62,8 +64,11 @@
 GfSettings *GfSettings_Parse(const char *text, size_t len, const char *path,
                              GfError *error);
 void GfSettings_Destroy(GfSettings *settings);
+void GfSettings_SetClientDefaults(uint32_t *max_connections,
+                                  uint32_t *max_held_bytes);
 bool GfSettings_CheckClientLimits(const char *path, const char *prefix,
                                   uint32_t max_body_bytes,
+                                  uint32_t max_connections,
                                   uint32_t max_held_bytes, GfError *error);
 
 #endif
--- a/src/cli/cell_entry.c
+++ b/src/cli/cell_entry.c
@@ -26,6 +26,7 @@
 #define STOP_MARGIN_MS 700
 #define STOP_CHECK_MS 100 /* period of on_stop_check */
 #define METRICS_BODY_BYTES 1024
+#define METRICS_CONNECTIONS 64
 #define STATUS_OK 200
 #define STATUS_NOT_FOUND 404
 
@@ -160,7 +161,12 @@
             process->base, process->settings->peer_endpoint.address,
             (uint16_t)process->settings->metrics_port, METRICS_BODY_BYTES,
             on_metrics_request, process, error);
-        return process->metrics != NULL;
+        if (process->metrics == NULL) {
+            return false;
+        }
+        GfServer_SetLimits(
+            process->metrics,
+            &(GfServerLimits){.max_connections = METRICS_CONNECTIONS});
     }
     return true;
 }
--- a/src/common/metrics.c
+++ b/src/common/metrics.c
@@ -74,6 +74,8 @@
     {"backfill_moved_total", COUNTER, "Backfill tasks stopped for others."},
     {"rows_set_apart_total", COUNTER, "Jobs whose row the store refuses."},
     {"requests_unread_total", COUNTER, "Requests refused before their end."},
+    {"connections_evicted_total", COUNTER, "Connections closed for others."},
+    {"accept_failures_total", COUNTER, "Connections not accepted."},
 };
 
 /* Inclusive upper bounds of the histogram buckets in milliseconds; one more
--- a/src/config/cell_settings.c
+++ b/src/config/cell_settings.c
@@ -7,7 +7,6 @@
 
 #include "guavaflow/log.h"
 #include "guavaflow/name.h"
-#include "guavaflow/server.h"
 #include "guavaflow/yaml.h"
 
 #define MAX_PORT 65535
@@ -54,6 +53,7 @@
     CYAML_FIELD_FLOAT("keep_finished_s", CYAML_FLAG_DEFAULT,
                       GfCellEntrySettings, keep_finished_s),
     COUNT_FIELD(max_body_bytes),
+    COUNT_FIELD(max_connections),
     COUNT_FIELD(max_held_bytes),
     FEATURE_FIELD(overload_order),
     FEATURE_FIELD(overload_refusal),
@@ -148,9 +148,7 @@
     if (s->max_body_bytes == 0) {
         s->max_body_bytes = DEFAULT_BODY_BYTES;
     }
-    if (s->max_held_bytes == 0) {
-        s->max_held_bytes = GF_SERVER_MAX_HELD_BYTES;
-    }
+    GfSettings_SetClientDefaults(&s->max_connections, &s->max_held_bytes);
 }
 
 /* Checks all values and parses the endpoints. Sets the process's log level if
@@ -174,7 +172,8 @@
                            path, MIN_LONGEST_LEASE_MS, MAX_PORT);
     }
     if (!GfSettings_CheckClientLimits(path, "", s->max_body_bytes,
-                                      s->max_held_bytes, error)) {
+                                      s->max_connections, s->max_held_bytes,
+                                      error)) {
         return false;
     }
     if (s->log_level != NULL && s->log_level[0] != '\0' &&
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -16,6 +16,8 @@
 #define MIN_TTL_MS 500
 #define MAX_TTL_MS 60000
 #define MAX_BODY_LIMIT_BYTES (1024 * 1024)
+#define MIN_CONNECTIONS 8
+#define MAX_CONNECTIONS 100000
 /* A body takes up to twice its length in memory. */
 #define MIN_HELD_BODIES 4
 #define MIN_HELD_BYTES (256 * 1024)
@@ -51,6 +53,8 @@
                      rack_queue),
     CYAML_FIELD_UINT("attempts", CYAML_FLAG_OPTIONAL, GfFrontSettings,
                      attempts),
+    CYAML_FIELD_UINT("max_connections", CYAML_FLAG_OPTIONAL, GfFrontSettings,
+                     max_connections),
     CYAML_FIELD_UINT("max_held_bytes", CYAML_FLAG_OPTIONAL, GfFrontSettings,
                      max_held_bytes),
     CYAML_FIELD_UINT("drain_ms", CYAML_FLAG_OPTIONAL, GfFrontSettings,
@@ -111,7 +115,8 @@
     set_default(&s->lease.command_timeout_ms, 1000);
     set_default(&s->front.max_body_bytes, 65536);
     set_default(&s->front.max_open_requests, 4096);
-    set_default(&s->front.max_held_bytes, GF_SERVER_MAX_HELD_BYTES);
+    GfSettings_SetClientDefaults(&s->front.max_connections,
+                                 &s->front.max_held_bytes);
     set_default(&s->front.rack_queue, 64);
     set_default(&s->front.attempts, 3);
     set_default(&s->front.drain_ms, 1000);
@@ -130,19 +135,34 @@
                        low, high);
 }
 
+/* Sets the limits on all connections of clients together to their defaults if
+ * they are omitted or 0. */
+void
+GfSettings_SetClientDefaults(uint32_t *max_connections,
+                             uint32_t *max_held_bytes)
+{
+    set_default(max_connections, GF_SERVER_MAX_CONNECTIONS);
+    set_default(max_held_bytes, GF_SERVER_MAX_HELD_BYTES);
+}
+
 /* Checks the limits on clients: their ranges, and that several bodies of the
  * longest kind can be read at a time. prefix is that of the keys. */
 bool
 GfSettings_CheckClientLimits(const char *path, const char *prefix,
-                             uint32_t max_body_bytes, uint32_t max_held_bytes,
-                             GfError *error)
+                             uint32_t max_body_bytes, uint32_t max_connections,
+                             uint32_t max_held_bytes, GfError *error)
 {
     char body_key[64];
+    char connections_key[64];
     char held_key[64];
     snprintf(body_key, sizeof(body_key), "%smax_body_bytes", prefix);
+    snprintf(connections_key, sizeof(connections_key), "%smax_connections",
+             prefix);
     snprintf(held_key, sizeof(held_key), "%smax_held_bytes", prefix);
     return check_range(path, body_key, max_body_bytes, 1, MAX_BODY_LIMIT_BYTES,
                        error) &&
+           check_range(path, connections_key, max_connections, MIN_CONNECTIONS,
+                       MAX_CONNECTIONS, error) &&
            check_range(path, held_key, max_held_bytes,
                        max_body_bytes * MIN_HELD_BODIES + MIN_HELD_BYTES,
                        MAX_HELD_LIMIT_BYTES, error);
@@ -227,6 +247,7 @@
         !check_range(path, "partitions", s->partitions, 1, MAX_PARTITIONS,
                      error) ||
         !GfSettings_CheckClientLimits(path, "front.", s->front.max_body_bytes,
+                                      s->front.max_connections,
                                       s->front.max_held_bytes, error) ||
         !check_range(path, "front.attempts", s->front.attempts, 1,
                      MAX_ATTEMPTS, error) ||
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -454,7 +454,8 @@
     }
     GfServer_SetLimits(
         entry->server,
-        &(GfServerLimits){.max_held_bytes = s->front.max_held_bytes});
+        &(GfServerLimits){.max_connections = s->front.max_connections,
+                          .max_held_bytes = s->front.max_held_bytes});
     entry->rpc = GfRpcServer_Create(entry->base, s->peer.address,
                                     (uint16_t)s->peer.port,
                                     &ENTRY_PEER_PROGRAM, entry, error);
--- a/src/net/connection.c
+++ b/src/net/connection.c
@@ -228,31 +228,41 @@
     .on_body = on_body,
     .on_message_complete = on_message_complete};
 
-/* Removes a connection from the list that it is in. */
+/* Removes a connection from the list that it is in. If it had an open
+ * exchange, new connections may be accepted again. */
 static void
 remove_from_list(Connection *c)
 {
-    if (c->state == CONNECTION_HANDLED) {
-        DL_DELETE(c->server->handled, c);
+    GfServer *server = c->server;
+    if (c->state != CONNECTION_HANDLED) {
+        DL_DELETE(server->waiting, c);
+        return;
     }
-    else {
-        DL_DELETE(c->server->waiting, c);
+    DL_DELETE(server->handled, c);
+    server->handled_count--;
+    if (server->listener != NULL) {
+        GfListener_Resume(server->listener);
     }
 }
 
 /* Moves a connection to the end of the list of those without an open
- * exchange, or to the list of those with one. */
+ * exchange, or to the list of those with one. When no connection could give
+ * way to a new one, none is accepted. */
 static void
 set_state(Connection *c, ConnectionState state)
 {
     GfServer *server = c->server;
     remove_from_list(c);
     c->state = state;
-    if (state == CONNECTION_HANDLED) {
-        DL_APPEND(server->handled, c);
-    }
-    else {
+    if (state != CONNECTION_HANDLED) {
         DL_APPEND(server->waiting, c);
+        return;
+    }
+    DL_APPEND(server->handled, c);
+    server->handled_count++;
+    if (server->handled_count >= server->max_connections &&
+        server->listener != NULL) {
+        GfListener_Pause(server->listener);
     }
 }
 
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -239,9 +239,12 @@
     if (evtimer_pending(server->log_timer, NULL)) {
         return;
     }
-    GfLog(GF_LOG_INFO, PART, "clients refused port=%u requests=%u open=%u",
-          server->port, server->refused, server->connection_count);
+    GfLog(GF_LOG_INFO, PART,
+          "clients refused port=%u requests=%u evicted=%u open=%u",
+          server->port, server->refused, server->evicted,
+          server->connection_count);
     server->refused = 0;
+    server->evicted = 0;
     struct timeval interval = GfTime_ToTimeval(LOG_INTERVAL_MS);
     evtimer_add(server->log_timer, &interval);
 }
@@ -253,7 +256,7 @@
     (void)fd;
     (void)what;
     GfServer *server = arg;
-    if (server->refused > 0) {
+    if (server->refused > 0 || server->evicted > 0) {
         log_refusals(server);
     }
 }
@@ -267,11 +270,20 @@
     log_refusals(server);
 }
 
-/* Callback of the listener for a new connection. */
+/* Callback of the listener for a new connection. With as many open as
+ * allowed, the one that has been inactive for longest is closed. */
 static void
 on_accept(void *ctx, evutil_socket_t fd)
 {
-    Connection_Open(ctx, fd);
+    GfServer *server = ctx;
+    if (server->connection_count >= server->max_connections &&
+        server->waiting != NULL) {
+        GfMetrics_Add(GF_METRIC_CONNECTIONS_EVICTED, 1);
+        server->evicted++;
+        log_refusals(server);
+        Connection_Close(server->waiting);
+    }
+    Connection_Open(server, fd);
 }
 
 /* Creates a server that listens on an address and a port. Requests with a body
@@ -309,10 +321,13 @@
 }
 
 /* Sets the limits for all connections together; a limit of 0 is the default.
- */
+ * Connections above the limit stay open until others are accepted. */
 void
 GfServer_SetLimits(GfServer *server, const GfServerLimits *limits)
 {
+    server->max_connections = GfListener_MaxConnections(
+        limits->max_connections > 0 ? limits->max_connections
+                                    : GF_SERVER_MAX_CONNECTIONS);
     server->max_held_bytes = limits->max_held_bytes > 0
                                  ? limits->max_held_bytes
                                  : GF_SERVER_MAX_HELD_BYTES;
--- a/src/net/server_private.h
+++ b/src/net/server_private.h
@@ -3,8 +3,10 @@
  * its answer is written: what a client sends ahead stays in the read-ahead and
  * in the kernel's receive buffer, which are small.
  *
- * When the requests that are being read hold more than max_held_bytes, the
- * largest of them is refused. */
+ * Two limits hold for all connections together. With max_connections open, the
+ * one that has been inactive for longest is closed for a new one. When the
+ * requests that are being read hold more than max_held_bytes, the largest of
+ * them is refused. Connections whose exchange is open are exempt from both. */
 #ifndef GUAVAFLOW_NET_SERVER_PRIVATE_H
 #define GUAVAFLOW_NET_SERVER_PRIVATE_H
 
@@ -68,15 +70,18 @@
     GfServerHandler handler;
     void *ctx;
     size_t max_body_bytes;
+    uint32_t max_connections;
     size_t max_held_bytes;
     uint32_t connection_count;
     size_t held_bytes;
     Connection *waiting; /* by last activity, the oldest first */
     Connection *handled; /* with an open exchange */
-    int open;            /* number of exchanges */
+    uint32_t handled_count;
+    int open; /* number of exchanges */
     GfExchange *exchanges;
     uint16_t port;
     uint32_t refused;        /* requests, since the last log line */
+    uint32_t evicted;        /* connections, since then */
     struct event *log_timer; /* pending while no further line is due */
     bool stopping;
     bool draining;
--- a/tests/unit/cell_settings.c
+++ b/tests/unit/cell_settings.c
@@ -65,13 +65,18 @@
     GfCellEntrySettings *s = parse("");
     CU_ASSERT_PTR_NOT_NULL_FATAL(s);
     CU_ASSERT_EQUAL(s->max_body_bytes, 1024 * 1024);
+    CU_ASSERT_EQUAL(s->max_connections, 1000);
     CU_ASSERT_EQUAL(s->max_held_bytes, 16 * 1024 * 1024);
     GfCellEntrySettings_Destroy(s);
-    s = parse("max_body_bytes: 65536\nmax_held_bytes: 1000000\n");
+    s = parse("max_body_bytes: 65536\nmax_connections: 20\n"
+              "max_held_bytes: 1000000\n");
     CU_ASSERT_PTR_NOT_NULL_FATAL(s);
     CU_ASSERT_EQUAL(s->max_body_bytes, 65536);
+    CU_ASSERT_EQUAL(s->max_connections, 20);
     CU_ASSERT_EQUAL(s->max_held_bytes, 1000000);
     GfCellEntrySettings_Destroy(s);
+    CU_ASSERT_PTR_NULL(parse("max_connections: 2\n"));
+    CU_ASSERT_PTR_NULL(parse("max_connections: many\n"));
     CU_ASSERT_PTR_NULL(parse("max_body_bytes: 2000000\n"));
     CU_ASSERT_PTR_NULL(parse("max_held_bytes: 1000000\n"));
 }
--- a/tests/unit/server.c
+++ b/tests/unit/server.c
@@ -386,6 +386,58 @@
     }
 }
 
+/* With as many connections open as allowed, one that is inactive gives way to
+ * a new one, and one that waits for its answer does not. */
+static void
+test_connection_limit(void)
+{
+    ServerFixture f;
+    create_fixture(&f);
+    GfServer_SetLimits(f.server, &(GfServerLimits){.max_connections = 8});
+    f.hold = true;
+    struct bufferevent *first = open_connection(&f);
+    bufferevent_write(first, REQUEST, strlen(REQUEST));
+    run(&f, 10);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(f.held);
+    f.hold = false;
+    struct bufferevent *clients[SILENT_CLIENTS];
+    open_silent(&f, clients, "GET /");
+    CU_ASSERT_TRUE(answers(&f, REQUEST, "good"));
+    GfExchange_Reply(f.held, 200, "text/plain", "kept", 4);
+    CU_ASSERT_TRUE(wait_for_text(&f, first, "kept"));
+    close_silent(clients);
+    bufferevent_free(first);
+    run(&f, 10);
+    destroy_fixture(&f);
+}
+
+/* While all connections wait for their answers, a further one waits to be
+ * accepted, and is served after them. */
+static void
+test_all_connections_wait(void)
+{
+    ServerFixture f;
+    create_fixture(&f);
+    GfServer_SetLimits(f.server, &(GfServerLimits){.max_connections = 1});
+    f.hold = true;
+    struct bufferevent *first = open_connection(&f);
+    bufferevent_write(first, REQUEST, strlen(REQUEST));
+    run(&f, 10);
+    GfExchange *held = f.held;
+    struct bufferevent *second = open_connection(&f);
+    bufferevent_write(second, REQUEST, strlen(REQUEST));
+    run(&f, 10);
+    CU_ASSERT_EQUAL(f.handled, 1);
+    f.hold = false;
+    GfExchange_Reply(held, 200, "text/plain", "kept", 4);
+    CU_ASSERT_TRUE(wait_for_text(&f, first, "kept"));
+    CU_ASSERT_TRUE(wait_for_text(&f, second, "good"));
+    bufferevent_free(first);
+    bufferevent_free(second);
+    run(&f, 10);
+    destroy_fixture(&f);
+}
+
 /* When requests that are being read hold more memory than allowed, the largest
  * of them are answered with 503, and small ones are served. */
 static void
@@ -420,6 +472,8 @@
     {"sent ahead", test_sent_ahead},
     {"refused requests", test_refused_requests},
     {"forms", test_forms},
+    {"connection limit", test_connection_limit},
+    {"all connections wait", test_all_connections_wait},
     {"held limit", test_held_limit}};
 
 SUITE_MAIN("server", TESTS)
