Bound what the port between entries takes up

What callers saw: whoever reaches the port between entries and sends parts of long records, or calls whose replies it does not read, ends the entry: each connection may hold a record of 8 MiB, replies pile up without a limit, and connections are accepted until no descriptor is left.

Cause: as for clients, nothing bounds the sum.

Change: parts of records hold at most 32 MiB for all connections; above it the one that holds most is closed. A connection with 1 MiB of replies to write, or 4,096 open calls, is not read. With 1,000 connections, at most half of the descriptors, the one that sent its last call longest ago is closed for a new one; entries call each other all the time, and the largest deployment has some hundreds. A failure to accept is handled as for clients.

--- a/src/rpc/rpc_server.c
+++ b/src/rpc/rpc_server.c
@@ -2,18 +2,28 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <arpa/inet.h>
 #include <event2/bufferevent.h>
-#include <event2/listener.h>
 #include <rpc/rpc.h>
 #include <utlist.h>
 
+#include "guavaflow/listener.h"
 #include "guavaflow/log.h"
+#include "guavaflow/metrics.h"
 #include "guavaflow/rpc.h"
 #include "record.h"
 
 #define PART "rpc"
-#define LISTEN_BACKLOG 128
+#define RECEIVE_BUFFER_BYTES (128 * 1024)
+/* With so many connections open, the one that sent its last call longest ago
+ * is closed for a new one. */
+#define MAX_CONNECTIONS 1000
+/* Memory for records that have arrived in part, of all connections. Above it,
+ * the connection that holds most is closed. */
+#define MAX_HELD_BYTES (4 * GF_RPC_MAX_RECORD_BYTES)
+/* A connection with so many bytes of replies to write, or so many calls that
+ * are not answered, is not read. */
+#define MAX_OUTPUT_BYTES (1024 * 1024)
+#define MAX_OPEN_CALLS 4096
 /* Upper bound of the size of a reply message without its result. */
 #define REPLY_HEADER_BYTES 512
 
@@ -23,6 +33,7 @@
     GfRpcServer *server;
     struct bufferevent *bev; /* NULL once closed */
     int references;
+    size_t held_bytes; /* of records that have arrived in part */
     struct Connection *next;
     struct Connection *prev;
 } Connection;
@@ -30,8 +41,12 @@
 struct GfRpcServer {
     const GfRpcProgram *program;
     void *ctx;
-    struct evconnlistener *listener;
-    Connection *connections;
+    GfListener *listener;    /* NULL once stopped */
+    Connection *connections; /* by their last call, the oldest first */
+    uint32_t connection_count;
+    uint32_t max_connections;
+    size_t held_bytes;
+    struct event_base *base;
 };
 
 struct GfRpcCall {
@@ -61,6 +76,8 @@
     bufferevent_free(c->bev);
     c->bev = NULL;
     DL_DELETE(c->server->connections, c);
+    c->server->connection_count--;
+    c->server->held_bytes -= c->held_bytes;
     release_connection(c);
 }
 
@@ -88,6 +105,16 @@
     free(data);
 }
 
+/* Returns whether calls of a connection are read: not while the client leaves
+ * too many replies unread, or too many calls are open. */
+static bool
+may_read(const Connection *c)
+{
+    return evbuffer_get_length(bufferevent_get_output(c->bev)) <=
+               MAX_OUTPUT_BYTES &&
+           c->references <= MAX_OPEN_CALLS;
+}
+
 /* Answers a call with a result, which stays the caller's, and frees the call.
  * The answer is dropped if the connection has closed. */
 void
@@ -184,16 +211,39 @@
     return valid;
 }
 
-/* Callback of libevent: handles all complete records that have arrived. */
+/* Counts what a connection holds of a record that has arrived in part. While
+ * all hold more than allowed, closes the one that holds most. */
 static void
-on_read(struct bufferevent *bev, void *arg)
+count_held(Connection *c)
+{
+    GfRpcServer *server = c->server;
+    size_t held = evbuffer_get_length(bufferevent_get_input(c->bev));
+    server->held_bytes += held - c->held_bytes;
+    c->held_bytes = held;
+    while (server->held_bytes > MAX_HELD_BYTES) {
+        Connection *largest = server->connections;
+        Connection *other;
+        DL_FOREACH(server->connections, other)
+        {
+            if (other->held_bytes > largest->held_bytes) {
+                largest = other;
+            }
+        }
+        GfMetrics_Add(GF_METRIC_CONNECTIONS_EVICTED, 1);
+        close_connection(largest);
+    }
+}
+
+/* Handles all complete records that have arrived, as long as the connection
+ * may be read. */
+static void
+handle_input(Connection *c)
 {
-    Connection *c = arg;
     c->references++;
-    while (c->bev != NULL) {
+    while (c->bev != NULL && may_read(c)) {
         char *data = NULL;
         size_t len = 0;
-        RecordState state = Record_Read(bufferevent_get_input(bev),
+        RecordState state = Record_Read(bufferevent_get_input(c->bev),
                                         GF_RPC_MAX_RECORD_BYTES, &data, &len);
         if (state == RECORD_PARTIAL) {
             break;
@@ -203,11 +253,41 @@
                   "malformed record from a client, connection closed");
             close_connection(c);
         }
+        else if (c->bev != NULL && c->next != NULL) {
+            DL_DELETE(c->server->connections, c);
+            DL_APPEND(c->server->connections, c);
+        }
         free(data);
     }
+    if (c->bev != NULL) {
+        if (!may_read(c)) {
+            bufferevent_disable(c->bev, EV_READ);
+        }
+        count_held(c);
+    }
     release_connection(c);
 }
 
+/* Callback of libevent for input. */
+static void
+on_read(struct bufferevent *bev, void *arg)
+{
+    (void)bev;
+    handle_input(arg);
+}
+
+/* Callback of libevent for replies that are wholly written: reads the
+ * connection again if that was put off. */
+static void
+on_write(struct bufferevent *bev, void *arg)
+{
+    Connection *c = arg;
+    if ((bufferevent_get_enabled(bev) & EV_READ) == 0 && may_read(c)) {
+        bufferevent_enable(bev, EV_READ);
+        handle_input(c);
+    }
+}
+
 /* Callback of libevent for a connection that the client closed or that
  * failed. */
 static void
@@ -219,24 +299,28 @@
     }
 }
 
-/* Callback of libevent for a new connection. */
+/* Callback of the listener for a new connection. */
 static void
-on_accept(struct evconnlistener *listener, evutil_socket_t fd,
-          struct sockaddr *address, int len, void *arg)
+on_accept(void *ctx, evutil_socket_t fd)
 {
-    (void)address;
-    (void)len;
-    GfRpcServer *server = arg;
+    GfRpcServer *server = ctx;
+    if (server->connection_count >= server->max_connections) {
+        GfMetrics_Add(GF_METRIC_CONNECTIONS_EVICTED, 1);
+        close_connection(server->connections);
+    }
     Connection *c = calloc(1, sizeof(*c));
     if (c == NULL) {
         abort();
     }
     c->server = server;
     c->references = 1;
-    c->bev = bufferevent_socket_new(evconnlistener_get_base(listener), fd,
-                                    BEV_OPT_CLOSE_ON_FREE);
+    c->bev = bufferevent_socket_new(server->base, fd, BEV_OPT_CLOSE_ON_FREE);
+    if (c->bev == NULL) {
+        abort();
+    }
     DL_APPEND(server->connections, c);
-    bufferevent_setcb(c->bev, on_read, NULL, on_event, c);
+    server->connection_count++;
+    bufferevent_setcb(c->bev, on_read, on_write, on_event, c);
     bufferevent_enable(c->bev, EV_READ | EV_WRITE);
 }
 
@@ -249,27 +333,20 @@
                    const GfRpcProgram *program, void *ctx, GfError *error)
 {
     assert(base != NULL && address != NULL && program != NULL);
-    struct sockaddr_in sin;
-    memset(&sin, 0, sizeof(sin));
-    sin.sin_family = AF_INET;
-    sin.sin_port = htons(port);
-    if (inet_pton(AF_INET, address, &sin.sin_addr) != 1) {
-        GfError_Set(error, GF_BAD_CONFIG, "%s is not an IPv4 address",
-                    address);
-        return NULL;
-    }
     GfRpcServer *server = calloc(1, sizeof(*server));
     if (server == NULL) {
         abort();
     }
+    server->base = base;
     server->program = program;
     server->ctx = ctx;
-    server->listener = evconnlistener_new_bind(
-        base, on_accept, server, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-        LISTEN_BACKLOG, (struct sockaddr *)&sin, sizeof(sin));
+    server->max_connections = GfListener_MaxConnections(MAX_CONNECTIONS);
+    GfListenerConfig config = {.address = address,
+                               .port = port,
+                               .receive_buffer_bytes = RECEIVE_BUFFER_BYTES};
+    server->listener =
+        GfListener_Create(base, &config, on_accept, server, error);
     if (server->listener == NULL) {
-        GfError_Set(error, GF_BAD_CONFIG, "cannot listen on %s port %u",
-                    address, port);
         free(server);
         return NULL;
     }
@@ -280,10 +357,8 @@
 void
 GfRpcServer_StopAccepting(GfRpcServer *server)
 {
-    if (server->listener != NULL) {
-        evconnlistener_free(server->listener);
-        server->listener = NULL;
-    }
+    GfListener_Destroy(server->listener);
+    server->listener = NULL;
 }
 
 /* Closes all connections and frees the server; NULL is allowed. Calls not
