Leave descriptors for the entry's calls when all its ports are crowded

What callers saw: with half requests at all ports of an entry at once, all descriptors are in use, and the entry's own calls and the metrics find none.

Cause: each server took up to half of the descriptors of the process, and there are four.

Change: the servers for callers and for entries take a quarter each at most, those for readiness checks and metrics a sixteenth. With a limit of 4,100 the defaults are below that.

--- a/include/guavaflow/listener.h
+++ b/include/guavaflow/listener.h
@@ -8,6 +8,11 @@
 
 #include "guavaflow/error.h"
 
+/* One in so many descriptors of the process are for the connections of clients
+ * or other entries; and for those of a server that few use. */
+#define GF_LISTENER_SHARE 4
+#define GF_LISTENER_SMALL_SHARE 16
+
 typedef struct GfListener GfListener;
 
 /* Receives a connection, whose non-blocking socket the callback owns. */
@@ -28,6 +33,6 @@
 void GfListener_Pause(GfListener *listener);
 void GfListener_Resume(GfListener *listener);
 void GfListener_Destroy(GfListener *listener);
-uint32_t GfListener_MaxConnections(uint32_t wanted);
+uint32_t GfListener_MaxConnections(uint32_t wanted, uint32_t share);
 
 #endif
--- a/include/guavaflow/server.h
+++ b/include/guavaflow/server.h
@@ -24,8 +24,8 @@
  * for its answer counts, and is not closed for others. */
 typedef struct {
     uint32_t max_connections; /* with so many open, the one inactive for
-                                 longest is closed for a new one; at most half
-                                 of the descriptors of the process */
+                                 longest is closed for a new one; at most a
+                                 quarter of the descriptors of the process */
     size_t max_held_bytes;    /* memory for requests that are being read; above
                                  it, the largest are answered with 503 */
 } GfServerLimits;
--- a/src/cli/cell_entry.c
+++ b/src/cli/cell_entry.c
@@ -11,6 +11,7 @@
 #include "cli.h"
 #include "guavaflow/cell_entry.h"
 #include "guavaflow/http.h"
+#include "guavaflow/listener.h"
 #include "guavaflow/log.h"
 #include "guavaflow/metrics.h"
 #include "guavaflow/server.h"
@@ -166,7 +167,9 @@
         }
         GfServer_SetLimits(
             process->metrics,
-            &(GfServerLimits){.max_connections = METRICS_CONNECTIONS});
+            &(GfServerLimits){
+                .max_connections = GfListener_MaxConnections(
+                    METRICS_CONNECTIONS, GF_LISTENER_SMALL_SHARE)});
     }
     return true;
 }
--- a/src/net/listener.c
+++ b/src/net/listener.c
@@ -169,15 +169,15 @@
 }
 
 /* Returns how many connections a server may have open: the wanted number, at
- * most half of the descriptors of the process. The others are for the calls
- * that this process makes. */
+ * most one in share of the descriptors of the process. The others are for
+ * other servers and for the calls that the process makes. */
 uint32_t
-GfListener_MaxConnections(uint32_t wanted)
+GfListener_MaxConnections(uint32_t wanted, uint32_t share)
 {
     struct rlimit limit;
     if (getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
-        limit.rlim_cur / 2 >= wanted) {
+        limit.rlim_cur / share >= wanted) {
         return wanted;
     }
-    return limit.rlim_cur < 2 ? 1 : (uint32_t)(limit.rlim_cur / 2);
+    return limit.rlim_cur < share ? 1 : (uint32_t)(limit.rlim_cur / share);
 }
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -327,7 +327,8 @@
 {
     server->max_connections = GfListener_MaxConnections(
         limits->max_connections > 0 ? limits->max_connections
-                                    : GF_SERVER_MAX_CONNECTIONS);
+                                    : GF_SERVER_MAX_CONNECTIONS,
+        GF_LISTENER_SHARE);
     server->max_held_bytes = limits->max_held_bytes > 0
                                  ? limits->max_held_bytes
                                  : GF_SERVER_MAX_HELD_BYTES;
--- a/src/rpc/rpc_server.c
+++ b/src/rpc/rpc_server.c
@@ -340,7 +340,8 @@
     server->base = base;
     server->program = program;
     server->ctx = ctx;
-    server->max_connections = GfListener_MaxConnections(MAX_CONNECTIONS);
+    server->max_connections =
+        GfListener_MaxConnections(MAX_CONNECTIONS, GF_LISTENER_SHARE);
     GfListenerConfig config = {.address = address,
                                .port = port,
                                .receive_buffer_bytes = RECEIVE_BUFFER_BYTES};
--- a/tests/fault/flood.c
+++ b/tests/fault/flood.c
@@ -565,16 +565,24 @@
     CU_ASSERT_EQUAL(metrics, 200);
 }
 
+/* Begins to observe the entry of the cell. */
+void
+FloodCell_Watch(FloodWatch *watch)
+{
+    *watch = (FloodWatch){.pid = entry, .port_count = FLOOD_MAX_PORTS};
+    for (int i = 0; i < FLOOD_MAX_PORTS; i++) {
+        watch->ports[i] = FloodCell_Port((FloodPort)i);
+    }
+}
+
 /* Starts a cell, sends what the play says, checks the entry while the crowd's
  * connections are open, and ends the cell. */
 void
 FloodCell_Play(const FloodPlay *play)
 {
     FloodCell_Start(play->descriptors);
-    FloodWatch watch = {.pid = entry, .port_count = FLOOD_MAX_PORTS};
-    for (int i = 0; i < FLOOD_MAX_PORTS; i++) {
-        watch.ports[i] = FloodCell_Port((FloodPort)i);
-    }
+    FloodWatch watch;
+    FloodCell_Watch(&watch);
     FloodCrowd crowd;
     FloodCrowd_Send(&crowd, play, FloodCell_Port(play->port), &watch);
     FloodCell_CheckOrdinary();
--- a/tests/fault/flood.h
+++ b/tests/fault/flood.h
@@ -75,6 +75,7 @@
 void FloodCell_Start(int descriptors);
 void FloodCell_Stop(void);
 int FloodCell_Submit(const char *body);
+void FloodCell_Watch(FloodWatch *watch);
 void FloodCell_CheckOrdinary(void);
 void FloodCell_Play(const FloodPlay *play);
 void FloodCell_PlayAll(const FloodPlay *plays, size_t count);
--- a/tests/unit/listener.c
+++ b/tests/unit/listener.c
@@ -123,7 +123,7 @@
     event_base_free(base);
 }
 
-/* Servers leave half of the descriptors to the calls of the process. */
+/* A server takes its share of the descriptors at most. */
 static void
 test_share_of_descriptors(void)
 {
@@ -131,8 +131,8 @@
     getrlimit(RLIMIT_NOFILE, &before);
     struct rlimit limit = {LIMIT, before.rlim_max};
     setrlimit(RLIMIT_NOFILE, &limit);
-    CU_ASSERT_EQUAL(GfListener_MaxConnections(10), 10);
-    CU_ASSERT_EQUAL(GfListener_MaxConnections(1000), LIMIT / 2);
+    CU_ASSERT_EQUAL(GfListener_MaxConnections(10, 4), 10);
+    CU_ASSERT_EQUAL(GfListener_MaxConnections(1000, 4), LIMIT / 4);
     setrlimit(RLIMIT_NOFILE, &before);
 }
 
