Keep fewer unread replies between entries

What callers saw: the bound of 1 MiB of unread replies holds for a connection; with the 1,000 connections that the port between entries takes, that is 1 GB.

A connection is read again when its replies are written, so that a longer reply only delays the calls behind it.

--- a/src/rpc/rpc_server.c
+++ b/src/rpc/rpc_server.c
@@ -13,16 +13,16 @@
 #include "record.h"
 
 #define PART "rpc"
-#define RECEIVE_BUFFER_BYTES (128 * 1024)
+#define RECEIVE_BUFFER_BYTES (64 * 1024)
 /* With so many connections open, the one that sent its last call longest ago
  * is closed for a new one. */
-#define MAX_CONNECTIONS 1000
+#define MAX_CONNECTIONS 600
 /* Memory for records that have arrived in part, of all connections. Above it,
  * the connection that holds most is closed. */
 #define MAX_HELD_BYTES (4 * GF_RPC_MAX_RECORD_BYTES)
 /* A connection with so many bytes of replies to write, or so many calls that
  * are not answered, is not read. */
-#define MAX_OUTPUT_BYTES (1024 * 1024)
+#define MAX_OUTPUT_BYTES (64 * 1024)
 #define MAX_OPEN_CALLS 4096
 /* Upper bound of the size of a reply message without its result. */
 #define REPLY_HEADER_BYTES 512
