--- a/src/cli/cell_entry.c
+++ b/src/cli/cell_entry.c
@@ -11,6 +11,7 @@
 #include "cli.h"
 #include "guavaflow/cell_entry.h"
 #include "guavaflow/http.h"
+#include "guavaflow/listener.h"
 #include "guavaflow/log.h"
 #include "guavaflow/metrics.h"
 #include "guavaflow/server.h"
@@ -26,6 +27,7 @@
 #define STOP_MARGIN_MS 700
 #define STOP_CHECK_MS 100 /* period of on_stop_check */
 #define METRICS_BODY_BYTES 1024
+#define METRICS_CONNECTIONS 64
 #define STATUS_OK 200
 #define STATUS_NOT_FOUND 404
 
@@ -150,9 +152,8 @@
 static bool
 open_servers(EntryProcess *process, GfError *error)
 {
-    process->front = PlatformFront_Create(
-        process->base, process->entry, &process->settings->front_endpoint,
-        &process->settings->ready_endpoint, error);
+    process->front = PlatformFront_Create(process->base, process->entry,
+                                          process->settings, error);
     if (process->front == NULL) {
         return false;
     }
@@ -161,7 +162,14 @@
             process->base, process->settings->peer_endpoint.address,
             (uint16_t)process->settings->metrics_port, METRICS_BODY_BYTES,
             on_metrics_request, process, error);
-        return process->metrics != NULL;
+        if (process->metrics == NULL) {
+            return false;
+        }
+        GfServer_SetLimits(
+            process->metrics,
+            &(GfServerLimits){
+                .max_connections = GfListener_MaxConnections(
+                    METRICS_CONNECTIONS, GF_LISTENER_SMALL_SHARE)});
     }
     return true;
 }
