Log completions acknowledged unread and runs that outlive their lease

Change: a warning and a counter for each. Numbers of completions count from 1 in each life, so that the first list with a gap shows the one; an inventory requested after the end of the lease that still lists runs shows the other. For lives that began in the term of another owner a gap may be usual, and is not reported.

Test: cell_fence, "orders of a former life go unnoticed".

--- a/src/cell/inventory.c
+++ b/src/cell/inventory.c
@@ -8,6 +8,7 @@
 
 #include "cell_private.h"
 #include "guavaflow/log.h"
+#include "guavaflow/metrics.h"
 
 /* A worker is avoided after this many consecutive failures of different
  * tasks. */
@@ -321,6 +322,35 @@
     }
 }
 
+/* Logs and counts what an inventory shows of orders that an incarnation has
+ * taken from before: completions that were acknowledged before anyone has read
+ * them, and runs that go on after the end of the lease as it is known here.
+ * Numbers of completions count from 1 in each incarnation, and of one that was
+ * noticed in this term none has been acknowledged by another owner. */
+static void
+report_former_orders(const Worker *w, struct timespec sent_at,
+                     const GfInventory *inventory)
+{
+    bool began_here = w->incarnation_began_at.tv_sec != 0;
+    if (began_here && inventory->completion_count > 0 &&
+        inventory->completions[0].number > w->applied_completion + 1) {
+        GfMetrics_Add(GF_METRIC_COMPLETIONS_UNREAD, 1);
+        GfLog(GF_LOG_WARNING, CELL_PART,
+              "completions acknowledged unread worker=%s applied=%lld "
+              "first=%lld",
+              w->info.id.data, (long long)w->applied_completion,
+              (long long)inventory->completions[0].number);
+    }
+    if (w->contacted && inventory->run_count > 0 &&
+        GfTime_Before(w->lease_until, sent_at)) {
+        GfMetrics_Add(GF_METRIC_LEASES_OUTLIVED, 1);
+        GfLog(GF_LOG_WARNING, CELL_PART,
+              "runs outlive their lease worker=%s runs=%zu by_ms=%lld",
+              w->info.id.data, inventory->run_count,
+              (long long)GfTime_DiffMs(sent_at, w->lease_until));
+    }
+}
+
 /* Applies an inventory that was requested at sent_at, unless a newer one has
  * been applied. The inventory stays the caller's. */
 void
@@ -336,6 +366,7 @@
         return; /* older than one already applied */
     }
     w->inventory_clock_ms = inventory->clock_ms;
+    report_former_orders(w, sent_at, inventory);
     CellCrash_WorkerSeen(cell, w, true);
     struct timespec now = GfClock_Now(cell->clock);
     w->inventory_number++;
--- a/src/common/metrics.c
+++ b/src/common/metrics.c
@@ -73,6 +73,8 @@
     {"backfill_paced_total", COUNTER, "Backfill tasks slowed for others."},
     {"backfill_moved_total", COUNTER, "Backfill tasks stopped for others."},
     {"rows_set_apart_total", COUNTER, "Jobs whose row the store refuses."},
+    {"completions_unread_total", COUNTER, "Completions lost unread."},
+    {"leases_outlived_total", COUNTER, "Workers with runs past a lease."},
     {"requests_unread_total", COUNTER, "Requests refused before their end."},
     {"connections_evicted_total", COUNTER, "Connections closed for others."},
     {"accept_failures_total", COUNTER, "Connections not accepted."},
--- a/tests/unit/cell_fence.c
+++ b/tests/unit/cell_fence.c
@@ -7,6 +7,7 @@
 
 #include "cell_sim.h"
 #include "guavaflow/log.h"
+#include "guavaflow/metrics.h"
 #include "suite.h"
 
 #define STEP_MS 10
@@ -169,6 +170,53 @@
     GfCell_Place(o->cell);
 }
 
+/* What an inventory shows of orders for a former life is counted, so that an
+ * operator can tell a lost completion from a lease that lasts too long. */
+static void
+test_orders_of_a_former_life_go_unnoticed(void)
+{
+    Owner o;
+    open_owner(&o);
+    restart(&o);
+    run(&o, 400);
+    uint64_t unread = GfMetrics_Get(GF_METRIC_COMPLETIONS_UNREAD);
+    uint64_t outlived = GfMetrics_Get(GF_METRIC_LEASES_OUTLIVED);
+    GfTaskId task = {.job = GfName_Format("00000000000000bb")};
+    GfCompletionRow completion = {
+        .number = 1, .task = task, .run = 1, .kind = GF_COMPLETION_DONE};
+    GfRunRow row = {.task = task, .run = 2, .percent = 100};
+    GfInventory inventory = {.incarnation = o.worker.incarnation,
+                             .clock_ms = o.worker_clock_ms,
+                             .runs = &row,
+                             .run_count = 1,
+                             .completions = &completion,
+                             .completion_count = 1};
+    o.hold_kept = true;
+    run(&o, 400);
+    GfCell_HoldDone(o.cell, o.hold.target.serial, o.hold.sent_at,
+                    GF_ORDER_DONE, &inventory);
+    CU_ASSERT_EQUAL(GfMetrics_Get(GF_METRIC_COMPLETIONS_UNREAD), unread);
+    CU_ASSERT_EQUAL(GfMetrics_Get(GF_METRIC_LEASES_OUTLIVED), outlived);
+    completion.number = 3;
+    inventory.clock_ms = ++o.worker_clock_ms;
+    run(&o, 400);
+    GfCell_HoldDone(o.cell, o.hold.target.serial, o.hold.sent_at,
+                    GF_ORDER_DONE, &inventory);
+    CU_ASSERT_EQUAL(GfMetrics_Get(GF_METRIC_COMPLETIONS_UNREAD), unread + 1);
+    o.hold_kept = false;
+    o.silent = true;
+    run(&o, 30000);
+    o.silent = false;
+    o.hold_kept = true;
+    o.hold_open = false;
+    run(&o, 3000);
+    inventory.clock_ms = o.worker_clock_ms;
+    GfCell_HoldDone(o.cell, o.hold.target.serial, o.hold.sent_at,
+                    GF_ORDER_DONE, &inventory);
+    CU_ASSERT_EQUAL(GfMetrics_Get(GF_METRIC_LEASES_OUTLIVED), outlived + 1);
+    close_owner(&o);
+}
+
 static void
 test_order_for_a_former_life_obeyed(void)
 {
@@ -365,6 +413,8 @@
 }
 
 static const SuiteTest TESTS[] = {
+    {"orders of a former life go unnoticed",
+     test_orders_of_a_former_life_go_unnoticed},
     {"order for a former life obeyed", test_order_for_a_former_life_obeyed},
     {"own new token taken for another owner's",
      test_own_new_token_taken_for_another_owners},
