--- a/src/cell/removed.c
+++ b/src/cell/removed.c
@@ -20,6 +20,7 @@
     HASH_ADD(hh, cell->removed, id.data, r->id.len, r);
 }
 
+/* Removes a worker from the remembered ones and frees the entry. */
 static void
 forget(GfCell *cell, RemovedWorker *r)
 {
