Pass operators the body of their call

What callers saw: changes of operators at an entry of the first design were answered bad_request and not made.

Cause: the filter chain takes the body out of the exchange, and the administration, which is called at its end, asked the exchange for it again.

Change: it gets the body of the call. A request without a body gives an empty text, as before.

--- a/src/admin/admin.c
+++ b/src/admin/admin.c
@@ -245,18 +245,16 @@
 }
 
 /* Handles an operator's call under /v1/admin/. The exchange is answered here
- * or later; the body, where one is needed, is a JSON object. operator_name is
- * copied. */
+ * or later; the text, the call's body, is a JSON object where one is needed.
+ * operator_name is copied. */
 void
 EntryAdmin_Handle(GfEntry *entry, GfExchange *exchange,
-                  const GfName *operator_name)
+                  const GfName *operator_name, const GfStr *text)
 {
     const char *path = GfExchange_Path(exchange) + strlen("/v1/admin/");
     bool post = strcmp(GfExchange_Method(exchange), "POST") == 0;
-    GfStr text = GfExchange_TakeBody(exchange);
     json_t *body =
-        json_loadb(text.data, text.len, JSON_REJECT_DUPLICATES, NULL);
-    GfStr_Clear(&text);
+        json_loadb(text->data, text->len, JSON_REJECT_DUPLICATES, NULL);
     if (post && !json_is_object(body)) {
         reply_error(exchange, GF_BAD_REQUEST, GF_RAN_NO,
                     "the body must be a JSON object");
--- a/src/entry/entry_private.h
+++ b/src/entry/entry_private.h
@@ -187,7 +187,7 @@
 
 void EntryFront_Handle(void *ctx, GfExchange *exchange);
 void EntryAdmin_Handle(GfEntry *entry, GfExchange *exchange,
-                       const GfName *operator_name);
+                       const GfName *operator_name, const GfStr *text);
 
 GfAnswer EntryXdr_ToAnswer(const gfx_answer *xdr);
 void EntryXdr_FromAnswer(const GfAnswer *answer, gfx_answer *xdr);
--- a/src/front/filters.c
+++ b/src/front/filters.c
@@ -293,7 +293,8 @@
                             &call->team, call->timeout_ms, Front_Answer, call);
         break;
     case ROUTE_ADMIN:
-        EntryAdmin_Handle(entry, call->exchange, &call->operator_name);
+        EntryAdmin_Handle(entry, call->exchange, &call->operator_name,
+                          &call->body);
         Front_FreeCall(call);
         break;
     default:
--- a/src/net/connection.c
+++ b/src/net/connection.c
@@ -81,6 +81,9 @@
 GfStr
 Request_TakeBody(GfServer *server, Request *r)
 {
+    if (r->body.data == NULL) {
+        return GfStr_Copy("", 0);
+    }
     GfStr body = {.len = r->body.len, .data = r->body.data};
     r->held_bytes -= r->body.size;
     server->held_bytes -= r->body.size;
