--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -13,3 +13,8 @@
         -o "target/review-3/scenario-$n" "review/$n/scenario.c" \
         review/standin-3/world.c $flags
 done
+# The random plays that REPORT-3.md names: random FOLDER RECORD SEED SECONDS.
+# shellcheck disable=SC2086
+cc -std=gnu11 -O1 -g -Wall -Wextra -Wno-restrict -Wno-format-truncation \
+    -D_GNU_SOURCE -I review/standin-3 -o target/review-3/random \
+    review/standin-3/random.c review/standin-3/world.c $flags
