--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -13,7 +13,9 @@
 #define MAX_MINIONS 64
 #define MAX_ENTRIES 9
 
-/* A task run on a minion. */
+/* A task run on a minion. The payload (`spec`) of its job says what it does:
+ * "ms=N gang=N saves=1 fails=1", where what is left out is 0; or this for each
+ * step, as "0:ms=...;1:ms=...;". */
 typedef struct Run {
     char task[96];
     int64_t run;
