Keep a run that an inventory has just shown

Cause: two inventories of a worker are on their way on different connections, both put together in the millisecond in which a run begins. The one that lists the run arrives first and confirms it. The other one is not older by the worker's clock, and was requested after the task was assigned, so the run counted as missing and its task was started elsewhere.

Fix: the run counts as begun when an inventory shows it, so only one that was requested later can show that it is missing. Its run time is not known then and is not taken into the estimates.

--- a/src/cell/inventory.c
+++ b/src/cell/inventory.c
@@ -243,6 +243,9 @@
     if (task->worker == w && task->run == row->run) {
         if (task->state == TASK_STARTING ||
             (task->state == TASK_UNCONFIRMED && !task->stopping)) {
+            /* Inventories of the same millisecond may lack the run. */
+            task->started_at = now;
+            task->whole_run = false;
             CellTask_Confirm(task);
         }
     }
