Keep a task with the worker that may still start it

Cause: such a start was settled for one incarnation of the worker, by an answered stop or by its time limit on that incarnation's clock. Any incarnation that has seen no token of its own may carry it out for 12 s after it was sent. The next owner knew of none.

Fix: the task holds the worker and the time until which its latest start without an answer may arrive, and runs there or nowhere until then. The order is repeated with the same run number, which a worker carries out once, so the task rarely waits. A new incarnation's first answer with its own token shows all that it has carried out. Both are stored with the progress for the next owner. The stop orders that each further incarnation got are gone, as its token does the same.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -125,7 +125,6 @@
         HASH_DELETE(hh, cell->workers, w);
         free(w->orphans);
         free(w->inherited);
-        free(w->unanswered_starts);
         free(w);
     }
     Lookup *lookup;
@@ -261,9 +260,10 @@
 }
 
 /* Handles a start order whose outcome is unknown, or that the worker refused
- * as superseded. The next inventory shows whether the task runs; if not, a
- * stop order keeps the start from being carried out late. The worker is
- * avoided for REFUSED_PAUSE_MS. */
+ * as superseded or when it was repeated: the first one may have been carried
+ * out all the same. The next inventory shows whether the task runs; if not,
+ * the order is repeated, or a stop order keeps the start from being carried
+ * out late. The worker is avoided for REFUSED_PAUSE_MS. */
 static void
 handle_unconfirmed(GfCell *cell, Task *task)
 {
@@ -324,10 +324,10 @@
     if (target != NULL) {
         CellUnanswered_Record(target, result, GfClock_Now(cell->clock));
     }
-    if (target != NULL && result == GF_ORDER_UNKNOWN) {
-        CellUnanswered_AddStart(target, id, run, GfClock_Now(cell->clock));
-    }
     Task *task = CellJob_Task(cell, id);
+    if (target != NULL && task != NULL && result == GF_ORDER_UNKNOWN) {
+        CellLateStart_Record(task, target);
+    }
     if (task == NULL || task->worker == NULL ||
         task->worker->serial != serial || task->run != run ||
         task->state != TASK_STARTING) {
@@ -350,7 +350,9 @@
           "start not confirmed id=%s step=%u task=%u worker=%s outcome=%s",
           id->job.data, id->step, id->index, w->info.id.data,
           GfOrderResult_Name(result));
-    if (result == GF_ORDER_UNKNOWN || result == GF_ORDER_SUPERSEDED) {
+    task->start_final = result == GF_ORDER_SUPERSEDED;
+    if (result == GF_ORDER_UNKNOWN || result == GF_ORDER_SUPERSEDED ||
+        (task->start_repeated && result != GF_ORDER_OTHER_INCARNATION)) {
         GfMetrics_Add(GF_METRIC_TASKS_UNCONFIRMED, 1);
         handle_unconfirmed(cell, task);
     }
@@ -378,9 +380,6 @@
     if (w != NULL) {
         CellUnanswered_Record(w, result, GfClock_Now(cell->clock));
     }
-    if (w != NULL && result == GF_ORDER_DONE) {
-        CellUnanswered_Stopped(w, id, run);
-    }
     Task *task = CellJob_Task(cell, id);
     if (task == NULL || w == NULL || task->worker != w || task->run != run) {
         return;
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -70,6 +70,9 @@
     struct timespec stop_sent_at;
     struct timespec stop_acked_at;
     struct timespec unconfirmed_since; /* when it became UNCONFIRMED */
+    struct timespec start_sent_at;     /* the current run's start, latest */
+    struct timespec late_until; /* a start without an answer may arrive */
+    int64_t late_worker;        /* key of the worker that it was sent to */
     int64_t
         start_expires_ms; /* the start is refused after it; worker's clock */
     struct timespec failed_at; /* latest counted failure in this term */
@@ -93,6 +96,8 @@
     bool stopping;         /* to be stopped; orders are repeated */
     bool stop_in_flight;   /* a stop order has no outcome yet */
     bool stop_acked;       /* the worker carried out a stop order */
+    bool start_repeated;   /* the current run's start was sent again */
+    bool start_final;      /* it must not be sent again */
     bool listed;           /* the run was in an inventory */
     bool former_start;     /* sent to a former incarnation of the worker */
     int64_t pending_crash; /* key of the incarnation that crashed under it,
@@ -269,23 +274,13 @@
     bool all_tails_known;
 } WorkerSharing;
 
-/* A start without an answer, which may be carried out late, also by a later
- * incarnation of its worker. */
-typedef struct {
-    GfTaskId task;
-    int64_t run;
-    struct timespec sent_at;
-    struct timespec stop_sent_at;
-    bool former;  /* the worker has begun a new incarnation since */
-    bool blocked; /* that one has answered a stop order for it */
-} UnansweredStart;
-
 /* A worker and its current incarnation. Its completions are applied, then
  * stored, and only then acknowledged; three fields hold the highest completion
  * number at these stages. */
 struct Worker {
     GfWorkerInfo info;
     uint32_t serial;     /* unique in the process, never 0 */
+    int64_t key;         /* of its id, the same for all owners */
     bool listed;         /* in the platform's table */
     bool described;      /* info has the row of this incarnation */
     bool former_orders;  /* orders that were meant for the incarnation before
@@ -320,9 +315,7 @@
     uint32_t unanswered_orders;       /* consecutive starts, stops and paces */
     struct timespec unanswered_since; /* the first of these */
     struct timespec unanswered_at;    /* the latest of these */
-    UnansweredStart *unanswered_starts;
-    size_t unanswered_start_count;
-    int64_t token;     /* of the orders to it; only rises */
+    int64_t token;                    /* of the orders to it; only rises */
     bool token_wanted; /* its incarnation has no token of its own yet */
     bool token_unseen; /* its incarnation has not answered a hold with a token
                           of its own: it may carry out orders that were meant
@@ -574,6 +567,7 @@
 /* place.c */
 bool CellPlace_IsAllowed(const GfCell *cell);
 void CellPlace_Round(GfCell *cell, struct timespec now);
+void CellPlace_RepeatStart(GfCell *cell, Task *task, struct timespec now);
 
 /* advice.c */
 const AllowedWorker *CellAdvice_FindTicket(const Step *step, uint32_t serial,
@@ -720,14 +714,23 @@
 /* unanswered.c */
 void CellUnanswered_Record(Worker *w, GfOrderResult result,
                            struct timespec now);
-void CellUnanswered_AddStart(Worker *w, const GfTaskId *id, int64_t run,
-                             struct timespec now);
-void CellUnanswered_Restarted(Worker *w);
-void CellUnanswered_BlockStarts(GfCell *cell, Worker *w, struct timespec now);
-void CellUnanswered_Stopped(Worker *w, const GfTaskId *id, int64_t run);
 bool CellUnanswered_MayStart(const GfCell *cell, const Worker *w);
+bool CellUnanswered_TakesNone(const Worker *w, struct timespec now);
 bool CellUnanswered_MayExtendLease(const Worker *w, struct timespec now);
 
+/* late_start.c */
+int64_t CellLateStart_WorkerKey(const GfName *id);
+void CellLateStart_Record(Task *task, const Worker *w);
+bool CellLateStart_IsPending(const Task *task, struct timespec now);
+bool CellLateStart_Binds(const GfCell *cell, const Task *task,
+                         struct timespec now);
+bool CellLateStart_Allows(const Task *task, const Worker *w);
+bool CellLateStart_MayRepeat(const Task *task, struct timespec now);
+void CellLateStart_Repeat(GfCell *cell, Worker *w, struct timespec now);
+void CellLateStart_Listed(const Task *task, const Worker *w);
+void CellLateStart_Save(const Task *task, size_t at, json_t *list);
+void CellLateStart_Load(Task *task, const json_t *entry);
+
 /* job_rows.c */
 bool CellRows_Add(RowSet *set, bool is_lease_list, const char *key,
                   char *text);
--- a/src/cell/fit.c
+++ b/src/cell/fit.c
@@ -199,6 +199,7 @@
     Worker *best = NULL;
     double best_score = 0;
     bool reliable_only = failed_recently(task, now);
+    bool bound = CellLateStart_Binds(cell, task, now);
     size_t count =
         needs_advice ? step->allowed_count : HASH_COUNT(cell->workers);
     Worker *next = cell->workers;
@@ -214,6 +215,7 @@
             next = w->hh.next;
         }
         if (w == NULL || !CellFit_IsCandidate(cell, w, step) ||
+            (bound && !CellLateStart_Allows(task, w)) ||
             (rack != NULL && !GfName_Equal(CellWorker_Rack(w), rack)) ||
             CellCrash_Excludes(cell, w, task) ||
             !CellSpeed_Allows(cell, w, step, now) ||
--- a/src/cell/inventory.c
+++ b/src/cell/inventory.c
@@ -256,6 +256,9 @@
         stop_orphan(cell, w, row);
         return;
     }
+    if (!task->listed) {
+        CellLateStart_Listed(task, w);
+    }
     task->inventory_number = w->inventory_number;
     task->listed = true;
     if (task->former_start) {
@@ -272,9 +275,9 @@
 }
 
 /* Returns whether an unconfirmed start that the latest inventory does not list
- * can no longer be carried out: its time limit had passed on the worker's
- * clock, whatever incarnation it was meant for, or a stop order was carried
- * out before the inventory was requested at sent_at. */
+ * can no longer be carried out by this incarnation: its time limit had passed
+ * on the worker's clock, whatever incarnation it was meant for, or a stop
+ * order was carried out before the inventory was requested at sent_at. */
 static bool
 is_start_void(const Worker *w, const Task *task, struct timespec sent_at)
 {
@@ -284,12 +287,13 @@
 }
 
 /* Handles the worker's tasks that an inventory requested at sent_at does not
- * list. An unconfirmed start is cancelled by a stop order; its task is
- * released when the start can no longer be carried out. A started run that is
- * missing is taken as lost. None is released before all completions have been
- * seen, since the task may have been completed. */
+ * list. An unconfirmed start that is not repeated is cancelled by a stop
+ * order; its task is released when this incarnation can no longer carry the
+ * start out. A started run that is missing is taken as lost. None is released
+ * before all completions have been seen, since the task may have been
+ * completed. */
 static void
-handle_missing(Worker *w, struct timespec sent_at)
+handle_missing(Worker *w, struct timespec sent_at, struct timespec now)
 {
     Task *t;
     Task *tmp;
@@ -304,7 +308,8 @@
             CellCrash_CountPending(t);
             CellTask_Release(t);
         }
-        else if (t->state == TASK_UNCONFIRMED && !t->stopping) {
+        else if (t->state == TASK_UNCONFIRMED && !t->stopping &&
+                 !CellLateStart_MayRepeat(t, now)) {
             if (!GfTime_Before(sent_at, t->unconfirmed_since)) {
                 /* The start may still arrive: a stop order keeps it from being
                  * carried out late. */
@@ -404,7 +409,7 @@
         apply_run(cell, w, &inventory->runs[i], now);
     }
     CellSpeed_EndInventory(cell, w, now);
-    handle_missing(w, sent_at);
+    handle_missing(w, sent_at, now);
     CellNeighbours_InventoryApplied(w);
     if (!w->contacted && w->unidentified_runs == 0 && !w->has_unseen_ends) {
         /* Before, the worker's state stays uncertain. */
--- a/src/cell/move.c
+++ b/src/cell/move.c
@@ -37,13 +37,15 @@
 #define LEAVE_MARGIN_MS 200
 #define PERCENT 100
 
-/* Returns whether a task can be moved. Gangs stay together. */
+/* Returns whether a task can be moved. Gangs stay together, and a task stays
+ * on the worker that may carry out an earlier start of it. */
 static bool
-is_movable(const Task *task)
+is_movable(const Task *task, struct timespec now)
 {
     return task->state == TASK_RUNNING && !task->stopping &&
            !task->step->spec->gang && CellJob_Active(task->step->job) &&
-           task->step->job->queue_in_force != NULL;
+           task->step->job->queue_in_force != NULL &&
+           !CellLateStart_IsPending(task, now);
 }
 
 /* Returns whether a task is to be moved off its worker, which leaves: it is a
@@ -53,8 +55,8 @@
              struct timespec now)
 {
     const GfStepSpec *spec = task->step->spec;
-    if (!is_movable(task) || spec->long_running) {
-        return is_movable(task);
+    if (!is_movable(task, now) || spec->long_running) {
+        return is_movable(task, now);
     }
     return cell->settings.features.worker_speeds && spec->checkpointed &&
            !spec->backfill &&
@@ -125,7 +127,7 @@
 is_straggler(const Worker *w, const Task *task, struct timespec now)
 {
     const GfStepSpec *spec = task->step->spec;
-    if (!is_movable(task) || task->moved_off_slow || spec->long_running ||
+    if (!is_movable(task, now) || task->moved_off_slow || spec->long_running ||
         spec->backfill || task->step->job->objective_ms == 0) {
         return false;
     }
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -54,31 +54,51 @@
     return (task->run > first ? task->run : first) + 1;
 }
 
-/* Sends the start order of a task that has been assigned to a worker. Its time
- * limit is shorter than the lease, which hold calls extend: until the limit
- * has passed, a start without an answer may still be carried out. */
+/* Sends the start order of a task that has been assigned to a worker, with its
+ * time limit. */
 static void
-send_start(GfCell *cell, Task *task, struct timespec now)
+send_order(GfCell *cell, Task *task, struct timespec now)
 {
     Worker *w = task->worker;
     const AllowedWorker *allowed =
         CellAdvice_FindTicket(task->step, w->serial, now);
-    int64_t until_ms = CellWorker_ExtendLease(cell, w, now);
-    if (until_ms > 0 && cell->settings.lease_ms > START_VALID_MS) {
-        until_ms -= cell->settings.lease_ms - START_VALID_MS;
-    }
-    task->start_expires_ms = until_ms;
+    task->start_sent_at = now;
     GfStartOrder order = {.target = CellTask_Target(w),
                           .task = CellTask_Id(task),
                           .run = task->run,
                           .payload = &task->step->job->spec.payload,
-                          .until_ms = until_ms,
+                          .until_ms = task->start_expires_ms,
                           .checkpoint = task->checkpoint,
                           .ticket =
                               allowed == NULL ? NULL : allowed->ticket.data};
     cell->ops->start(cell->ctx, &order);
 }
 
+/* Sends the first start order of a task's run. Its time limit is shorter than
+ * the lease, which hold calls extend: until the limit has passed, a start
+ * without an answer may still be carried out. */
+static void
+send_start(GfCell *cell, Task *task, struct timespec now)
+{
+    int64_t until_ms = CellWorker_ExtendLease(cell, task->worker, now);
+    if (until_ms > 0 && cell->settings.lease_ms > START_VALID_MS) {
+        until_ms -= cell->settings.lease_ms - START_VALID_MS;
+    }
+    task->start_expires_ms = until_ms;
+    send_order(cell, task, now);
+}
+
+/* Sends the start order of a task's run, which has got no answer, again, with
+ * the same run number and time limit. */
+void
+CellPlace_RepeatStart(GfCell *cell, Task *task, struct timespec now)
+{
+    task->state = TASK_STARTING;
+    task->start_repeated = true;
+    task->whole_run = false; /* it may have begun earlier */
+    send_order(cell, task, now);
+}
+
 /* Places the idle tasks of a step one by one. For those that must not start
  * before their rows are stored, capacity is held, or steps that come later in
  * order would take it meanwhile. Returns how many tasks stay idle, or 0 if the
@@ -99,7 +119,8 @@
         }
         Worker *w =
             CellFit_ChooseWorker(cell, step, task, NULL, needs_advice, now);
-        if (w == NULL && task->failures + CellCrash_Suspicion(task) > 0) {
+        if (w == NULL && (task->failures + CellCrash_Suspicion(task) > 0 ||
+                          CellLateStart_Binds(cell, task, now))) {
             continue; /* other tasks may accept more workers */
         }
         if (w == NULL) {
@@ -184,7 +205,8 @@
 }
 
 /* Returns how many idle tasks of a step would not use capacity yet: they may
- * still run unseen, or wait for crash.c. */
+ * still run unseen, wait for the one worker that may start them, or for
+ * crash.c. */
 static uint32_t
 count_held(const GfCell *cell, const Step *step, struct timespec now)
 {
@@ -193,6 +215,7 @@
         const Task *t = &step->tasks[i];
         count += !t->done && t->state == TASK_IDLE &&
                  (CellFit_IsUncertain(cell, t, now) ||
+                  CellLateStart_Binds(cell, t, now) ||
                   CellCrash_IsHeld(cell, t, now));
     }
     return count;
--- a/src/cell/preempt.c
+++ b/src/cell/preempt.c
@@ -29,7 +29,8 @@
     return task->state == TASK_RUNNING && !task->stopping && !task->done &&
            s->spec->checkpointed && !s->spec->gang && !s->spec->long_running &&
            !s->spec->backfill && s->job->work_class > step->job->work_class &&
-           GfTime_DiffMs(now, task->started_at) > MIN_RUN_MS;
+           GfTime_DiffMs(now, task->started_at) > MIN_RUN_MS &&
+           !CellLateStart_IsPending(task, now);
 }
 
 /* Returns a worker's free capacity after all tasks that are being stopped
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -52,13 +52,14 @@
     json_t *doubts;
     json_t *placements;
     json_t *intended;
+    json_t *late_starts;
 } TaskLists;
 
 /* Returns empty lists; set_lists releases them. */
 static TaskLists
 make_lists(void)
 {
-    return (TaskLists){json_array(), json_array(), json_array(),
+    return (TaskLists){json_array(), json_array(), json_array(), json_array(),
                        json_array(), json_array(), json_array()};
 }
 
@@ -114,6 +115,7 @@
         if (whole) {
             CellCrash_SavePlacements(t, at, lists->placements,
                                      lists->intended);
+            CellLateStart_Save(t, at, lists->late_starts);
         }
     }
 }
@@ -138,6 +140,7 @@
     set_list(row, "doubts", lists->doubts);
     set_list(row, "placements", lists->placements);
     set_list(row, "intended", lists->intended);
+    set_list(row, "late_starts", lists->late_starts);
 }
 
 /* Returns whether all tasks of a step of a job are done. */
@@ -380,6 +383,13 @@
     }
     load_placements(job, json_object_get(row, "placements"), true);
     load_placements(job, json_object_get(row, "intended"), false);
+    json_array_foreach(json_object_get(row, "late_starts"), i, entry)
+    {
+        Task *task = find_task(job, entry);
+        if (task != NULL) {
+            CellLateStart_Load(task, entry);
+        }
+    }
 }
 
 /* Marks the steps as finished that the main row of a job with several rows
--- a/src/cell/tasks.c
+++ b/src/cell/tasks.c
@@ -124,10 +124,13 @@
     task->stopping = false;
     task->stop_acked = false;
     task->stop_in_flight = false;
+    task->start_repeated = false;
+    task->start_final = false;
     task->listed = false;
     task->former_start = false;
     task->pending_crash = 0;
     task->started_at = GfClock_Now(cell->clock);
+    task->start_sent_at = task->started_at;
     task->progress = (GfRunProgress){0};
     w->probed_at = task->started_at;
     DL_APPEND(w->tasks, task);
--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -196,7 +196,6 @@
     struct timespec now = GfClock_Now(cell->clock);
     CellCrash_WorkerGone(cell, w, true);
     CellSpeed_Restarted(cell, w, now);
-    CellUnanswered_Restarted(w);
     CellFence_Restarted(cell, w);
     size_t kept = divide_tasks(w, now);
     CellWorker_ClearOrphans(cell, w);
@@ -249,6 +248,7 @@
     }
     w->info = *info;
     w->serial = ++cell->next_serial;
+    w->key = CellLateStart_WorkerKey(&info->id);
     w->token = cell->stored_version;
     HASH_ADD(hh, cell->workers, info.id.data, w->info.id.len, w);
     HASH_ADD(by_serial, cell->workers_by_serial, serial, sizeof(w->serial), w);
@@ -458,13 +458,17 @@
 
 /* Returns the pause in ms after a failed hold call. It grows with each
  * failure, but not while all jobs of a former owner wait for the worker: one
- * that refuses a part of its calls answers soon if it is called often. */
+ * that refuses a part of its calls answers soon if it is called often. Nor
+ * does it while a new incarnation has not answered with its token. */
 static int64_t
 retry_pause_ms(const GfCell *cell, const Worker *w)
 {
     int64_t tries = w->hold_failures < HOLD_RETRY_STEPS ? w->hold_failures
                                                         : HOLD_RETRY_STEPS;
     int64_t ms = HOLD_RETRY_MS * tries;
+    if (w->token_unseen) {
+        return HOLD_RETRY_MS;
+    }
     if (!w->former_lease || w->contacted || !cell->in_uncertainty_period) {
         return ms;
     }
@@ -597,7 +601,6 @@
     CellWorker_ClearOrphans(cell, w);
     CellRemoved_Add(cell, w);
     free(w->inherited);
-    free(w->unanswered_starts);
     free(w);
 }
 
@@ -640,8 +643,11 @@
             send_hold(cell, w, now);
         }
         CellTask_SendStops(w, now);
-        CellUnanswered_BlockStarts(cell, w, now);
-        if (w->poll_wanted && !w->poll_in_flight && w->tasks != NULL) {
+        CellLateStart_Repeat(cell, w, now);
+        bool asks_slowly = w->token_unseen && !w->token_wanted &&
+                           GfTime_DiffMs(now, w->hold_sent_at) > HOLD_RETRY_MS;
+        if (!w->poll_in_flight &&
+            (asks_slowly || (w->poll_wanted && w->tasks != NULL))) {
             CellWorker_Poll(cell, w);
         }
     }
