Let a team below half of its limit exceed it by one task

Cause: a start had to fit into the limit beside what the team uses and keeps free for earlier classes.

Fix: by component, a start is allowed if it fits as before, or if the team uses less than half of its limit, so that it has half of the limit and one task at most. A gang may exceed the limit by one member; one that needs more can never run and is refused at submission. A move asks whether the task could start again once it has ended.

--- a/include/guavaflow/admission.h
+++ b/include/guavaflow/admission.h
@@ -111,6 +111,8 @@
 GfErrorKind GfAdmission_Check(const GfAdmission *admission,
                               const GfName *service, const GfName *team,
                               const GfJobSpec *spec, uint32_t *retry_after_ms);
+GfErrorKind GfAdmission_CheckLimit(const GfResources *limit,
+                                   const GfJobSpec *spec);
 void GfAdmission_ForgetForecast(GfAdmission *admission);
 GfErrorKind GfAdmission_CheckForecast(GfAdmission *admission,
                                       const GfQueue *queue, const GfName *team,
--- a/include/guavaflow/error.h
+++ b/include/guavaflow/error.h
@@ -16,7 +16,8 @@
     GF_NOT_FOUND,         /* unknown path or object */
     GF_CONFLICT,          /* contradicts the current state */
     GF_TOO_LARGE,         /* body over the limit */
-    GF_NEVER_FITS,        /* needs more than the largest worker has */
+    GF_NEVER_FITS,        /* needs more than the largest worker has, or
+                           * than the team may use */
     GF_LIMIT_REACHED,     /* the team is at its limit, or too much of its
                            * work is waiting */
     GF_BUSY,              /* no free capacity, or too many open calls */
--- a/src/cell/admission.c
+++ b/src/cell/admission.c
@@ -1,10 +1,11 @@
 /* Admission checks at submission. A job is refused if one of its tasks needs
- * more of a resource than any known worker has, as it would wait for ever, or
- * if its team's backlog is full: a team that submits far more than gets
- * started would take the owner's memory from the other teams. It is also
- * refused if the owner's forecast says that it would be done too late to be of
- * value, as its caller can do something else meanwhile. A job that is merely
- * late is accepted, since its caller relies on it being done. */
+ * more of a resource than any known worker has, or a gang more than its team's
+ * limit, as it would wait for ever, or if its team's backlog is full: a team
+ * that submits far more than gets started would take the owner's memory from
+ * the other teams. It is also refused if the owner's forecast says that it
+ * would be done too late to be of value, as its caller can do something else
+ * meanwhile. A job that is merely late is accepted, since its caller relies on
+ * it being done. */
 #include "guavaflow/admission.h"
 
 #include <assert.h>
@@ -192,6 +193,35 @@
     return GF_OK;
 }
 
+/* Returns whether a gang of count tasks with this need may run within a limit,
+ * which its last member may exceed; 0 is no limit. */
+static bool
+gang_fits(int64_t limit, int64_t need, int64_t count)
+{
+    return limit == 0 || need * (count - 1) <= limit;
+}
+
+/* Decides whether a job can run within its team's limit. A single task always
+ * can, as a team may exceed its limit by one. Returns GF_OK, or GF_NEVER_FITS
+ * if the members of a gang of the job exceed the limit together. */
+GfErrorKind
+GfAdmission_CheckLimit(const GfResources *limit, const GfJobSpec *spec)
+{
+    assert(limit != NULL && spec != NULL);
+    for (size_t i = 0; i < spec->step_count; i++) {
+        const GfStepSpec *step = &spec->steps[i];
+        const GfResources *need = &step->need;
+        if (step->gang &&
+            !(gang_fits(limit->mcores, need->mcores, step->task_count) &&
+              gang_fits(limit->memory_mb, need->memory_mb, step->task_count) &&
+              gang_fits(limit->accelerators, need->accelerators,
+                        step->task_count))) {
+            return GF_NEVER_FITS;
+        }
+    }
+    return GF_OK;
+}
+
 /* Removes the forecast, so that no job is refused for it. */
 void
 GfAdmission_ForgetForecast(GfAdmission *a)
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -517,6 +517,7 @@
 /* share.c */
 void CellShare_Update(GfCell *cell, struct timespec now);
 bool CellShare_Allows(const Step *step, int64_t count);
+bool CellShare_AllowsAgain(const Task *task);
 void CellShare_AddTask(const Step *step);
 void CellShare_RemoveTask(const Step *step);
 
--- a/src/cell/move.c
+++ b/src/cell/move.c
@@ -92,7 +92,7 @@
 }
 
 /* Stops a task if it could start on another worker at once: its job is
- * certain, its team within its limit, and a worker has the capacity, which is
+ * certain, its team's limit allows it, and a worker has the capacity, which is
  * reserved for RESERVE_MS. Without a ticket, advice is requested first; then,
  * and without a worker, its step pauses. Returns whether the task was
  * stopped. */
@@ -102,7 +102,7 @@
     Step *step = task->step;
     if (GfTime_Before(now, step->next_move_at) ||
         (step->job->uncertain && cell->in_uncertainty_period) ||
-        !CellShare_Allows(step, 0)) {
+        !CellShare_AllowsAgain(task)) {
         return false;
     }
     Worker *target = find_target(cell, task, now);
--- a/src/cell/share.c
+++ b/src/cell/share.c
@@ -2,7 +2,8 @@
  * tasks wait for its long ones, which hold their resources for seconds. Each
  * class therefore leaves a part of the limit free for what earlier classes
  * needed recently. After a takeover, what a former owner may have running on
- * workers that have not answered counts against the limit too. */
+ * workers that have not answered counts against the limit too. A team that
+ * uses less than half of its limit may exceed it by one task. */
 #include <math.h>
 #include <stdlib.h>
 
@@ -206,29 +207,34 @@
     }
 }
 
-/* Returns whether need fits into a limit beside what is used and reserved;
- * reserved counts up to MAX_RESERVE_PERCENT of the limit. A limit of 0 is no
- * limit. */
+/* Returns whether count tasks with this need may start within a limit: they
+ * fit beside what is used and reserved, of which up to MAX_RESERVE_PERCENT of
+ * the limit counts, or less than half of the limit is used and only the last
+ * of them exceeds it. Without the latter a task that needs most of the limit
+ * might wait for ever, and one that needs more would, once the limit is
+ * lowered. A limit of 0 is no limit. */
 static bool
-fits(int64_t limit, int64_t used, int64_t reserved, int64_t need)
+fits(int64_t limit, int64_t used, int64_t reserved, int64_t need,
+     int64_t count)
 {
     int64_t most = limit * MAX_RESERVE_PERCENT / PERCENT;
     return limit == 0 ||
-           used + (reserved < most ? reserved : most) + need <= limit;
+           used + (reserved < most ? reserved : most) + need * count <=
+               limit ||
+           (used * 2 < limit && used + need * (count - 1) <= limit);
 }
 
-/* Returns whether the team's limit allows the given number of further tasks of
- * the step. What earlier classes needed recently is kept free, but not from
- * long-running tasks, since these should run at all times. */
-bool
-CellShare_Allows(const Step *step, int64_t count)
+/* Returns whether the limit of a step's team allows count further tasks of the
+ * step beside what is used. What earlier classes needed recently is kept free,
+ * but not from long-running tasks, since these should run at all times. */
+static bool
+allows(const Step *step, GfResources used, int64_t count)
 {
     const GfCellTeam *team = step->job->team_in_force;
     if (team == NULL) {
         return true;
     }
     const TeamUse *use = step->job->use;
-    GfResources need = scale(step->spec->need, (double)count);
     GfResources reserved = {0};
     for (uint32_t c = 0;
          !step->spec->long_running && c < step->job->work_class; c++) {
@@ -237,10 +243,30 @@
             reserved, GfResources_Subtract(peak, use->by_class[c]));
     }
     const GfResources *l = &team->limit;
-    GfResources used = GfResources_Add(use->used, use->uncertain_use);
-    return fits(l->mcores, used.mcores, reserved.mcores, need.mcores) &&
+    const GfResources *need = &step->spec->need;
+    used = GfResources_Add(used, use->uncertain_use);
+    return fits(l->mcores, used.mcores, reserved.mcores, need->mcores,
+                count) &&
            fits(l->memory_mb, used.memory_mb, reserved.memory_mb,
-                need.memory_mb) &&
+                need->memory_mb, count) &&
            fits(l->accelerators, used.accelerators, reserved.accelerators,
-                need.accelerators);
+                need->accelerators, count);
+}
+
+/* Returns whether the limit of a step's team allows the given number of
+ * further tasks of the step, at least one, to start together. */
+bool
+CellShare_Allows(const Step *step, int64_t count)
+{
+    return allows(step, step->job->use->used, count);
+}
+
+/* Returns whether the limit of a task's team would allow the task, which runs,
+ * to start again after it has ended. */
+bool
+CellShare_AllowsAgain(const Task *task)
+{
+    GfResources rest = GfResources_Subtract(task->step->job->use->used,
+                                            task->step->spec->need);
+    return allows(task->step, rest, 1);
 }
--- a/src/cellentry/jobs.c
+++ b/src/cellentry/jobs.c
@@ -520,6 +520,10 @@
     GfErrorKind refusal =
         GfAdmission_Check(&entry->admission, &queue->service, &r->team, spec,
                           &r->retry_after_ms);
+    const GfCellTeam *team = GfCellConfig_FindTeam(entry->config, &r->team);
+    if (refusal == GF_OK && team != NULL) {
+        refusal = GfAdmission_CheckLimit(&team->limit, spec);
+    }
     bool has_owner = entry->term != NULL || (entry->owner.token != 0 &&
                                              !entry->owner.denies_ownership);
     if (refusal == GF_OK && has_owner &&
--- a/tests/unit/admission.c
+++ b/tests/unit/admission.c
@@ -269,6 +269,28 @@
     CU_ASSERT_EQUAL(check_forecast(&a, &QUICK, &team_a, 0, &c), GF_BUSY);
 }
 
+/* A team may exceed its limit by one task, so only a gang whose other members
+ * exceed it is refused. Accepted, it would wait for as long as the limit
+ * stands. */
+static void
+test_gang_above_the_limit_accepted(void)
+{
+    GfResources limit = {12000, 4000, 0};
+    GfStepSpec steps[] = {
+        {.task_count = 9, .need = {14000, 1, 8}},
+        {.task_count = 3, .need = {6000, 1, 8}, .gang = true},
+        {.task_count = 1, .need = {14000, 5000, 8}, .gang = true}};
+    GfJobSpec spec = {.steps = steps, .step_count = 3};
+    CU_ASSERT_EQUAL(GfAdmission_CheckLimit(&limit, &spec), GF_OK);
+    steps[1].task_count = 4;
+    CU_ASSERT_EQUAL(GfAdmission_CheckLimit(&limit, &spec), GF_NEVER_FITS);
+    steps[1].task_count = 2;
+    steps[1].need.memory_mb = 4001;
+    CU_ASSERT_EQUAL(GfAdmission_CheckLimit(&limit, &spec), GF_NEVER_FITS);
+    limit = (GfResources){0};
+    CU_ASSERT_EQUAL(GfAdmission_CheckLimit(&limit, &spec), GF_OK);
+}
+
 /* Refused callers come back in the order in which they were refused, each a
  * second after the one before, as the spare capacity does the work of one of
  * their jobs in a second; never later than a minute, and then not all at one
@@ -297,6 +319,7 @@
 static const SuiteTest TESTS[] = {
     {"no worker known", test_no_worker_known},
     {"never fits", test_never_fits},
+    {"gang above the limit accepted", test_gang_above_the_limit_accepted},
     {"backlog", test_backlog},
     {"all teams together", test_all_teams_together},
     {"outage", test_outage},
