Let simulated workers refuse runs that have ended

A worker refuses "any run that is not higher than a run stopped or ended there". The simulation of the cell and the stand-in of a worker refused stopped runs only, and carried a repeated start out again after its run had ended.

--- a/tests/standin/fleet.c
+++ b/tests/standin/fleet.c
@@ -421,6 +421,20 @@
     }
 }
 
+/* Makes a worker refuse starts of a task up to a run number. */
+static void
+refuse_starts(SimWorker *w, const char *task, int64_t number)
+{
+    StopOrder *stop = NULL;
+    HASH_FIND_STR(w->stop_orders, task, stop);
+    if (stop == NULL) {
+        stop = calloc(1, sizeof(*stop));
+        snprintf(stop->key, sizeof(stop->key), "%s", task);
+        HASH_ADD_STR(w->stop_orders, key, stop);
+    }
+    stop->run = number > stop->run ? number : stop->run;
+}
+
 /* Ends a run and adds it to the worker's completions. Frees the run. */
 static void
 complete_run(SimWorker *w, Run *r, const char *outcome)
@@ -432,6 +446,7 @@
     c->outcome = outcome;
     DL_APPEND(w->completions, c);
     DL_DELETE(w->runs, r);
+    refuse_starts(w, r->task, r->run);
     free(r);
 }
 
@@ -498,7 +513,7 @@
 }
 
 /* Carries out a start order. Returns the reason if it is refused, else NULL:
- * "old" if another run of the task goes on or this one was stopped before,
+ * "old" if another run of the task goes on or this one ended or was stopped,
  * "late" if the lease it asks for has ended. A repeated order succeeds. */
 static const char *
 start_run(SimWorker *w, const json_t *body)
@@ -541,14 +556,7 @@
 {
     const char *task = Standin_Text(body, "task");
     int64_t number = Standin_Integer(body, "run", 0);
-    StopOrder *stop = NULL;
-    HASH_FIND_STR(w->stop_orders, task, stop);
-    if (stop == NULL) {
-        stop = calloc(1, sizeof(*stop));
-        snprintf(stop->key, sizeof(stop->key), "%s", task);
-        HASH_ADD_STR(w->stop_orders, key, stop);
-    }
-    stop->run = number > stop->run ? number : stop->run;
+    refuse_starts(w, task, number);
     Run *r;
     DL_FOREACH(w->runs, r)
     {
--- a/tests/support/cell_sim.c
+++ b/tests/support/cell_sim.c
@@ -450,7 +450,19 @@
                : run->work_ms - left_ms;
 }
 
-/* Ends a run and adds it to the worker's completions. Frees the run. */
+/* Makes a worker refuse starts of a task up to a run number. */
+static void
+refuse_starts(SimWorker *s, const GfTaskId *task, int64_t run)
+{
+    StopRecord *stop = calloc(1, sizeof(*stop));
+    assert(stop != NULL);
+    stop->task = *task;
+    stop->run = run;
+    LL_PREPEND(s->stop_records, stop);
+}
+
+/* Ends a run and adds it to the worker's completions; it is not started there
+ * again. Frees the run. */
 static void
 complete_run(CellSim *w, SimWorker *s, Run *run, GfCompletionKind kind)
 {
@@ -466,6 +478,7 @@
     }
     DL_APPEND(s->completions, c);
     DL_DELETE(s->runs, run);
+    refuse_starts(s, &run->task, run->run);
     free(run);
 }
 
@@ -576,8 +589,8 @@
 }
 
 /* Carries out a start order at a worker. A repeated order for the same run
- * succeeds; one for another run of a task that runs, or for a run that was
- * stopped before, is superseded; one whose lease end has passed is late. */
+ * succeeds; one for another run of a task that runs, or for a run that ended or
+ * was stopped before, is superseded; one whose lease end has passed is late. */
 static GfOrderResult
 execute_start(CellSim *w, SimWorker *s, const Message *m)
 {
@@ -648,11 +661,7 @@
 static GfOrderResult
 execute_stop(CellSim *w, SimWorker *s, const Message *m)
 {
-    StopRecord *stop = calloc(1, sizeof(*stop));
-    assert(stop != NULL);
-    stop->task = m->task;
-    stop->run = m->run;
-    LL_PREPEND(s->stop_records, stop);
+    refuse_starts(s, &m->task, m->run);
     Run *r;
     DL_FOREACH(s->runs, r)
     {
