Count a task that a restarted worker may start late

Callers would see their team exceed its limit (QUOTA): a worker restarts while starts to it may still arrive. The tasks were released at once, others of the team started in their place, and the restarted worker carried the late starts out before its first answer.

A task that the former incarnation has listed was taken as gone with it, although an earlier copy of its start may arrive at the next one.

Evidence: cell_late_start, "late starts bring a team over its limit", on the code before: "team over its limit" in 20 of 20 plays, after 0 of 20.

Fix: such a task stays assigned to its worker, with its resources and its team's use, until the next incarnation lists it or has answered a stop order for it, as the tasks do whose start was on its way.

--- a/src/cell/workers.c
+++ b/src/cell/workers.c
@@ -144,9 +144,10 @@
 }
 
 /* Keeps a task whose start may be carried out by a new incarnation of its
- * worker, as it was sent before that was known. The task is neither lost nor
- * free to start elsewhere until an inventory lists it, or a stop order has
- * kept it from being started. */
+ * worker, as it was sent before that was known, or is late. The task is
+ * neither lost nor free to start elsewhere, and its resources stay in use,
+ * until an inventory lists it, or a stop order has kept it from being started.
+ */
 static void
 keep_former_start(Task *task, struct timespec now)
 {
@@ -156,6 +157,7 @@
     task->stop_acked = false;
     task->stop_in_flight = false;
     task->stop_sent_at = (struct timespec){0};
+    task->listed = false;
     task->inventory_number = 0;
 }
 
@@ -170,7 +172,7 @@
     Task *tmp;
     DL_FOREACH_SAFE(w->tasks, t, tmp)
     {
-        if (t->listed) {
+        if (t->listed && !CellLateStart_IsPending(t, now)) {
             CellTask_Release(t);
             released++;
         }
--- a/tests/unit/cell_late_start.c
+++ b/tests/unit/cell_late_start.c
@@ -185,6 +185,33 @@
     expect_none(broken);
 }
 
+/* The late starts are of a team that has reached its limit with them. Others
+ * of its tasks wait when the worker restarts. */
+static void
+test_late_starts_bring_a_team_over_its_limit(void)
+{
+    int broken = 0;
+    for (uint32_t seed = 1; seed <= PLAYS; seed++) {
+        GfCellConfig *config;
+        int number;
+        CellSim *sim = begin(seed, 4000, &BATCH, &config, &number);
+        for (size_t i = 0; i < config->team_count; i++) {
+            config->teams[i].limit.mcores = TASKS * BATCH.step.need.mcores;
+        }
+        GfCell_SetConfig(CellSim_Owner(sim), config);
+        CellSim_Run(sim, 500);
+        CellSim_SetStartsDelayed(sim, 0, false);
+        int next = CellSim_Submit(sim, &BATCH);
+        CellSim_Run(sim, 3000);
+        CU_ASSERT_EQUAL(CellSim_JobRunning(sim, number), TASKS);
+        restart(sim, 2000);
+        CellSim_Run(sim, 20000);
+        CU_ASSERT_EQUAL(CellSim_JobState(sim, next), GF_JOB_COMPLETED);
+        broken += finish(sim, config, &BATCH, number, seed);
+    }
+    expect_none(broken);
+}
+
 /* The worker takes starts again before the first one is given up. */
 static void
 test_task_moved_for_one_start_without_an_answer(void)
@@ -232,6 +259,8 @@
      test_late_start_runs_unseen_after_its_time},
     {"late start of a former owner forgotten",
      test_late_start_of_a_former_owner_forgotten},
+    {"late starts bring a team over its limit",
+     test_late_starts_bring_a_team_over_its_limit},
     {"task moved for one start without an answer",
      test_task_moved_for_one_start_without_an_answer},
     {"lasting task waits for a dead worker",
