--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -71,7 +71,8 @@
     struct timespec stop_acked_at;
     struct timespec unconfirmed_since; /* when it became UNCONFIRMED */
     struct timespec start_sent_at;     /* the current run's start, latest */
-    struct timespec late_until; /* a start without an answer may arrive */
+    struct timespec late_until; /* end of the time in which a start without an
+                                   answer may arrive */
     int64_t late_worker;        /* key of the worker that it was sent to */
     int64_t
         start_expires_ms; /* the start is refused after it; worker's clock */
@@ -280,7 +281,7 @@
 struct Worker {
     GfWorkerInfo info;
     uint32_t serial;     /* unique in the process, never 0 */
-    int64_t key;         /* of its id, the same for all owners */
+    int64_t key;         /* hash of its id, the same for all owners */
     bool listed;         /* in the platform's table */
     bool described;      /* info has the row of this incarnation */
     bool former_orders;  /* orders that were meant for the incarnation before
--- a/tests/support/cell_sim.c
+++ b/tests/support/cell_sim.c
@@ -589,8 +589,9 @@
 }
 
 /* Carries out a start order at a worker. A repeated order for the same run
- * succeeds; one for another run of a task that runs, or for a run that ended or
- * was stopped before, is superseded; one whose lease end has passed is late. */
+ * succeeds; one for another run of a task that runs, or for a run that ended
+ * or was stopped before, is superseded; one whose lease end has passed is
+ * late. */
 static GfOrderResult
 execute_start(CellSim *w, SimWorker *s, const Message *m)
 {
